--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,112 @@
+"""Starts, pauses, kills and stops the processes of a site, by their own ids."""
+
+import collections.abc
+import os
+import pathlib
+import signal
+import socket
+import sys
+import time
+
+import attrs
+import trio
+
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 60.0
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+
+class ProcessError(Exception):
+    """A process did not start, or ended when it should not have."""
+
+
+@attrs.define(eq=False)
+class ProcessGroup:
+    """Processes by name; all are ended when the context is left.
+
+    :ivar log_folder: each process's stderr goes to ``NAME.log`` there
+    """
+
+    log_folder: pathlib.Path
+    _running: dict[str, trio.Process] = attrs.field(factory=dict, init=False)
+
+    async def __aenter__(self) -> "ProcessGroup":
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        with trio.CancelScope(shield=True):
+            for name in list(self._running):
+                await self.kill(name)
+
+    async def start(
+        self,
+        name: str,
+        arguments: collections.abc.Sequence[str],
+        variables: collections.abc.Mapping[str, str] | None = None,
+    ) -> None:
+        """Start ``python -m ARGUMENTS``."""
+        log = (self.log_folder / f"{name}.log").open("ab")
+        with log:
+            self._running[name] = await trio.lowlevel.open_process(
+                [sys.executable, "-m", *arguments],
+                stdout=log,
+                stderr=log,
+                cwd=ROOT,
+                env={**os.environ, **(variables or {})},
+            )
+
+    def pause(self, name: str) -> None:
+        """Stop a process's clock."""
+        self._running[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a paused process go on."""
+        self._running[name].send_signal(signal.SIGCONT)
+
+    async def kill(self, name: str) -> None:
+        """End a process without warning."""
+        process = self._running.pop(name)
+        process.kill()
+        await process.wait()
+
+    async def stop(self, name: str) -> int:
+        """Ask a process to stop and return its exit status."""
+        process = self._running.pop(name)
+        process.terminate()
+        with trio.fail_after(STOP_TIMEOUT_S):
+            return await process.wait()
+
+    def is_running(self, name: str) -> bool:
+        """Tell whether a process is there."""
+        return name in self._running and self._running[name].poll() is None
+
+    def log_text(self, name: str) -> str:
+        """Return what a process has logged."""
+        return (self.log_folder / f"{name}.log").read_text(errors="replace")
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return addresses on the loopback interface that nothing listens on."""
+    held = []
+    for _ in range(count):
+        held.append(socket.socket())
+        held[-1].bind(("127.0.0.1", 0))
+    addresses = [f"127.0.0.1:{each.getsockname()[1]}" for each in held]
+    for each in held:
+        each.close()
+    return addresses
+
+
+async def wait_listening(address: str) -> None:
+    """Return when something accepts connections at ``address``."""
+    host, _, port = address.rpartition(":")
+    deadline = time.monotonic() + START_TIMEOUT_S
+    while time.monotonic() < deadline:
+        try:
+            stream = await trio.open_tcp_stream(host, int(port))
+        except OSError:
+            await trio.sleep(0.05)
+            continue
+        await stream.aclose()
+        return
+    raise ProcessError(f"nothing listens on {address}")
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for developers: the demo, the binary, measurements."""
--- /dev/null
+++ b/toucanhold/application.py
@@ -0,0 +1,53 @@
+"""An application: what it owns, in the order of starting and stopping."""
+
+import abc
+import contextlib
+import logging
+import signal
+
+import trio
+
+LOGGER = logging.getLogger(__name__)
+
+
+class Application(abc.ABC):
+    """Owns components and runs them between its life-cycle hooks."""
+
+    async def run(self) -> None:
+        """Start, wait for a stop signal or :meth:`request_stop`, stop, and clean up."""
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(self.clean_up)
+            async with trio.open_nursery() as nursery:
+                await self.start(nursery)
+                with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+                    await self._wait_for_stop(signals)
+                await self.stop()
+                nursery.cancel_scope.cancel()
+
+    @abc.abstractmethod
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start all tasks in ``nursery``; return when the application serves."""
+
+    @abc.abstractmethod
+    async def stop(self) -> None:
+        """Stop gracefully; return when nothing is in flight."""
+
+    @abc.abstractmethod
+    async def clean_up(self) -> None:
+        """Release what is left, also after a failure."""
+
+    @abc.abstractmethod
+    async def wait_stop_requested(self) -> None:
+        """Return when the application itself wants to stop."""
+
+    async def _wait_for_stop(self, signals) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._cancel_on_request, nursery.cancel_scope)
+            async for number in signals:
+                LOGGER.debug("signal %s", number)
+                nursery.cancel_scope.cancel()
+                return
+
+    async def _cancel_on_request(self, scope: trio.CancelScope) -> None:
+        await self.wait_stop_requested()
+        scope.cancel()
--- /dev/null
+++ b/toucanhold/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Backend servers: model engines and plain services behind one interface."""
--- /dev/null
+++ b/toucanhold/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' interface: OpenAI-compatible paths, plain services, and the directory."""
--- /dev/null
+++ b/toucanhold/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/toucanhold/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' word: inventory, rules and availability zones taken out."""
--- /dev/null
+++ b/toucanhold/configuration/snapshot.py
@@ -0,0 +1,125 @@
+"""The configuration as numbered parts, and as the typed whole they make.
+
+A change touches few parts, so a reader that knows number N needs only the parts with a higher one.
+"""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+
+import attrs
+
+from toucanhold import codec
+from toucanhold.configuration import document, inventory, rules
+
+RULES_PART = "rules"
+ZONES_PART = "zones"
+INVENTORY_PREFIX = "inventory/"
+
+
+class SnapshotError(Exception):
+    """Parts that do not make a configuration."""
+
+
+@attrs.frozen
+class Part:
+    """One part.
+
+    :ivar number: number of the change that wrote it
+    :ivar body: JSON; empty when the part was deleted
+    """
+
+    name: str
+    number: int
+    body: bytes
+
+
+@attrs.frozen
+class Delta:
+    """Parts that take a configuration to ``number``; complete for readers at ``base`` or later."""
+
+    base: int
+    number: int
+    parts: tuple[Part, ...]
+
+
+@attrs.frozen
+class ZonesOut:
+    """Availability zones taken out by operators."""
+
+    zones: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class Configuration:
+    """What is in force.
+
+    :ivar number: counts accepted changes; 0 before the first
+    :ivar zones_out: availability zones that get no new work
+    """
+
+    number: int = 0
+    inventory: inventory.Inventory = inventory.Inventory()
+    rules: rules.Rules = rules.Rules()
+    zones_out: frozenset[str] = frozenset()
+    parts: collections.abc.Mapping[str, Part] = attrs.field(factory=dict, eq=False, repr=False)
+
+    def merged(self, delta: Delta) -> Configuration:
+        """Return the configuration at ``delta.number``.
+
+        :raises SnapshotError: when the delta leaves a gap, is older, or is malformed
+        """
+        if delta.base > self.number:
+            raise SnapshotError(f"a gap: have {self.number}, the delta starts at {delta.base}")
+        if delta.number < self.number:
+            raise SnapshotError(f"older: have {self.number}, got {delta.number}")
+        parts = dict(self.parts) | {part.name: part for part in delta.parts}
+        return from_parts(delta.number, parts)
+
+    def delta_since(self, number: int) -> Delta:
+        """Return what a reader at ``number`` lacks."""
+        parts = tuple(part for part in self.parts.values() if part.number > number)
+        return Delta(number, self.number, parts)
+
+    def to_document(self) -> document.Document:
+        """Return inventory and rules in the operators' form."""
+        return document.Document(document.FORMAT_VERSION, self.inventory, self.rules)
+
+
+def from_parts(number: int, parts: collections.abc.Mapping[str, Part]) -> Configuration:
+    """Build the typed configuration.
+
+    :raises SnapshotError: when a part is malformed
+    """
+    vms: list[inventory.Vm] = []
+    new_rules, zones_out = rules.Rules(), ZonesOut()
+    try:
+        for part in parts.values():
+            if not part.body:
+                continue
+            if part.name == RULES_PART:
+                new_rules = codec.from_json(part.body, rules.Rules)
+            elif part.name == ZONES_PART:
+                zones_out = codec.from_json(part.body, ZonesOut)
+            elif part.name.startswith(INVENTORY_PREFIX):
+                vms += codec.from_json(part.body, inventory.Inventory).vms
+    except codec.CodecError as error:
+        raise SnapshotError(str(error)) from error
+    vms.sort(key=lambda vm: vm.vm)
+    return Configuration(
+        number, inventory.Inventory(tuple(vms)), new_rules, frozenset(zones_out.zones), dict(parts)
+    )
+
+
+def bodies_of(wanted: document.Document) -> dict[str, bytes]:
+    """Return the part bodies of a document; the inventory is split by availability zone."""
+    by_zone: dict[str, list[inventory.Vm]] = collections.defaultdict(list)
+    for vm in sorted(wanted.inventory.vms, key=lambda vm: vm.vm):
+        by_zone[vm.availability_zone].append(vm)
+    bodies = {
+        INVENTORY_PREFIX + zone: codec.to_json(inventory.Inventory(tuple(vms)))
+        for zone, vms in by_zone.items()
+    }
+    bodies[RULES_PART] = codec.to_json(wanted.rules)
+    return bodies
--- /dev/null
+++ b/toucanhold/entry.py
@@ -0,0 +1,209 @@
+"""The entry: one process that is directory, router, observer and, at times, planner."""
+
+import functools
+import logging
+
+import attrs
+import trio
+
+from toucanhold import application, codec, events, serving, settings
+from toucanhold.backends import http
+from toucanhold.callers import app as callers_app
+from toucanhold.callers import directory
+from toucanhold.configuration import holder, snapshot, store
+from toucanhold.membership import roster
+from toucanhold.observing import poller, view
+from toucanhold.operators import app as operators_app
+from toucanhold.operators import status
+from toucanhold.planning import placement, plan, planner
+from toucanhold.platform import etcd, following, lease
+from toucanhold.routing import candidates, choice, dispatch, gate
+
+PLANNER_LEASE_TTL_S = 4
+
+LOGGER = logging.getLogger(__name__)
+
+
+@attrs.define(eq=False)
+class EntryApplication(application.Application):
+    """Builds an entry's components from its settings and owns them."""
+
+    settings: settings.EntrySettings
+    _stop_serving: trio.Event = attrs.field(factory=trio.Event, init=False)
+    _servers_left: int = attrs.field(default=0, init=False)
+    _all_served: trio.Event = attrs.field(factory=trio.Event, init=False)
+    _stop_requested: trio.Event = attrs.field(factory=trio.Event, init=False)
+    _known_revision: int = attrs.field(default=0, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Build the components; none does anything before :meth:`start`."""
+        own = self.settings
+        self.rng = own.new_rng()
+        self.platform = etcd.EtcdClient(own.platform_url, own.entry)
+        self.backends = http.HttpBackendClient()
+        self.configuration = holder.ConfigurationHolder()
+        self.store = store.ConfigurationStore(self.platform)
+        self.plans = plan.PlanHolder()
+        self.view = view.View()
+        self.poller = poller.Poller(self.configuration, self.backends, self.view, self.rng)
+        self._build_membership()
+        self._build_planner()
+        self._build_routing()
+        self._build_followers()
+        self._build_interfaces()
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """See :class:`application.Application`."""
+        nursery.start_soon(self.configuration_follower.run)
+        nursery.start_soon(self.plan_follower.run)
+        nursery.start_soon(self.roster_follower.run)
+        nursery.start_soon(self.entry_lease.run)
+        nursery.start_soon(self.planner_lease.run)
+        nursery.start_soon(self.poller.run)
+        nursery.start_soon(self.planner.run)
+        await self._serve(nursery, self.callers, self.settings.callers_address)
+        await self._serve(nursery, self.operators, self.settings.operators_address)
+        events.log(
+            LOGGER,
+            events.Event.ENTRY_STARTED,
+            entry=self.settings.entry,
+            callers=self.settings.callers_address,
+            operators=self.settings.operators_address,
+        )
+
+    async def stop(self) -> None:
+        """See :class:`application.Application`."""
+        events.log(LOGGER, events.Event.ENTRY_STOPPING, in_flight=self.callers.in_flight)
+        self.roster.set_own_state(roster.EntryState.STOPPING)
+        await self.entry_lease.release()
+        # Callers keep old answers of the directory and go on coming for that long.
+        await trio.sleep(self.settings.directory_keep_s)
+        self._stop_serving.set()
+        await self._all_served.wait()
+        await self.planner_lease.release()
+
+    async def clean_up(self) -> None:
+        """See :class:`application.Application`."""
+        with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
+            await self.platform.close()
+            await self.backends.close()
+        events.log(LOGGER, events.Event.ENTRY_STOPPED, entry=self.settings.entry)
+
+    async def wait_stop_requested(self) -> None:
+        """See :class:`application.Application`."""
+        await self._stop_requested.wait()
+
+    def _build_membership(self) -> None:
+        own = self.settings
+        member = roster.Member(
+            own.entry,
+            own.availability_zone,
+            own.callers_address,
+            own.operators_address,
+            own.peers_address,
+        )
+        self.roster = roster.Roster(member)
+        self.entry_lease = lease.LeasedKey(
+            self.platform,
+            roster.ENTRIES_PREFIX + own.entry,
+            codec.to_json(member),
+            roster.ENTRY_LEASE_TTL_S,
+            self.rng,
+        )
+
+    def _build_planner(self) -> None:
+        self.planner_lease = lease.LeasedKey(
+            self.platform,
+            planner.PLANNER_KEY,
+            self.settings.entry.encode(),
+            PLANNER_LEASE_TTL_S,
+            self.rng,
+        )
+        self.planner = planner.Planner(
+            self.configuration,
+            self.plans,
+            self.view,
+            placement.FirstFit(),
+            self.platform,
+            self.backends,
+            self.planner_lease,
+        )
+
+    def _build_routing(self) -> None:
+        self.in_flight = choice.InFlight()
+        self.finder = candidates.CandidateFinder(self.configuration, self.plans, self.view)
+        policy = choice.LeastLoaded(self.in_flight, self.rng)
+        self.admission = gate.PlainQueue(self.finder, policy, self.in_flight)
+        self.dispatcher = dispatch.Dispatcher(self.admission, self.backends)
+
+    def _build_followers(self) -> None:
+        follower = functools.partial(following.Follower, self.platform, rng=self.rng)
+        self.configuration_follower = follower(store.PREFIX, self._refresh_configuration)
+        self.plan_follower = follower(plan.PLAN_PREFIX, self._refresh_plan)
+        self.roster_follower = follower(roster.ENTRIES_PREFIX, self._refresh_roster)
+
+    def _build_interfaces(self) -> None:
+        own = self.settings
+        self.callers = callers_app.CallersApp(
+            self.configuration,
+            self.dispatcher,
+            directory.Directory(self.roster, own.directory_keep_s),
+            own.body_limit_bytes,
+            own.default_timeout_s,
+            own.max_timeout_s,
+        )
+        composer = status.StatusComposer(
+            self.roster,
+            self.configuration,
+            self.plans,
+            self.view,
+            self.finder,
+            self.planner,
+            self.configuration_follower,
+        )
+        self.operators = operators_app.OperatorsApp(
+            self.store, self.configuration, composer, own.operator_token
+        )
+
+    async def _serve(self, nursery: trio.Nursery, app, address: str) -> None:
+        self._servers_left += 1
+        await nursery.start(self._serve_until_stop, app, address)
+
+    async def _serve_until_stop(self, app, address: str, *, task_status) -> None:
+        tls_files = (self.settings.tls_certificate, self.settings.tls_key)
+        await serving.serve(
+            app,
+            address,
+            self._stop_serving,
+            self.settings.idle_timeout_s,
+            tls_files,
+            task_status=task_status,
+        )
+        self._servers_left -= 1
+        if not self._servers_left:
+            self._all_served.set()
+
+    async def _refresh_configuration(self) -> int:
+        known = self.configuration.current.number
+        delta, revision = await self.store.read_delta(known, self._known_revision)
+        try:
+            self.configuration.apply(delta, "platform")
+        except snapshot.SnapshotError as error:
+            LOGGER.error("the stored configuration is not readable: %s", error)
+            return revision
+        self._known_revision = revision
+        return revision
+
+    async def _refresh_plan(self) -> int:
+        result = await self.platform.read(plan.PLAN_PREFIX)
+        for item in result.items:
+            try:
+                self.plans.apply(plan.from_item(item))
+            except codec.CodecError as error:
+                LOGGER.error("the stored plan %s is not readable: %s", item.key, error)
+        return result.revision
+
+    async def _refresh_roster(self) -> int:
+        result = await self.platform.read(roster.ENTRIES_PREFIX)
+        self.roster.replace(result.items)
+        return result.revision
--- /dev/null
+++ b/toucanhold/events.py
@@ -0,0 +1,48 @@
+"""Numbered log events; docs/EVENTS.md catalogues them."""
+
+import enum
+import logging
+
+
+class Event(enum.Enum):
+    """A numbered event: number, severity and what it tells."""
+
+    ENTRY_STARTED = (1001, logging.INFO, "the entry listens")
+    ENTRY_STOPPING = (1002, logging.INFO, "a planned stop begins")
+    ENTRY_STOPPED = (1003, logging.INFO, "the entry has ended")
+    REQUEST_ROUTED = (2001, logging.INFO, "a backend server was chosen for a request")
+    REQUEST_REFUSED = (2002, logging.INFO, "a request was refused without running")
+    REQUEST_FAILED = (2003, logging.WARNING, "a request failed after it was sent")
+    REQUEST_FINISHED = (2004, logging.INFO, "a request was answered whole")
+    REQUEST_RETRIED = (2005, logging.INFO, "an idempotent request is tried again")
+    GROUP_PLANNED = (3001, logging.INFO, "the planner formed a group")
+    GROUP_ENDED = (3002, logging.INFO, "the planner ended a generation of a group")
+    ORDER_SENT = (3003, logging.INFO, "the planner gave an order to an engine")
+    ORDER_FAILED = (3004, logging.WARNING, "an engine did not take an order")
+    PLANNER_ELECTED = (3005, logging.INFO, "this entry holds the planner lease")
+    PLANNER_LOST = (3006, logging.WARNING, "this entry no longer holds the planner lease")
+    SERVICE_SHORT = (3007, logging.WARNING, "a service has fewer replicas than wanted")
+    CONFIGURATION_IN_FORCE = (4001, logging.INFO, "a configuration is in force on this entry")
+    CONFIGURATION_ACCEPTED = (4002, logging.INFO, "an operator's change was accepted")
+    CONFIGURATION_REFUSED = (4003, logging.INFO, "an operator's change was refused")
+    PLATFORM_LOST = (5001, logging.WARNING, "the key-value service does not answer")
+    PLATFORM_BACK = (5002, logging.INFO, "the key-value service answers again")
+    BACKEND_SEEN = (6001, logging.INFO, "a backend server reported a new boot, warmth or group")
+    BACKEND_LOST = (6002, logging.WARNING, "a backend server no longer answers")
+
+    def __init__(self, number: int, severity: int, meaning: str) -> None:
+        self.number = number
+        self.severity = severity
+        self.meaning = meaning
+
+
+def log(logger: logging.Logger, event: Event, **fields: object) -> None:
+    """Write one line for ``event``.
+
+    :param logger: the module's logger
+    :param event: what happened
+    :param fields: facts and the reason of a decision; names carry units
+    """
+    if logger.isEnabledFor(event.severity):
+        extra = {"event": event, "fields": fields}
+        logger.log(event.severity, "%s", event.meaning, extra=extra)
--- /dev/null
+++ b/toucanhold/exitstatus.py
@@ -0,0 +1,16 @@
+"""Exit statuses of the program."""
+
+import enum
+
+
+class ExitStatus(enum.IntEnum):
+    """What the process tells its parent; listed in docs/OPERATORS.md."""
+
+    OK = 0
+    ERROR = 1
+    USAGE = 2
+    INVALID = 3
+    CONFLICT = 4
+    UNAVAILABLE = 5
+    TIMEOUT = 6
+    INTERRUPTED = 130
--- /dev/null
+++ b/toucanhold/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' interface: authenticated HTTP, and the client that the command line uses."""
--- /dev/null
+++ b/toucanhold/operators/app.py
@@ -0,0 +1,132 @@
+"""The operators' ASGI application."""
+
+import hmac
+import logging
+
+import attrs
+
+from toucanhold import asgi, codec, events
+from toucanhold.configuration import document, holder, store
+from toucanhold.operators import messages, status
+
+DOCUMENT_PATH = "/operators/v1/document"
+STATUS_PATH = "/operators/v1/status"
+ZONES_PREFIX = "/operators/v1/availability-zones/"
+HEALTH_PATH = "/health"
+BODY_LIMIT_BYTES = 8 * 1024 * 1024
+
+LOGGER = logging.getLogger(__name__)
+
+
+class _OperatorError(Exception):
+    def __init__(self, status_code: int, answer: messages.ErrorAnswer) -> None:
+        super().__init__(answer.detail)
+        self.status_code = status_code
+        self.answer = answer
+
+
+@attrs.define(eq=False)
+class OperatorsApp:
+    """Checks the token, then queries or changes.
+
+    :ivar token: what operators must present; compared in constant time
+    """
+
+    store: store.ConfigurationStore
+    configuration: holder.ConfigurationHolder
+    status: status.StatusComposer
+    token: str = attrs.field(repr=False)
+
+    async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
+        """Serve one connection event of the ASGI server."""
+        if scope["type"] == "lifespan":
+            await asgi.acknowledge_lifespan(receive, send)
+        elif scope["type"] == "http":
+            await self._handle(scope, receive, send)
+
+    async def _handle(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
+        if scope["path"] == HEALTH_PATH:
+            await asgi.respond_json(send, 200, {"status": "ok"})
+            return
+        try:
+            self._authenticate(scope)
+            answer = await self._route(scope, receive)
+            body, code = codec.to_json(answer), 200
+        except _OperatorError as error:
+            body, code = codec.to_json(error.answer), error.status_code
+            _log_refusal(scope, error)
+        except asgi.ClientGoneError:
+            return
+        await asgi.respond(send, code, [(b"content-type", b"application/json")], body)
+
+    def _authenticate(self, scope: asgi.Scope) -> None:
+        presented = asgi.header(scope, "authorization").removeprefix("Bearer ")
+        if not hmac.compare_digest(presented.encode(), self.token.encode()):
+            raise _error(401, "unauthorized", "a valid operator token is needed")
+
+    async def _route(self, scope: asgi.Scope, receive: asgi.Receive) -> object:
+        path, method = scope["path"], scope["method"]
+        if (method, path) == ("GET", STATUS_PATH):
+            return self.status.compose()
+        if (method, path) == ("GET", DOCUMENT_PATH):
+            return self.configuration.current.to_document()
+        if (method, path) == ("PUT", DOCUMENT_PATH):
+            return await self._apply(await _read(receive, messages.ApplyRequest))
+        if method == "PUT" and path.startswith(ZONES_PREFIX):
+            zone = path.removeprefix(ZONES_PREFIX)
+            return await self._set_zone(zone, await _read(receive, messages.ZoneRequest))
+        raise _error(404, "unknown", f"nothing at {method} {path}")
+
+    async def _apply(self, request: messages.ApplyRequest) -> messages.ChangeAnswer:
+        try:
+            document.check(request.document)
+        except document.InvalidDocumentError as error:
+            mistakes = tuple(str(mistake) for mistake in error.exceptions)
+            answer = messages.ErrorAnswer("invalid", error.message, mistakes)
+            raise _OperatorError(422, answer) from error
+        change = self.store.apply(request.document, request.expected, request.author)
+        return messages.ChangeAnswer(await _translated(change))
+
+    async def _set_zone(self, zone: str, request: messages.ZoneRequest) -> messages.ChangeAnswer:
+        known = {each.name for each in self.configuration.current.rules.availability_zones}
+        if zone not in known:
+            raise _error(404, "unknown-availability-zone", f"no availability zone {zone!r}")
+        change = self.store.set_zone_out(zone, request.out, request.author)
+        return messages.ChangeAnswer(await _translated(change))
+
+
+async def _translated(change) -> int:
+    try:
+        return await change
+    except store.ConflictError as error:
+        raise _error(409, "conflict", str(error)) from error
+    except store.NotAcceptedError as error:
+        raise _error(503, "unavailable", str(error)) from error
+    except store.UnknownOutcomeError as error:
+        raise _error(504, "unknown-outcome", str(error)) from error
+
+
+async def _read(receive: asgi.Receive, kind: type):
+    try:
+        return codec.from_json(await asgi.read_body(receive, BODY_LIMIT_BYTES), kind)
+    except asgi.BodyTooLargeError as error:
+        raise _error(413, "too-large", f"the body exceeds {BODY_LIMIT_BYTES} bytes") from error
+    except codec.CodecError as error:
+        mistakes = tuple(str(error).split("; "))
+        answer = messages.ErrorAnswer("invalid", "wrong shape", mistakes)
+        raise _OperatorError(422, answer) from error
+
+
+def _error(status_code: int, kind: str, detail: str) -> _OperatorError:
+    return _OperatorError(status_code, messages.ErrorAnswer(kind, detail))
+
+
+def _log_refusal(scope: asgi.Scope, error: _OperatorError) -> None:
+    events.log(
+        LOGGER,
+        events.Event.CONFIGURATION_REFUSED,
+        method=scope["method"],
+        path=scope["path"],
+        kind=error.answer.kind,
+        reason=error.answer.detail,
+    )
--- /dev/null
+++ b/toucanhold/operators/client.py
@@ -0,0 +1,83 @@
+"""The operators' side of the wire, used by the command line."""
+
+import typing
+
+import attrs
+import httpcore
+
+from toucanhold import codec
+from toucanhold.configuration import document
+from toucanhold.operators import app, messages
+
+CALL_TIMEOUT_S = 15.0
+
+T = typing.TypeVar("T")
+
+
+class OperatorsClientError(Exception):
+    """The entry refused, or could not be reached.
+
+    :ivar kind: as in :class:`messages.ErrorAnswer`; ``unreachable`` when there was no answer
+    :ivar mistakes: each mistake of a document
+    """
+
+    def __init__(self, kind: str, detail: str, mistakes: tuple[str, ...] = ()) -> None:
+        super().__init__(detail)
+        self.kind = kind
+        self.mistakes = mistakes
+
+
+@attrs.define(eq=False)
+class OperatorsClient:
+    """Calls one entry.
+
+    :ivar base_url: for example ``http://127.0.0.1:7001``
+    """
+
+    base_url: str
+    token: str = attrs.field(repr=False)
+
+    async def status(self) -> messages.StatusAnswer:
+        """Return the entry's status."""
+        return await self._call("GET", app.STATUS_PATH, None, messages.StatusAnswer)
+
+    async def document(self) -> document.Document:
+        """Return inventory and rules in force."""
+        return await self._call("GET", app.DOCUMENT_PATH, None, document.Document)
+
+    async def apply(self, request: messages.ApplyRequest) -> messages.ChangeAnswer:
+        """Replace inventory and rules."""
+        return await self._call("PUT", app.DOCUMENT_PATH, request, messages.ChangeAnswer)
+
+    async def set_zone(self, zone: str, request: messages.ZoneRequest) -> messages.ChangeAnswer:
+        """Take an availability zone out, or return it."""
+        path = app.ZONES_PREFIX + zone
+        return await self._call("PUT", path, request, messages.ChangeAnswer)
+
+    async def _call(self, method: str, path: str, request: object, kind: type[T]) -> T:
+        body = codec.to_json(request) if request is not None else b""
+        headers = {"authorization": f"Bearer {self.token}", "content-type": "application/json"}
+        timeouts = dict.fromkeys(("connect", "write", "read", "pool"), CALL_TIMEOUT_S)
+        try:
+            async with httpcore.AsyncConnectionPool(retries=0) as pool:
+                response = await pool.request(
+                    method,
+                    self.base_url + path,
+                    headers=headers,
+                    content=body,
+                    extensions={"timeout": timeouts},
+                )
+        except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
+            raise OperatorsClientError("unreachable", f"{self.base_url}: {error!r}") from error
+        return _decode(response, kind)
+
+
+def _decode(response: httpcore.Response, kind: type[T]) -> T:
+    try:
+        if response.status == 200:
+            return codec.from_json(response.content, kind)
+        answer = codec.from_json(response.content, messages.ErrorAnswer)
+    except codec.CodecError as error:
+        detail = f"HTTP status {response.status}: {error}"
+        raise OperatorsClientError("unreachable", detail) from error
+    raise OperatorsClientError(answer.kind, answer.detail, answer.mistakes)
--- /dev/null
+++ b/toucanhold/operators/messages.py
@@ -0,0 +1,101 @@
+"""What operators' requests and answers carry."""
+
+import attrs
+
+from toucanhold.configuration import document
+
+
+@attrs.frozen
+class ApplyRequest:
+    """Replace inventory and rules.
+
+    :ivar expected: number of the configuration that the operator saw
+    """
+
+    document: document.Document
+    expected: int
+    author: str = "operator"
+
+
+@attrs.frozen
+class ZoneRequest:
+    """Take an availability zone out, or return it."""
+
+    out: bool
+    author: str = "operator"
+
+
+@attrs.frozen
+class ChangeAnswer:
+    """An accepted change: the number of the configuration it made."""
+
+    configuration: int
+
+
+@attrs.frozen
+class ErrorAnswer:
+    """Why nothing was done, or what is not known.
+
+    :ivar kind: ``invalid``, ``conflict``, ``unavailable``, ``unknown``, ``unauthorized`` …
+    :ivar mistakes: each mistake of a document
+    """
+
+    kind: str
+    detail: str
+    mistakes: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class ServiceStatus:
+    """A service: groups or servers wanted, planned and serving."""
+
+    service: str
+    wanted: int
+    planned: int
+    serving: int
+
+
+@attrs.frozen
+class EntryStatus:
+    """An entry and the configuration in force there; -1 where it is not known."""
+
+    entry: str
+    availability_zone: str
+    callers_address: str
+    state: str
+    configuration: int
+
+
+@attrs.frozen
+class ZoneStatus:
+    """An availability zone; requests in flight as this entry's reports show them."""
+
+    availability_zone: str
+    out: bool
+    vms: int
+    running: int
+
+
+@attrs.frozen
+class GroupStatus:
+    """A group of the plan."""
+
+    group: str
+    service: str
+    members: tuple[str, ...]
+    serving: bool
+
+
+@attrs.frozen
+class StatusAnswer:
+    """The system as one entry sees it."""
+
+    entry: str
+    configuration: int
+    plan_revision: int
+    is_planner: bool
+    platform_answering: bool
+    entries: tuple[EntryStatus, ...] = ()
+    services: tuple[ServiceStatus, ...] = ()
+    zones: tuple[ZoneStatus, ...] = ()
+    groups: tuple[GroupStatus, ...] = ()
--- /dev/null
+++ b/toucanhold/operators/status.py
@@ -0,0 +1,95 @@
+"""Composes the status that operators see."""
+
+import collections
+
+import attrs
+import trio
+
+from toucanhold.configuration import holder, inventory, rules
+from toucanhold.membership import roster
+from toucanhold.observing import view
+from toucanhold.operators import messages
+from toucanhold.planning import plan, planner
+from toucanhold.platform import following
+from toucanhold.routing import candidates
+
+
+@attrs.define(eq=False)
+class StatusComposer:
+    """Reads every part of an entry; changes none."""
+
+    roster: roster.Roster
+    configuration: holder.ConfigurationHolder
+    plans: plan.PlanHolder
+    view: view.View
+    finder: candidates.CandidateFinder
+    planner: planner.Planner
+    follower: following.Follower
+
+    def compose(self) -> messages.StatusAnswer:
+        """Return the status now."""
+        serving = self._serving_groups()
+        return messages.StatusAnswer(
+            entry=self.roster.own.entry,
+            configuration=self.configuration.current.number,
+            plan_revision=self.plans.revision,
+            is_planner=self.planner.leadership.is_held(),
+            platform_answering=self.follower.answering,
+            entries=tuple(self._entry(member) for member in self.roster.members()),
+            services=tuple(self._services()),
+            zones=tuple(self._zones()),
+            groups=tuple(
+                messages.GroupStatus(
+                    group.group, group.service, group.members, group.group in serving
+                )
+                for group in sorted(self.plans.groups(), key=lambda group: group.group)
+            ),
+        )
+
+    def _entry(self, member: roster.Member) -> messages.EntryStatus:
+        own = member.entry == self.roster.own.entry
+        return messages.EntryStatus(
+            member.entry,
+            member.availability_zone,
+            member.callers_address,
+            member.state.value,
+            self.configuration.current.number if own else -1,
+        )
+
+    def _serving_groups(self) -> set[str]:
+        now_s = trio.current_time()
+        return {
+            option.group.group
+            for service in self.configuration.current.rules.services
+            for option in self.finder.find(service, now_s)
+            if option.group is not None
+        }
+
+    def _services(self):
+        now_s = trio.current_time()
+        planned = collections.Counter(group.service for group in self.plans.groups())
+        vms = self.configuration.current.inventory.vms
+        for service in self.configuration.current.rules.services:
+            serving = len(self.finder.find(service, now_s))
+            if service.kind is rules.ServiceKind.MODEL:
+                wanted, place = service.replicas, planned[service.name]
+            else:
+                wanted = place = sum(vm.service == service.name for vm in vms)
+            yield messages.ServiceStatus(service.name, wanted, place, serving)
+
+    def _zones(self):
+        by_zone: dict[str, list[inventory.Vm]] = collections.defaultdict(list)
+        for vm in self.configuration.current.inventory.vms:
+            by_zone[vm.availability_zone].append(vm)
+        for zone in self.configuration.current.rules.availability_zones:
+            vms = by_zone[zone.name]
+            yield messages.ZoneStatus(
+                zone.name,
+                zone.name in self.configuration.current.zones_out,
+                len(vms),
+                sum(self._running(vm) for vm in vms),
+            )
+
+    def _running(self, vm: inventory.Vm) -> int:
+        report = self.view.fresh_report(vm.vm, trio.current_time())
+        return report.running if report else 0
--- /dev/null
+++ b/toucanhold/planning/placement.py
@@ -0,0 +1,167 @@
+"""Choosing the members of groups."""
+
+import abc
+import collections
+import collections.abc
+
+import attrs
+
+from toucanhold.configuration import inventory, rules, snapshot
+from toucanhold.planning import plan
+
+
+@attrs.frozen
+class PlacementInput:
+    """The facts that a placement rests on.
+
+    :ivar usable: VMs that answer, stay, and lie in an availability zone that is not out
+    """
+
+    configuration: snapshot.Configuration
+    plans: collections.abc.Mapping[str, plan.DomainPlan]
+    usable: frozenset[str]
+
+
+@attrs.frozen
+class Shortfall:
+    """A service that gets fewer replicas than wanted."""
+
+    service: str
+    wanted: int
+    placed: int
+
+
+@attrs.frozen
+class Placement:
+    """New plans of the domains that change, and what falls short."""
+
+    changed: tuple[plan.DomainPlan, ...] = ()
+    shortfalls: tuple[Shortfall, ...] = ()
+
+
+class PlacementPolicy(abc.ABC):
+    """Decides which VMs form groups."""
+
+    @abc.abstractmethod
+    def place(self, facts: PlacementInput) -> Placement:
+        """Return the plan for ``facts``; groups that can go on keep their generation."""
+
+
+class FirstFit(PlacementPolicy):
+    """The baseline: keep whole groups; give free VMs, in name order, to the most important."""
+
+    def place(self, facts: PlacementInput) -> Placement:
+        """See :class:`PlacementPolicy`."""
+        services = {service.name: service for service in model_services(facts.configuration)}
+        kept = {
+            domain: [group for group in old.groups if _can_go_on(group, services, facts)]
+            for domain, old in facts.plans.items()
+        }
+        kept = _without_surplus(kept, services)
+        free = free_vms(facts, kept)
+        generations = {domain: old.last_generation for domain, old in facts.plans.items()}
+        shortfalls = []
+        for service in sorted(services.values(), key=lambda each: -each.importance):
+            have = sum(
+                group.service == service.name for groups in kept.values() for group in groups
+            )
+            while have < service.replicas:
+                domain = _domain_with_room(service, free)
+                if domain is None:
+                    shortfalls.append(Shortfall(service.name, service.replicas, have))
+                    break
+                members = take(service, free[domain])
+                generations[domain] = generations.get(domain, 0) + 1
+                group = new_group(domain, generations[domain], service.name, members)
+                kept.setdefault(domain, []).append(group)
+                have += 1
+        return Placement(_changed_plans(facts, kept, generations), tuple(shortfalls))
+
+
+def model_services(configuration: snapshot.Configuration) -> list[rules.Service]:
+    """Return the services that run on model engines."""
+    return [
+        service
+        for service in configuration.rules.services
+        if service.kind is rules.ServiceKind.MODEL
+    ]
+
+
+def new_group(
+    domain: str, generation: int, service: str, members: collections.abc.Sequence[inventory.Vm]
+) -> plan.Group:
+    """Return a group with a name of its own."""
+    names = tuple(vm.vm for vm in members)
+    return plan.Group(f"{domain}/{generation}", generation, service, names)
+
+
+def free_vms(
+    facts: PlacementInput,
+    kept: collections.abc.Mapping[str, collections.abc.Sequence[plan.Group]],
+) -> dict[str, list[inventory.Vm]]:
+    """Return usable engine VMs outside any kept group, by fabric domain, in name order."""
+    taken = {member for groups in kept.values() for group in groups for member in group.members}
+    free: dict[str, list[inventory.Vm]] = collections.defaultdict(list)
+    for vm in facts.configuration.inventory.vms:
+        engine = vm.kind is inventory.VmKind.ENGINE
+        if engine and vm.vm in facts.usable and vm.vm not in taken:
+            free[vm.fabric_domain].append(vm)
+    return free
+
+
+def take(service: rules.Service, free: list[inventory.Vm]) -> list[inventory.Vm]:
+    """Remove and return the first VMs that fit ``service``."""
+    members = [vm for vm in free if vm.accelerators >= service.accelerators_per_vm]
+    members = members[: service.vms_per_replica]
+    for vm in members:
+        free.remove(vm)
+    return members
+
+
+def _can_go_on(
+    group: plan.Group, services: collections.abc.Mapping[str, rules.Service], facts: PlacementInput
+) -> bool:
+    service = services.get(group.service)
+    return (
+        service is not None
+        and len(group.members) == service.vms_per_replica
+        and all(member in facts.usable for member in group.members)
+    )
+
+
+def _without_surplus(
+    kept: dict[str, list[plan.Group]], services: collections.abc.Mapping[str, rules.Service]
+) -> dict[str, list[plan.Group]]:
+    seen: collections.Counter[str] = collections.Counter()
+    trimmed: dict[str, list[plan.Group]] = {}
+    for domain, groups in kept.items():
+        trimmed[domain] = []
+        for group in groups:
+            seen[group.service] += 1
+            if seen[group.service] <= services[group.service].replicas:
+                trimmed[domain].append(group)
+    return trimmed
+
+
+def _domain_with_room(
+    service: rules.Service, free: collections.abc.Mapping[str, list[inventory.Vm]]
+) -> str | None:
+    for domain in sorted(free):
+        fitting = [vm for vm in free[domain] if vm.accelerators >= service.accelerators_per_vm]
+        if len(fitting) >= service.vms_per_replica:
+            return domain
+    return None
+
+
+def _changed_plans(
+    facts: PlacementInput,
+    kept: collections.abc.Mapping[str, collections.abc.Sequence[plan.Group]],
+    generations: collections.abc.Mapping[str, int],
+) -> tuple[plan.DomainPlan, ...]:
+    changed = []
+    for domain, groups in kept.items():
+        old = facts.plans.get(domain) or plan.DomainPlan(domain)
+        if tuple(groups) != old.groups:
+            last = generations.get(domain, old.last_generation)
+            changed.append(attrs.evolve(old, groups=tuple(groups), last_generation=last))
+    return tuple(changed)
--- /dev/null
+++ b/toucanhold/platform/lease.py
@@ -0,0 +1,80 @@
+"""A key held under a lease, with its end on the holder's own monotonic clock."""
+
+import logging
+import random
+
+import attrs
+import trio
+
+from toucanhold.platform import keyvalue
+
+LOGGER = logging.getLogger(__name__)
+
+
+@attrs.define(eq=False)
+class LeasedKey:
+    """Tries to hold ``key``; at most one client holds it at a time.
+
+    :ivar value: what the holder writes
+    :ivar ttl_s: time after which the service lets an unrenewed key go
+    :ivar fencing: the key's create revision while held: it grows with each holder
+    """
+
+    client: keyvalue.KeyValueClient
+    key: str
+    value: bytes
+    ttl_s: int
+    rng: random.Random
+    fencing: int = 0
+    _lease: int = attrs.field(default=0, init=False)
+    _valid_until_s: float = attrs.field(default=float("-inf"), init=False)
+
+    def is_held(self) -> bool:
+        """Tell whether the lease certainly still runs."""
+        # The time counts from before the renewal was sent, so the holder stops believing before
+        # the service lets the key go, even when the answer took long or the process was paused.
+        return self.fencing != 0 and trio.current_time() < self._valid_until_s
+
+    async def run(self) -> None:
+        """Acquire, renew and acquire again until cancelled."""
+        while True:
+            try:
+                if self.is_held():
+                    await self._renew()
+                else:
+                    await self._acquire()
+            except keyvalue.KeyValueError as error:
+                LOGGER.debug("lease on %s: %s", self.key, error)
+            await trio.sleep(self.ttl_s / 4 * self.rng.uniform(0.8, 1.2))
+
+    async def release(self) -> None:
+        """Let the key go, best effort."""
+        lease, self._lease, self.fencing = self._lease, 0, 0
+        if lease:
+            try:
+                await self.client.revoke_lease(lease)
+            except keyvalue.KeyValueError as error:
+                LOGGER.debug("lease on %s not revoked: %s", self.key, error)
+
+    async def _acquire(self) -> None:
+        self.fencing = 0
+        if not self._lease or not await self.client.keep_alive(self._lease):
+            self._lease = await self.client.grant_lease(self.ttl_s)
+        absent = keyvalue.Condition(self.key, create_revision=0)
+        write = keyvalue.Write(self.key, self.value, self._lease)
+        try:
+            await self.client.commit([absent], [write])
+        except keyvalue.UnclearError:
+            LOGGER.debug("lease on %s: the answer was lost; reading back", self.key)
+        item = await self.client.read_key(self.key)
+        # The answer of the commit is not needed: a key on this client's own lease is held.
+        if item is not None and item.lease == self._lease:
+            await self._renew(item.create_revision)
+
+    async def _renew(self, fencing: int | None = None) -> None:
+        sent_at_s = trio.current_time()
+        if await self.client.keep_alive(self._lease):
+            self._valid_until_s = sent_at_s + self.ttl_s
+            self.fencing = fencing or self.fencing
+        else:
+            self._lease, self.fencing = 0, 0
--- /dev/null
+++ b/toucanhold/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Admits requests, chooses backend servers and passes answers on."""
--- /dev/null
+++ b/toucanhold/routing/gate.py
@@ -0,0 +1,81 @@
+"""Admission: a request waits here for a backend server with room."""
+
+import abc
+import contextlib
+
+import attrs
+import trio
+
+from toucanhold.routing import candidates, choice, requests
+
+MAX_WAITING = 64
+RECHECK_INTERVAL_S = 0.02
+FULL_RETRY_AFTER_S = 1.0
+
+
+class AdmissionPolicy(abc.ABC):
+    """Gives each admitted request one backend server."""
+
+    @abc.abstractmethod
+    def place(
+        self, request: requests.CallerRequest, avoid: frozenset[str]
+    ) -> contextlib.AbstractAsyncContextManager[candidates.Candidate]:
+        """Hold room on a backend server while the context is open.
+
+        :param avoid: VMs that this request has failed on
+        :raises requests.RequestError: at once, when there will be no room in time
+        """
+
+
+@attrs.define(eq=False)
+class PlainQueue(AdmissionPolicy):
+    """The baseline: whoever asks first when there is room gets it; a bounded number may wait."""
+
+    finder: candidates.CandidateFinder
+    policy: choice.ChoicePolicy
+    in_flight: choice.InFlight
+    _waiting: int = attrs.field(default=0, init=False)
+
+    @contextlib.asynccontextmanager
+    async def place(self, request: requests.CallerRequest, avoid: frozenset[str]):
+        """See :class:`AdmissionPolicy`."""
+        chosen = await self._wait_for_room(request, avoid)
+        try:
+            yield chosen
+        finally:
+            self.in_flight.remove(chosen.vm.vm)
+
+    async def _wait_for_room(
+        self, request: requests.CallerRequest, avoid: frozenset[str]
+    ) -> candidates.Candidate:
+        if self._waiting >= MAX_WAITING:
+            raise _refusal("the queue is full")
+        self._waiting += 1
+        try:
+            while trio.current_time() < request.deadline_s:
+                chosen = self._try(request, avoid)
+                if chosen is not None:
+                    self.in_flight.add(chosen.vm.vm)
+                    return chosen
+                await trio.sleep(RECHECK_INTERVAL_S)
+        finally:
+            self._waiting -= 1
+        raise _refusal("no backend server had room before the deadline")
+
+    def _try(
+        self, request: requests.CallerRequest, avoid: frozenset[str]
+    ) -> candidates.Candidate | None:
+        options = self.finder.find(request.service, trio.current_time())
+        if not options:
+            raise _refusal(f"no backend server serves {request.service.name!r} now")
+        preferred = [option for option in options if option.vm.vm not in avoid]
+        return self.policy.choose(request.service, preferred or options)
+
+
+def _refusal(detail: str) -> requests.RequestError:
+    return requests.RequestError(
+        requests.Problem.NO_CAPACITY,
+        requests.Outcome.DID_NOT_RUN,
+        detail,
+        FULL_RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/toucanhold/routing/requests.py
@@ -0,0 +1,88 @@
+"""A caller's request inside the system, and the typed errors that answer it."""
+
+import enum
+
+import attrs
+
+from toucanhold.backends import client
+from toucanhold.configuration import rules
+
+
+class Outcome(enum.Enum):
+    """Whether a request ran: a statement of fact to its caller."""
+
+    DID_NOT_RUN = "did-not-run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class Problem(enum.Enum):
+    """Kinds of refusal and failure; docs/CALLERS.md lists them. HTTP status and title."""
+
+    MALFORMED = (400, "The request is malformed")
+    UNKNOWN_SERVICE = (404, "No such service")
+    KEY_REUSED = (422, "The idempotency key was used for another request")
+    IN_PROGRESS = (409, "A request with this idempotency key is in progress")
+    REFUSED_FOR_GOOD = (422, "This request crashed backend servers and is not run again")
+    TOO_LARGE = (413, "The request is too large")
+    OVERLOADED = (429, "The workspace's share or the queue is full")
+    NO_CAPACITY = (503, "No backend server can take the request now")
+    NOT_READY = (503, "This entry cannot take requests now")
+    CLAIM_UNAVAILABLE = (503, "The idempotency key could not be claimed")
+    DEADLINE = (504, "The request was not finished in time")
+    BACKEND_FAILED = (502, "The backend server failed")
+    OUTCOME_UNKNOWN = (502, "It is not known whether the request ran")
+
+    def __init__(self, status: int, title: str) -> None:
+        self.status = status
+        self.title = title
+
+    @property
+    def slug(self) -> str:
+        """The last part of the problem's type URI."""
+        return self.name.lower().replace("_", "-")
+
+
+class RequestError(Exception):
+    """The final answer to a request that got none from a backend server.
+
+    :ivar problem: what went wrong
+    :ivar outcome: whether the request ran
+    :ivar retry_after_s: when coming back helps; None where it does not
+    """
+
+    def __init__(
+        self,
+        problem: Problem,
+        outcome: Outcome,
+        detail: str,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(detail)
+        self.problem = problem
+        self.outcome = outcome
+        self.detail = detail
+        self.retry_after_s = retry_after_s
+
+
+@attrs.frozen
+class CallerRequest:
+    """A request as the callers' interface understood it.
+
+    :ivar path: the path to ask the backend server for
+    :ivar deadline_s: monotonic time after which the answer is of no use to the caller
+    :ivar may_repeat: whether the request is idempotent
+    :ivar stream: whether the answer is a stream of server-sent events
+    """
+
+    request_id: str
+    workspace: str
+    service: rules.Service
+    method: str
+    path: str
+    headers: client.Headers
+    body: bytes
+    deadline_s: float
+    may_repeat: bool
+    stream: bool = False
+    idempotency_key: str = ""
--- /dev/null
+++ b/toucanhold/routing/sse.py
@@ -0,0 +1,73 @@
+"""Framing of server-sent events."""
+
+import collections.abc
+
+import attrs
+
+DONE_DATA = b"[DONE]"
+EVENT_LIMIT_BYTES = 1024 * 1024
+
+
+class FramingError(Exception):
+    """A stream that is not server-sent events, or an event beyond the limit."""
+
+
+@attrs.frozen
+class ServerSentEvent:
+    """One whole event.
+
+    :ivar raw: its bytes with the blank line that ends it
+    :ivar event_id: the ``id`` field; empty without one
+    :ivar data: the ``data`` fields, joined by newlines
+    """
+
+    raw: bytes
+    event_id: bytes = b""
+    data: bytes = b""
+
+    @property
+    def is_end(self) -> bool:
+        """Whether this is the marker that ends a complete stream."""
+        return self.data == DONE_DATA
+
+
+@attrs.define
+class EventSplitter:
+    """Cuts a stream of bytes into whole events; a torn last one stays behind."""
+
+    _buffer: bytearray = attrs.field(factory=bytearray)
+
+    def feed(self, chunk: bytes) -> collections.abc.Iterator[ServerSentEvent]:
+        """Yield the events that ``chunk`` completes.
+
+        :raises FramingError: when an event exceeds its limit
+        """
+        self._buffer += chunk
+        while True:
+            end, length = _event_end(self._buffer)
+            if end < 0:
+                break
+            raw = bytes(self._buffer[: end + length])
+            del self._buffer[: end + length]
+            yield _parse(raw)
+        if len(self._buffer) > EVENT_LIMIT_BYTES:
+            raise FramingError("an event exceeds its limit")
+
+
+def _event_end(buffer: bytearray) -> tuple[int, int]:
+    unix, dos = buffer.find(b"\n\n"), buffer.find(b"\r\n\r\n")
+    if dos >= 0 and (unix < 0 or dos < unix):
+        return dos, 4
+    return unix, 2
+
+
+def _parse(raw: bytes) -> ServerSentEvent:
+    event_id, data = b"", []
+    for line in raw.splitlines():
+        field, _, value = line.partition(b":")
+        value = value.removeprefix(b" ")
+        if field == b"data":
+            data.append(value)
+        elif field == b"id":
+            event_id = value
+    return ServerSentEvent(raw, event_id, b"\n".join(data))
--- /dev/null
+++ b/toucanhold/settings.py
@@ -0,0 +1,187 @@
+"""Settings of an entry, from flags and environment variables."""
+
+import collections.abc
+import ipaddress
+import random
+import string
+import typing
+
+import attrs
+
+from toucanhold import logs
+
+ENVIRONMENT_PREFIX = "TOUCANHOLD_"
+SECRET_MIN_LENGTH = 16
+
+
+class SettingError(Exception):
+    """One setting that is missing or wrong; names the flag and the variable."""
+
+
+class InvalidSettingsError(ExceptionGroup):
+    """All mistakes of the settings, each a :class:`SettingError`."""
+
+    def derive(self, excs: collections.abc.Sequence[Exception]) -> "InvalidSettingsError":
+        """Keep the type when the group is split."""
+        return InvalidSettingsError(self.message, excs)
+
+
+Parser = collections.abc.Callable[[str], typing.Any]
+
+
+def _setting(help_text: str, parse: Parser, default: object = attrs.NOTHING, secret: bool = False):
+    metadata = {"help": help_text, "parse": parse}
+    return attrs.field(default=default, repr=not secret, metadata=metadata)
+
+
+def _text(text: str) -> str:
+    if not text or set(text) - set(string.ascii_letters + string.digits + "-._"):
+        raise ValueError("must be letters, digits, '-', '.' or '_'")
+    return text
+
+
+def _address(text: str) -> str:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        raise ValueError("must be IP:port") from None
+    if not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError("must have a port of 1 to 65535")
+    return text
+
+
+def _addresses(text: str) -> tuple[str, ...]:
+    return tuple(_address(part.strip()) for part in text.split(",") if part.strip())
+
+
+def _url(text: str) -> str:
+    if not text.startswith(("http://", "https://")):
+        raise ValueError("must start with http:// or https://")
+    return text.rstrip("/")
+
+
+def _secret(text: str) -> str:
+    if len(text) < SECRET_MIN_LENGTH:
+        raise ValueError(f"must have {SECRET_MIN_LENGTH} characters or more")
+    return text
+
+
+def _number(low: float, high: float) -> Parser:
+    def parse(text: str) -> float:
+        value = float(text)
+        if not low <= value <= high:
+            raise ValueError(f"must lie in {low} to {high}")
+        return value
+
+    return parse
+
+
+def _integer(low: int, high: int) -> Parser:
+    def parse(text: str) -> int:
+        value = int(text)
+        if not low <= value <= high:
+            raise ValueError(f"must lie in {low} to {high}")
+        return value
+
+    return parse
+
+
+def _one_of(*allowed: str) -> Parser:
+    def parse(text: str) -> str:
+        if text not in allowed:
+            raise ValueError(f"must be one of {', '.join(allowed)}")
+        return text
+
+    return parse
+
+
+@attrs.frozen(kw_only=True)
+class EntrySettings:
+    """Everything an entry is told at its start.
+
+    Each field is the flag ``--field-name`` and the variable ``TOUCANHOLD_FIELD_NAME``.
+    """
+
+    entry: str = _setting("unique name of this entry", _text)
+    availability_zone: str = _setting("availability zone it runs in", _text)
+    callers_address: str = _setting("IP:port for callers", _address)
+    operators_address: str = _setting("IP:port for operators", _address)
+    peers_address: str = _setting("IP:port for other entries", _address)
+    platform_url: str = _setting("URL of the platform's key-value service", _url)
+    vm_list_url: str = _setting("URL of the platform's list of VMs; empty for none", str, "")
+    operator_token: str = _setting("token of operators", _secret, secret=True)
+    peer_key: str = _setting("key that entries share to know each other", _secret, secret=True)
+    peers: tuple[str, ...] = _setting(
+        "peers' IP:port, separated by commas; used while the platform is silent", _addresses, ()
+    )
+    tls_certificate: str = _setting("PEM file of the certificate; empty for plain HTTP", str, "")
+    tls_key: str = _setting("PEM file of the certificate's key", str, "")
+    default_timeout_s: float = _setting(
+        "time for a request without a deadline, seconds", _number(0.1, 3600), 60.0
+    )
+    max_timeout_s: float = _setting(
+        "longest deadline that a caller may ask for, seconds", _number(1, 86400), 600.0
+    )
+    body_limit_bytes: int = _setting(
+        "largest request body", _integer(1024, 256 * 1024 * 1024), 4 * 1024 * 1024
+    )
+    max_requests_in_flight: int = _setting(
+        "most requests that callers may have open", _integer(1, 100_000), 2000
+    )
+    idle_timeout_s: float = _setting(
+        "time after which an idle connection is closed, seconds", _number(1, 3600), 15.0
+    )
+    directory_keep_s: float = _setting(
+        "how long callers may keep the directory's answer, seconds", _number(0.1, 3600), 5.0
+    )
+    seed: int = _setting("seed of random choices; 0 for none", _integer(0, 2**63), 0)
+    log_format: str = _setting("json or human", _one_of(*logs.LOG_FORMATS), "json")
+    log_level: str = _setting(
+        "least severity that is logged", _one_of("debug", "info", "warning", "error"), "info"
+    )
+
+    def new_rng(self) -> random.Random:
+        """Return a generator of random numbers."""
+        return random.Random(f"{self.seed}:{self.entry}" if self.seed else None)
+
+
+def flag_name(field: attrs.Attribute) -> str:
+    """Return a field's flag without its dashes."""
+    return field.name.replace("_", "-")
+
+
+def variable_name(field: attrs.Attribute) -> str:
+    """Return a field's environment variable."""
+    return ENVIRONMENT_PREFIX + field.name.upper()
+
+
+def load(
+    flags: collections.abc.Mapping[str, str | None],
+    variables: collections.abc.Mapping[str, str],
+) -> EntrySettings:
+    """Check everything and return the settings; a flag goes before its variable.
+
+    :param flags: flag names without dashes, to their text or None
+    :raises InvalidSettingsError: naming every mistake; secrets are not repeated
+    """
+    values: dict[str, typing.Any] = {}
+    mistakes: list[SettingError] = []
+    for field in attrs.fields(EntrySettings):
+        name = f"--{flag_name(field)} ({variable_name(field)})"
+        text = flags.get(flag_name(field))
+        text = variables.get(variable_name(field)) if text is None else text
+        if text is None:
+            if field.default is attrs.NOTHING:
+                mistakes.append(SettingError(f"{name}: missing: {field.metadata['help']}"))
+            continue
+        try:
+            values[field.name] = field.metadata["parse"](text)
+        except ValueError as error:
+            shown = f" (got {text!r})" if field.repr else ""
+            mistakes.append(SettingError(f"{name}: {error}{shown}"))
+    if bool(values.get("tls_certificate")) != bool(values.get("tls_key")):
+        mistakes.append(SettingError("--tls-certificate and --tls-key go together"))
+    if mistakes:
+        raise InvalidSettingsError("invalid settings", mistakes)
+    return EntrySettings(**values)
