Meet the outside through adapters that tests can replace

Cause: an entry built its own clients, so a test could not put a fake in their place. Change: Outside holds the key-value client, the list of VMs, backend servers, peers' streams and the HTTP server; each is an abstract base class with one adapter. The list of VMs is now read.

--- a/toucanhold/backends/client.py
+++ b/toucanhold/backends/client.py
@@ -128,6 +128,10 @@
 class BackendClient(abc.ABC):
     """The calls to backend servers; ``address`` is ``IP:port``."""
 
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Release connections."""
+
     @abc.abstractmethod
     async def read_report(self, address: str, timeout_s: float) -> Report:
         """Return the load report.
--- a/toucanhold/cli/commands.py
+++ b/toucanhold/cli/commands.py
@@ -10,7 +10,7 @@
 import httpcore
 import trio
 
-from toucanhold import codec, entry, environment, exitstatus, logs, serving, settings
+from toucanhold import codec, entry, environment, exitstatus, logs, outside, serving, settings
 from toucanhold.callers import app as callers_app
 from toucanhold.configuration import document
 from toucanhold.operators import client, messages
@@ -209,7 +209,7 @@
 
 
 async def _run_entry(own: settings.EntrySettings) -> None:
-    await entry.EntryApplication(own).run()
+    await entry.EntryApplication(own, outside.from_settings(own)).run()
 
 
 def _status_lines(seen: messages.StatusAnswer) -> collections.abc.Iterator[str]:
--- a/toucanhold/entry.py
+++ b/toucanhold/entry.py
@@ -1,13 +1,14 @@
 """The entry: one process that is directory, router, observer and, at times, planner."""
 
+from __future__ import annotations
+
 import functools
 import logging
 
 import attrs
 import trio
 
-from toucanhold import application, codec, events, serving, settings
-from toucanhold.backends import http
+from toucanhold import application, codec, events, outside, settings
 from toucanhold.callers import app as callers_app
 from toucanhold.callers import directory
 from toucanhold.configuration import holder, snapshot, store
@@ -16,10 +17,11 @@
 from toucanhold.operators import app as operators_app
 from toucanhold.operators import status
 from toucanhold.planning import placement, plan, planner
-from toucanhold.platform import etcd, following, lease
+from toucanhold.platform import following, lease, vms
 from toucanhold.routing import candidates, choice, dispatch, gate
 
 PLANNER_LEASE_TTL_S = 4
+VM_LIST_INTERVAL_S = 1.0
 
 LOGGER = logging.getLogger(__name__)
 
@@ -29,6 +31,7 @@
     """Builds an entry's components from its settings and owns them."""
 
     settings: settings.EntrySettings
+    outside: outside.Outside
     _stop_serving: trio.Event = attrs.field(factory=trio.Event, init=False)
     _servers_left: int = attrs.field(default=0, init=False)
     _all_served: trio.Event = attrs.field(factory=trio.Event, init=False)
@@ -39,8 +42,8 @@
         """Build the components; none does anything before :meth:`start`."""
         own = self.settings
         self.rng = own.new_rng()
-        self.platform = etcd.EtcdClient(own.platform_url, own.entry)
-        self.backends = http.HttpBackendClient()
+        self.platform = self.outside.platform
+        self.backends = self.outside.backends
         self.configuration = holder.ConfigurationHolder()
         self.store = store.ConfigurationStore(self.platform)
         self.plans = plan.PlanHolder()
@@ -60,6 +63,7 @@
         nursery.start_soon(self.entry_lease.run)
         nursery.start_soon(self.planner_lease.run)
         nursery.start_soon(self.poller.run)
+        nursery.start_soon(self._watch_vm_list)
         nursery.start_soon(self.planner.run)
         await self._serve(nursery, self.callers, self.settings.callers_address)
         await self._serve(nursery, self.operators, self.settings.operators_address)
@@ -85,8 +89,7 @@
     async def clean_up(self) -> None:
         """See :class:`application.Application`."""
         with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
-            await self.platform.close()
-            await self.backends.close()
+            await self.outside.close()
         events.log(LOGGER, events.Event.ENTRY_STOPPED, entry=self.settings.entry)
 
     async def wait_stop_requested(self) -> None:
@@ -170,19 +173,19 @@
         await nursery.start(self._serve_until_stop, app, address)
 
     async def _serve_until_stop(self, app, address: str, *, task_status) -> None:
-        tls_files = (self.settings.tls_certificate, self.settings.tls_key)
-        await serving.serve(
-            app,
-            address,
-            self._stop_serving,
-            self.settings.idle_timeout_s,
-            tls_files,
-            task_status=task_status,
-        )
+        await self.outside.server.serve(app, address, self._stop_serving, task_status=task_status)
         self._servers_left -= 1
         if not self._servers_left:
             self._all_served.set()
 
+    async def _watch_vm_list(self) -> None:
+        while True:
+            try:
+                self.view.platform_leaving = await self.outside.vm_list.read_leaving()
+            except vms.VmListError as error:
+                LOGGER.debug("the list of VMs: %s", error)
+            await trio.sleep(VM_LIST_INTERVAL_S * self.rng.uniform(0.8, 1.2))
+
     async def _refresh_configuration(self) -> int:
         known = self.configuration.current.number
         delta, revision = await self.store.read_delta(known, self._known_revision)
--- /dev/null
+++ b/toucanhold/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Streams between entries."""
--- /dev/null
+++ b/toucanhold/peers/transport.py
@@ -0,0 +1,64 @@
+"""Byte streams between entries."""
+
+import abc
+import collections.abc
+
+import trio
+
+
+class TransportError(Exception):
+    """A peer could not be reached, or an address could not be bound."""
+
+
+Handler = collections.abc.Callable[[trio.abc.Stream], collections.abc.Awaitable[None]]
+
+
+class PeerTransport(abc.ABC):
+    """Opens and accepts streams; addresses are ``IP:port``."""
+
+    @abc.abstractmethod
+    async def connect(self, address: str) -> trio.abc.Stream:
+        """Open a stream.
+
+        :raises TransportError: when there is no connection
+        """
+
+    @abc.abstractmethod
+    async def listen(
+        self,
+        address: str,
+        handler: Handler,
+        *,
+        task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Accept streams until cancelled, each in a task of its own.
+
+        :raises TransportError: when the address cannot be bound
+        """
+
+
+class TcpTransport(PeerTransport):
+    """Streams over TCP."""
+
+    async def connect(self, address: str) -> trio.abc.Stream:
+        """See :class:`PeerTransport`."""
+        host, _, port = address.rpartition(":")
+        try:
+            return await trio.open_tcp_stream(host.strip("[]"), int(port))
+        except OSError as error:
+            raise TransportError(f"cannot connect to {address}: {error}") from error
+
+    async def listen(
+        self,
+        address: str,
+        handler: Handler,
+        *,
+        task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """See :class:`PeerTransport`."""
+        host, _, port = address.rpartition(":")
+        try:
+            listeners = await trio.open_tcp_listeners(int(port), host=host.strip("[]"))
+        except OSError as error:
+            raise TransportError(f"cannot listen on {address}: {error}") from error
+        await trio.serve_listeners(handler, listeners, task_status=task_status)
--- a/toucanhold/platform/keyvalue.py
+++ b/toucanhold/platform/keyvalue.py
@@ -83,6 +83,10 @@
     Each method raises :class:`UnavailableError` or :class:`UnclearError`.
     """
 
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Release connections."""
+
     @abc.abstractmethod
     async def read(self, prefix: str, min_mod_revision: int = 0) -> RangeResult:
         """Return the items under ``prefix`` that changed at ``min_mod_revision`` or later."""
--- /dev/null
+++ b/toucanhold/platform/vms.py
@@ -0,0 +1,56 @@
+"""The platform's lagging list of live and leaving VMs."""
+
+import abc
+import json
+
+import attrs
+import httpcore
+
+CALL_TIMEOUT_S = 2.0
+LEAVING_STATE = "leaving"
+
+
+class VmListError(Exception):
+    """The list could not be read."""
+
+
+class VmList(abc.ABC):
+    """Tells which VMs the platform is about to take away."""
+
+    @abc.abstractmethod
+    async def read_leaving(self) -> frozenset[str]:
+        """Return the names of leaving VMs.
+
+        :raises VmListError: when the list does not answer
+        """
+
+
+class NoVmList(VmList):
+    """For platforms without a list."""
+
+    async def read_leaving(self) -> frozenset[str]:
+        """See :class:`VmList`."""
+        return frozenset()
+
+
+@attrs.define(eq=False)
+class HttpVmList(VmList):
+    """Reads the list over HTTP.
+
+    :ivar url: answers ``{"vms": [{"vm": NAME, "state": "live" or "leaving"}]}``
+    """
+
+    url: str
+
+    async def read_leaving(self) -> frozenset[str]:
+        """See :class:`VmList`."""
+        timeouts = dict.fromkeys(("connect", "write", "read", "pool"), CALL_TIMEOUT_S)
+        try:
+            async with httpcore.AsyncConnectionPool(retries=0) as pool:
+                response = await pool.request("GET", self.url, extensions={"timeout": timeouts})
+            vms = json.loads(response.content)["vms"]
+            return frozenset(vm["vm"] for vm in vms if vm["state"] == LEAVING_STATE)
+        except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
+            raise VmListError(f"{self.url}: {error!r}") from error
+        except (ValueError, KeyError, TypeError) as error:
+            raise VmListError(f"{self.url}: malformed list: {error!r}") from error
--- a/toucanhold/serving.py
+++ b/toucanhold/serving.py
@@ -1,10 +1,12 @@
 """Serving an ASGI application with hypercorn."""
 
+import abc
 import collections.abc
 import logging
 import math
 import socket
 
+import attrs
 import hypercorn.config
 import hypercorn.trio
 import trio
@@ -18,35 +20,64 @@
     """An address could not be bound."""
 
 
-async def serve(
-    app: collections.abc.Callable,
-    address: str,
-    stop: trio.Event,
-    idle_timeout_s: float,
-    tls_files: tuple[str, str] = ("", ""),
-    *,
-    task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
-) -> None:
-    """Serve until ``stop`` is set and every request in flight is finished.
-
-    :param address: ``IP:port``
-    :param tls_files: PEM files of certificate and key; empty for plain HTTP
-    :raises ListenError: when the address cannot be bound
+class HttpServer(abc.ABC):
+    """Serves ASGI applications."""
+
+    @abc.abstractmethod
+    async def serve(
+        self,
+        app: collections.abc.Callable,
+        address: str,
+        stop: trio.Event,
+        *,
+        task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until ``stop`` is set and every request in flight is finished.
+
+        :param address: ``IP:port``
+        :raises ListenError: when the address cannot be bound
+        """
+
+
+@attrs.frozen
+class HypercornServer(HttpServer):
+    """Serves with hypercorn.
+
+    :ivar idle_timeout_s: time after which an idle connection is closed
+    :ivar tls_files: PEM files of certificate and key; empty for plain HTTP
     """
-    config = hypercorn.config.Config()
-    config.bind = [f"fd://{_listen(address).detach()}"]
-    config.certfile, config.keyfile = (name or None for name in tls_files)
-    config.alpn_protocols = ["http/1.1"]
-    config.keep_alive_timeout = idle_timeout_s
-    # A cap here would cut streams in flight at a planned stop; each request has its own deadline.
-    config.graceful_timeout = math.inf
-    config.h11_max_incomplete_size = MAX_HEADER_BYTES
-    config.errorlog = logging.getLogger("toucanhold.http")
-    config.accesslog = None
-    config.include_server_header = False
-    await hypercorn.trio.serve(
-        app, config, shutdown_trigger=stop.wait, mode="asgi", task_status=task_status
-    )
+
+    idle_timeout_s: float
+    tls_files: tuple[str, str] = ("", "")
+
+    async def serve(
+        self,
+        app: collections.abc.Callable,
+        address: str,
+        stop: trio.Event,
+        *,
+        task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """See :class:`HttpServer`."""
+        config = self._config()
+        config.bind = [f"fd://{_listen(address).detach()}"]
+        await hypercorn.trio.serve(
+            app, config, shutdown_trigger=stop.wait, mode="asgi", task_status=task_status
+        )
+
+    def _config(self) -> hypercorn.config.Config:
+        config = hypercorn.config.Config()
+        config.certfile, config.keyfile = (name or None for name in self.tls_files)
+        config.alpn_protocols = ["http/1.1"]
+        config.keep_alive_timeout = self.idle_timeout_s
+        # A cap here would cut streams in flight at a planned stop; each request has its own
+        # deadline.
+        config.graceful_timeout = math.inf
+        config.h11_max_incomplete_size = MAX_HEADER_BYTES
+        config.errorlog = logging.getLogger("toucanhold.http")
+        config.accesslog = None
+        config.include_server_header = False
+        return config
 
 
 def _listen(address: str) -> socket.socket:
