--- /dev/null
+++ b/tools/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: each module has ``run(seed) -> list[table.Table]``."""
--- /dev/null
+++ b/tools/measure/__main__.py
@@ -0,0 +1,69 @@
+"""Runs measurements: ``python -m tools.measure [name ...] [--seed N] [--plots FOLDER]``."""
+
+import importlib
+import pathlib
+import pkgutil
+import sys
+
+import cleo.application
+import cleo.commands.command
+import cleo.helpers
+import cleo.io.inputs.argv_input
+
+import tools.measure
+from tools.measure import table
+
+NOT_MEASUREMENTS = ("__main__", "table")
+
+
+class MeasureCommand(cleo.commands.command.Command):
+    """Prints the tables of the named measurements, all without a name."""
+
+    name = "measure"
+    description = "Run measurements and print their tables."
+    arguments = [cleo.helpers.argument("names", "measurements", optional=True, multiple=True)]
+    options = [
+        cleo.helpers.option("seed", None, "seed of random choices", flag=False, default="1"),
+        cleo.helpers.option(
+            "plots", None, "folder for plots; none are drawn without it", flag=False
+        ),
+    ]
+
+    def handle(self) -> int:
+        """Run each measurement in turn."""
+        known = available()
+        names = self.argument("names") or known
+        if unknown := sorted(set(names) - set(known)):
+            self.line_error(f"unknown: {', '.join(unknown)}; known: {', '.join(known)}")
+            return 2
+        for name in names:
+            module = importlib.import_module(f"tools.measure.{name}")
+            for each in module.run(int(self.option("seed"))):
+                print(table.to_markdown(each), flush=True)
+                self._draw(each)
+        return 0
+
+    def _draw(self, each: table.Table) -> None:
+        if self.option("plots"):
+            path = table.draw(each, pathlib.Path(self.option("plots")))
+            if path is not None:
+                print(f"plot: {path}\n", flush=True)
+
+
+def available() -> list[str]:
+    """Return the names of all measurements."""
+    found = (module.name for module in pkgutil.iter_modules(tools.measure.__path__))
+    return sorted(name for name in found if name not in NOT_MEASUREMENTS)
+
+
+def main() -> int:
+    """Run the command line."""
+    app = cleo.application.Application("measure")
+    app.auto_exits(False)
+    app.add(MeasureCommand())
+    words = ["measure", MeasureCommand.name, *sys.argv[1:]]
+    return app.run(cleo.io.inputs.argv_input.ArgvInput(words))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
