Connect entries by authenticated streams with heartbeats

An entry that cannot reach the key-value service has nobody to ask yet: the transport between entries existed, but nothing spoke over it.

One stream for each pair of entries carries msgpack frames. The first frame names protocol version, entry and process; both sides prove the shared key by a challenge that the other's proof covers together with the role, so neither a recorded nor a reflected handshake passes. Both sides dial; of two streams that cross, both keep the one that the smaller name dialled. "The last one stays" was ruled out: each side sees its own order and they close each other's. A peer that is silent for two seconds is lost; one that reads too slowly is cut, since leaving out single messages leaves a gap nobody sees.

--- a/toucanhold/codec.py
+++ b/toucanhold/codec.py
@@ -7,6 +7,9 @@
 import msgpack
 
 CONVERTER = cattrs.Converter(forbid_extra_keys=True)
+# Entries of neighbouring versions run side by side while they are replaced one by one; a field
+# that the older one does not know must not cost it the whole message.
+TOLERANT_CONVERTER = cattrs.Converter()
 
 T = typing.TypeVar("T")
 
@@ -42,9 +45,34 @@
         raise CodecError("; ".join(_describe(error))) from error
 
 
-def to_msgpack(value: object) -> bytes:
-    """Encode an attrs object as msgpack."""
-    return msgpack.packb(CONVERTER.unstructure(value))
+def from_plain_tolerant(value: object, kind: type[T]) -> T:
+    """Turn plain maps and lists into ``kind``; fields that it lacks are left out.
+
+    :raises CodecError: on a wrong shape
+    """
+    try:
+        return TOLERANT_CONVERTER.structure(value, kind)
+    except (cattrs.BaseValidationError, ValueError, TypeError, KeyError, AttributeError) as error:
+        raise CodecError("; ".join(_describe(error))) from error
+
+
+def pack_tagged(tag: str, value: object) -> bytes:
+    """Encode an attrs object as msgpack, with a tag that tells its kind."""
+    return msgpack.packb((tag, TOLERANT_CONVERTER.unstructure(value)))
+
+
+def unpack_tagged(data: bytes) -> tuple[str, object]:
+    """Decode msgpack into a tag and plain maps and lists.
+
+    :raises CodecError: when there is no tag, or the bytes are malformed
+    """
+    try:
+        tag, plain = msgpack.unpackb(data)
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        raise CodecError(f"not valid msgpack: {error!r}") from error
+    if not isinstance(tag, str):
+        raise CodecError("the tag is no text")
+    return tag, plain
 
 
 def _describe(error: Exception) -> list[str]:
--- a/toucanhold/entry.py
+++ b/toucanhold/entry.py
@@ -4,6 +4,7 @@
 
 import functools
 import logging
+import uuid
 
 import attrs
 import trio
@@ -16,6 +17,7 @@
 from toucanhold.observing import poller, view
 from toucanhold.operators import app as operators_app
 from toucanhold.operators import status
+from toucanhold.peers import exchange, handshake, messages, streams
 from toucanhold.planning import placement, plan, planner
 from toucanhold.platform import following, lease, vms
 from toucanhold.routing import candidates, choice, dispatch, gate
@@ -50,6 +52,7 @@
         self.view = view.View()
         self.poller = poller.Poller(self.configuration, self.backends, self.view, self.rng)
         self._build_membership()
+        self._build_peers()
         self._build_planner()
         self._build_routing()
         self._build_followers()
@@ -57,6 +60,7 @@
 
     async def start(self, nursery: trio.Nursery) -> None:
         """See :class:`application.Application`."""
+        await nursery.start(self.peers.run)
         nursery.start_soon(self.configuration_follower.run)
         nursery.start_soon(self.plan_follower.run)
         nursery.start_soon(self.roster_follower.run)
@@ -114,6 +118,27 @@
             self.rng,
         )
 
+    def _build_peers(self) -> None:
+        own = self.settings
+        self.exchange = exchange.Exchange()
+        self.peers = streams.PeerStreams(
+            handshake.Identity(own.entry, uuid.uuid4().hex),
+            own.peers_address,
+            own.peer_key.encode(),
+            self.outside.peers,
+            self.exchange,
+            self._peer_addresses,
+            self._heartbeat,
+            self.rng,
+        )
+
+    def _peer_addresses(self) -> set[str]:
+        known = {member.peers_address for member in self.roster.members()}
+        return (known | set(self.settings.peers)) - {self.settings.peers_address}
+
+    def _heartbeat(self) -> messages.Heartbeat:
+        return messages.Heartbeat(self.configuration.current.number, self.plans.revision)
+
     def _build_planner(self) -> None:
         self.planner_lease = lease.LeasedKey(
             self.platform,
--- a/toucanhold/events.py
+++ b/toucanhold/events.py
@@ -29,6 +29,11 @@
     PLATFORM_BACK = (5002, logging.INFO, "the key-value service answers again")
     BACKEND_SEEN = (6001, logging.INFO, "a backend server reported a new boot, warmth or group")
     BACKEND_LOST = (6002, logging.WARNING, "a backend server no longer answers")
+    PEER_CONNECTED = (7001, logging.INFO, "a stream to another entry is up")
+    PEER_LOST = (7002, logging.WARNING, "a stream to another entry has ended")
+    PEER_REFUSED = (7003, logging.WARNING, "a stream was refused: the other side proved nothing")
+    PEER_CUT = (7004, logging.WARNING, "a peer that reads too slowly was cut off")
+    PEER_MESSAGE_FAILED = (7005, logging.ERROR, "a message from a peer could not be handled")
 
     def __init__(self, number: int, severity: int, meaning: str) -> None:
         self.number = number
--- /dev/null
+++ b/toucanhold/peers/messages.py
@@ -0,0 +1,88 @@
+"""What entries tell each other."""
+
+import attrs
+
+from toucanhold import codec
+
+PROTOCOL_VERSION = 1
+
+
+@attrs.frozen
+class Hello:
+    """The first frame of each side of a stream.
+
+    :ivar protocol: version of the protocol between entries
+    :ivar entry: the sender's name
+    :ivar boot: unique to the sender's process
+    :ivar challenge: random bytes that the other side's proof must cover
+    """
+
+    protocol: int
+    entry: str
+    boot: str
+    challenge: bytes
+
+
+@attrs.frozen
+class Proof:
+    """Shows that the sender has the shared key."""
+
+    mac: bytes
+
+
+@attrs.frozen
+class Heartbeat:
+    """Sent at an interval; its silence ends a stream.
+
+    :ivar configuration: number of the configuration in force at the sender
+    :ivar plan_revision: highest revision of the plan that the sender knows
+    """
+
+    configuration: int = 0
+    plan_revision: int = 0
+
+
+Message = object
+
+# Each message between entries is listed here once; its class name is its kind on the wire.
+KINDS: tuple[type, ...] = (
+    Hello,
+    Proof,
+    Heartbeat,
+)
+
+_BY_NAME = {kind.__name__: kind for kind in KINDS}
+
+
+class MessageError(Exception):
+    """A frame that is no message."""
+
+
+class UnknownKindError(MessageError):
+    """A message of a kind that this version does not know."""
+
+
+def encode(message: Message) -> bytes:
+    """Return the frame body of a message.
+
+    :raises MessageError: when its class is not listed
+    """
+    kind = type(message).__name__
+    if _BY_NAME.get(kind) is not type(message):
+        raise MessageError(f"{kind} is not listed in KINDS")
+    return codec.pack_tagged(kind, message)
+
+
+def decode(body: bytes) -> Message:
+    """Return the message of a frame body.
+
+    :raises UnknownKindError: when the kind is not known
+    :raises MessageError: when the body is malformed
+    """
+    try:
+        kind, plain = codec.unpack_tagged(body)
+        if kind not in _BY_NAME:
+            raise UnknownKindError(f"unknown kind {kind!r}")
+        return codec.from_plain_tolerant(plain, _BY_NAME[kind])
+    except codec.CodecError as error:
+        raise MessageError(str(error)) from error
