Pass configuration and plan from entry to entry

An entry without the key-value service had the configuration of its last read for ever, and one that started in an outage had none at all. Status showed -1 for every other entry, so nobody could see where a change was in force.

Heartbeats carry the configuration's number, the plan's highest revision and a digest of all domains' revisions. Whoever is behind asks that peer and gets a delta, or the whole from 0 where parts do not fit together; plans come by domain. ConfigurationHolder and PlanHolder stay the only doors, and both refuse what is not newer. What entries say of themselves (record, process, numbers) goes along when it changes and is passed on, so any entry can show all, and a stopping entry leaves every directory at once.

Pushing every plan to every peer was ruled out: the platform's watch does that already for all but the ones who are cut off.

--- a/standins/memory.py
+++ b/standins/memory.py
@@ -47,29 +47,31 @@
     store: keyvalue.Store = attrs.field(factory=keyvalue.Store)
     faults: dict[str, Faults] = attrs.field(factory=dict)
     calls: collections.Counter[tuple[str, str]] = attrs.field(factory=collections.Counter)
-    _all_down: bool = False
+    _mode: str = "up"
 
     def client(self, name: str) -> MemoryClient:
         """Return a client with faults of its own."""
-        self.faults.setdefault(name, Faults())
+        self.faults.setdefault(name, Faults(self._mode))
         return MemoryClient("http://memory", name, platform=self)
 
     def set_mode(self, mode: str, *names: str) -> None:
-        """Set the mode of the named clients, of all by default."""
-        everyone = not names
+        """Set the mode of the named clients; by default of all, those to come among them."""
         for name in names or list(self.faults):
             self.faults[name].mode = mode
-        if everyone:
-            if self._all_down and mode in ("up", "slow"):
+        if not names:
+            if self._is_down() and mode in ("up", "slow"):
                 # As etcd does when a leader takes over: leases do not run out in an outage.
                 self.store.renew_leases()
-            self._all_down = mode in ("down", "silent")
+            self._mode = mode
 
     def expire(self) -> None:
         """End the leases whose time is over."""
-        if not self._all_down:
+        if not self._is_down():
             self.store.expire()
 
+    def _is_down(self) -> bool:
+        return self._mode in ("down", "silent")
+
 
 @attrs.define(eq=False)
 class MemoryClient(etcd.EtcdClient):
--- a/toucanhold/entry.py
+++ b/toucanhold/entry.py
@@ -13,11 +13,11 @@
 from toucanhold.callers import app as callers_app
 from toucanhold.callers import directory
 from toucanhold.configuration import holder, snapshot, store
-from toucanhold.membership import roster
+from toucanhold.membership import facts, roster
 from toucanhold.observing import poller, view
 from toucanhold.operators import app as operators_app
 from toucanhold.operators import status
-from toucanhold.peers import exchange, handshake, messages, streams
+from toucanhold.peers import exchange, handshake, revisions, streams
 from toucanhold.planning import placement, plan, planner
 from toucanhold.platform import following, lease, vms
 from toucanhold.routing import candidates, choice, dispatch, gate
@@ -61,6 +61,7 @@
     async def start(self, nursery: trio.Nursery) -> None:
         """See :class:`application.Application`."""
         await nursery.start(self.peers.run)
+        nursery.start_soon(self.revisions.run)
         nursery.start_soon(self.configuration_follower.run)
         nursery.start_soon(self.plan_follower.run)
         nursery.start_soon(self.roster_follower.run)
@@ -83,6 +84,7 @@
         """See :class:`application.Application`."""
         events.log(LOGGER, events.Event.ENTRY_STOPPING, in_flight=self.callers.in_flight)
         self.roster.set_own_state(roster.EntryState.STOPPING)
+        self.revisions.announce()
         await self.entry_lease.release()
         # Callers keep old answers of the directory and go on coming for that long.
         await trio.sleep(self.settings.directory_keep_s)
@@ -108,6 +110,7 @@
             own.callers_address,
             own.operators_address,
             own.peers_address,
+            boot=uuid.uuid4().hex,
         )
         self.roster = roster.Roster(member)
         self.entry_lease = lease.LeasedKey(
@@ -121,14 +124,18 @@
     def _build_peers(self) -> None:
         own = self.settings
         self.exchange = exchange.Exchange()
+        self.facts = facts.FactTable(facts.EntryFact(self.roster.own, facts.new_incarnation()))
+        self.revisions = revisions.RevisionExchange(
+            self.exchange, self.configuration, self.plans, self.roster, self.facts
+        )
         self.peers = streams.PeerStreams(
-            handshake.Identity(own.entry, uuid.uuid4().hex),
+            handshake.Identity(own.entry, self.roster.own.boot),
             own.peers_address,
             own.peer_key.encode(),
             self.outside.peers,
             self.exchange,
             self._peer_addresses,
-            self._heartbeat,
+            self.revisions.heartbeat,
             self.rng,
         )
 
@@ -136,9 +143,6 @@
         known = {member.peers_address for member in self.roster.members()}
         return (known | set(self.settings.peers)) - {self.settings.peers_address}
 
-    def _heartbeat(self) -> messages.Heartbeat:
-        return messages.Heartbeat(self.configuration.current.number, self.plans.revision)
-
     def _build_planner(self) -> None:
         self.planner_lease = lease.LeasedKey(
             self.platform,
@@ -182,6 +186,7 @@
         )
         composer = status.StatusComposer(
             self.roster,
+            self.facts,
             self.configuration,
             self.plans,
             self.view,
@@ -217,7 +222,13 @@
         try:
             self.configuration.apply(delta, "platform")
         except snapshot.SnapshotError as error:
-            LOGGER.error("the stored configuration is not readable: %s", error)
+            events.log(
+                LOGGER,
+                events.Event.CONFIGURATION_UNREADABLE,
+                source="platform",
+                configuration=delta.number,
+                reason=str(error),
+            )
             return revision
         self._known_revision = revision
         return revision
@@ -234,4 +245,13 @@
     async def _refresh_roster(self) -> int:
         result = await self.platform.read(roster.ENTRIES_PREFIX)
         self.roster.replace(result.items)
+        self._forget_gone_entries()
         return result.revision
+
+    def _forget_gone_entries(self) -> None:
+        connected = self.exchange.connected()
+        for fact in self.facts.others():
+            entry = fact.member.entry
+            if entry not in connected and not self.roster.is_listed(entry):
+                self.facts.forget(entry)
+                self.roster.forget(entry)
--- a/toucanhold/events.py
+++ b/toucanhold/events.py
@@ -25,6 +25,7 @@
     CONFIGURATION_IN_FORCE = (4001, logging.INFO, "a configuration is in force on this entry")
     CONFIGURATION_ACCEPTED = (4002, logging.INFO, "an operator's change was accepted")
     CONFIGURATION_REFUSED = (4003, logging.INFO, "an operator's change was refused")
+    CONFIGURATION_UNREADABLE = (4004, logging.ERROR, "a configuration could not be read")
     PLATFORM_LOST = (5001, logging.WARNING, "the key-value service does not answer")
     PLATFORM_BACK = (5002, logging.INFO, "the key-value service answers again")
     BACKEND_SEEN = (6001, logging.INFO, "a backend server reported a new boot, warmth or group")
--- a/toucanhold/operators/status.py
+++ b/toucanhold/operators/status.py
@@ -6,7 +6,7 @@
 import trio
 
 from toucanhold.configuration import holder, inventory, rules
-from toucanhold.membership import roster
+from toucanhold.membership import facts, roster
 from toucanhold.observing import view
 from toucanhold.operators import messages
 from toucanhold.planning import plan, planner
@@ -19,6 +19,7 @@
     """Reads every part of an entry; changes none."""
 
     roster: roster.Roster
+    facts: facts.FactTable
     configuration: holder.ConfigurationHolder
     plans: plan.PlanHolder
     view: view.View
@@ -47,13 +48,16 @@
         )
 
     def _entry(self, member: roster.Member) -> messages.EntryStatus:
-        own = member.entry == self.roster.own.entry
+        fact = self.facts.get(member.entry)
+        number = -1 if fact is None else fact.configuration
+        if member.entry == self.roster.own.entry:
+            number = self.configuration.current.number
         return messages.EntryStatus(
             member.entry,
             member.availability_zone,
             member.callers_address,
             member.state.value,
-            self.configuration.current.number if own else -1,
+            number,
         )
 
     def _serving_groups(self) -> set[str]:
--- a/toucanhold/peers/frames.py
+++ b/toucanhold/peers/frames.py
@@ -18,10 +18,12 @@
     """Sends and receives frames.
 
     :ivar limit_bytes: largest body that is received; small until the peer has proved itself
+    :ivar idle_timeout_s: longest time without a single byte
     """
 
     stream: trio.abc.Stream
     limit_bytes: int
+    idle_timeout_s: float = float("inf")
     received_bytes: int = 0
     sent_bytes: int = 0
     _buffer: bytearray = attrs.field(factory=bytearray, init=False)
@@ -42,6 +44,7 @@
         """Return the next body.
 
         :raises FrameError: when the stream has ended or the frame is too large
+        :raises trio.TooSlowError: when nothing comes in for too long
         """
         await self._fill(LENGTH_BYTES)
         size = int.from_bytes(self._buffer[:LENGTH_BYTES])
@@ -55,7 +58,8 @@
     async def _fill(self, size: int) -> None:
         while len(self._buffer) < size:
             try:
-                data = await self.stream.receive_some(READ_SIZE_BYTES)
+                with trio.fail_after(self.idle_timeout_s):
+                    data = await self.stream.receive_some(READ_SIZE_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 raise FrameError(f"cannot receive: {error!r}") from error
             if not data:
--- a/toucanhold/peers/messages.py
+++ b/toucanhold/peers/messages.py
@@ -3,6 +3,9 @@
 import attrs
 
 from toucanhold import codec
+from toucanhold.configuration import snapshot
+from toucanhold.membership import facts as entry_facts
+from toucanhold.planning import plan
 
 PROTOCOL_VERSION = 1
 
@@ -36,10 +39,50 @@
 
     :ivar configuration: number of the configuration in force at the sender
     :ivar plan_revision: highest revision of the plan that the sender knows
+    :ivar plan_digest: of the revisions of all domains: equal where both know the same plan
+    :ivar facts: what changed in the sender's knowledge of entries since its last heartbeat
     """
 
     configuration: int = 0
     plan_revision: int = 0
+    plan_digest: int = 0
+    facts: tuple[entry_facts.EntryFact, ...] = ()
+
+
+@attrs.frozen
+class ConfigurationAsk:
+    """Asks for what a reader at number ``known`` lacks."""
+
+    known: int
+
+
+@attrs.frozen
+class ConfigurationNews:
+    """A part of the configuration that the receiver lacks."""
+
+    delta: snapshot.Delta
+
+
+@attrs.frozen
+class DomainRevision:
+    """The revision of one domain's plan."""
+
+    domain: str
+    revision: int
+
+
+@attrs.frozen
+class PlanAsk:
+    """Asks for the plans of all domains that are later than ``known``, or missing there."""
+
+    known: tuple[DomainRevision, ...]
+
+
+@attrs.frozen
+class PlanNews:
+    """Plans that the receiver lacks."""
+
+    plans: tuple[plan.VersionedDomainPlan, ...]
 
 
 Message = object
@@ -49,6 +92,10 @@
     Hello,
     Proof,
     Heartbeat,
+    ConfigurationAsk,
+    ConfigurationNews,
+    PlanAsk,
+    PlanNews,
 )
 
 _BY_NAME = {kind.__name__: kind for kind in KINDS}
--- a/toucanhold/peers/streams.py
+++ b/toucanhold/peers/streams.py
@@ -17,6 +17,8 @@
 # Two lost heartbeats and a busy moment are no failure; an entry that is cut off must know within
 # three seconds.
 HEARTBEAT_TIMEOUT_S = 2.0
+# A whole configuration takes its time on a slow line; the reader sees it make progress.
+SEND_TIMEOUT_S = 15.0
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 2.0
 DIAL_CHECK_INTERVAL_S = 0.25
@@ -24,7 +26,7 @@
 LOGGER = logging.getLogger(__name__)
 
 Addresses = collections.abc.Callable[[], collections.abc.Collection[str]]
-Composer = collections.abc.Callable[[], messages.Message]
+Composer = collections.abc.Callable[[str], messages.Message]
 
 
 @attrs.define(eq=False)
@@ -46,7 +48,7 @@
     :ivar address: ``IP:port`` to listen on
     :ivar key: what peers must prove that they have
     :ivar addresses: returns where peers may be dialled now
-    :ivar heartbeat: composes what this entry tells at an interval
+    :ivar heartbeat: composes what this entry tells a peer at an interval
     """
 
     own: handshake.Identity
@@ -132,6 +134,7 @@
             LOGGER.debug("handshake: %r", error)
             return None
         framed.limit_bytes = FRAME_LIMIT_BYTES
+        framed.idle_timeout_s = HEARTBEAT_TIMEOUT_S
         return _Link(peer, dialled, framed)
 
     async def _serve(self, link: _Link) -> bool:
@@ -188,8 +191,7 @@
 
     async def _receive(self, link: _Link) -> None:
         while True:
-            with trio.fail_after(HEARTBEAT_TIMEOUT_S):
-                body = await link.frames.receive()
+            body = await link.frames.receive()
             try:
                 message = messages.decode(body)
             except messages.UnknownKindError as error:
@@ -204,13 +206,13 @@
         while True:
             bodies = await link.outbox.take()
             before_bytes = link.frames.sent_bytes
-            with trio.fail_after(HEARTBEAT_TIMEOUT_S):
+            with trio.fail_after(SEND_TIMEOUT_S):
                 await link.frames.send(bodies)
             self.sent_bytes += link.frames.sent_bytes - before_bytes
 
     async def _beat(self, link: _Link) -> None:
         while True:
-            link.outbox.put(messages.encode(self.heartbeat()))
+            link.outbox.put(messages.encode(self.heartbeat(link.peer.entry)))
             await trio.sleep(HEARTBEAT_INTERVAL_S * self.rng.uniform(0.8, 1.2))
 
     async def _watch_overflow(self, link: _Link) -> None:
