--- a/toucanhold/application.py
+++ b/toucanhold/application.py
@@ -1,7 +1,9 @@
 """An application: what it owns, in the order of starting and stopping."""
 
 import abc
+import collections.abc
 import contextlib
+import functools
 import logging
 import signal
 
@@ -14,13 +16,22 @@
     """Owns components and runs them between its life-cycle hooks."""
 
     async def run(self) -> None:
-        """Start, wait for a stop signal or :meth:`request_stop`, stop, and clean up."""
+        """Run until a stop signal, or until the application itself wants to stop."""
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            await self.run_until(functools.partial(self._wait_for_stop, signals))
+
+    async def run_until(
+        self, wait_for_stop: collections.abc.Callable[[], collections.abc.Awaitable[None]]
+    ) -> None:
+        """Start, wait, stop, and clean up.
+
+        :param wait_for_stop: returns when a planned stop is to begin
+        """
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(self.clean_up)
             async with trio.open_nursery() as nursery:
                 await self.start(nursery)
-                with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-                    await self._wait_for_stop(signals)
+                await wait_for_stop()
                 await self.stop()
                 nursery.cancel_scope.cancel()
 
--- a/toucanhold/callers/app.py
+++ b/toucanhold/callers/app.py
@@ -75,14 +75,21 @@
     async def _answer(
         self, request: requests.CallerRequest, receive: asgi.Receive, send: asgi.Send
     ) -> None:
+        refusal: requests.RequestError | None = None
         with trio.CancelScope() as scope:
             async with trio.open_nursery() as nursery:
                 # A caller who leaves must free the backend server's slot at once.
                 nursery.start_soon(_cancel_when_gone, receive, scope)
                 try:
                     await self._relay(request, send)
+                except requests.RequestError as error:
+                    refusal = error
                 finally:
                     nursery.cancel_scope.cancel()
+        # Raised inside, the nursery would wrap it in a group that nobody catches, and the caller
+        # would see a bare 500 that does not tell whether the request ran.
+        if refusal is not None:
+            raise refusal
 
     async def _relay(self, request: requests.CallerRequest, send: asgi.Send) -> None:
         async with self.dispatcher.serve(request) as answer:
--- a/toucanhold/entry.py
+++ b/toucanhold/entry.py
@@ -184,7 +184,7 @@
             own.default_timeout_s,
             own.max_timeout_s,
         )
-        composer = status.StatusComposer(
+        self.status_composer = status.StatusComposer(
             self.roster,
             self.facts,
             self.configuration,
@@ -195,7 +195,7 @@
             self.configuration_follower,
         )
         self.operators = operators_app.OperatorsApp(
-            self.store, self.configuration, composer, own.operator_token
+            self.store, self.configuration, self.status_composer, own.operator_token
         )
 
     async def _serve(self, nursery: trio.Nursery, app, address: str) -> None:
