Expose metrics by OpenTelemetry in the text form of scrapers

Cause: nothing told how long callers wait or what an entry believes. Change: histograms of the semantic conventions for requests, time to first token and time per output token; gauges read from the components when a scraper asks, behind the operators' token; one record per stream instead of one per token.

Ruled out: a record per token (the size aimed at has 12,800 tokens a second on an entry).

--- a/standins/site.py
+++ b/standins/site.py
@@ -77,8 +77,11 @@
             await self.start_vm(vm.vm)
         for each in self.entries:
             await self.start_entry(each.entry)
-        for address in [vm.address for vm in self.vms] + [each.callers for each in self.entries]:
-            await processes.wait_listening(address)
+        for vm in self.vms:
+            await processes.wait_listening(vm.address)
+        for each in self.entries:
+            await processes.wait_listening(each.callers)
+            await processes.wait_listening(each.operators)
 
     async def start_keyvalue(self) -> None:
         """Start the key-value stand-in."""
--- a/tools/binary.py
+++ b/tools/binary.py
@@ -11,6 +11,7 @@
 import shutil
 import sys
 import tempfile
+import tomllib
 import zipapp
 
 import packaging.requirements
@@ -29,7 +30,8 @@
     """Build the file and print its size."""
     with tempfile.TemporaryDirectory() as folder:
         staging = pathlib.Path(folder)
-        for name in sorted(dependencies(PACKAGE)):
+        project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
+        for name in sorted(closure(project["dependencies"])):
             copy_distribution(name, staging)
         copy_package(staging)
         compileall.compile_dir(
@@ -47,18 +49,17 @@
     return 0
 
 
-def dependencies(name: str) -> set[str]:
-    """Return the distributions that ``name`` needs at run time, itself left out."""
+def closure(requirements: list[str]) -> set[str]:
+    """Return the distributions that ``requirements`` need at run time."""
     found: set[str] = set()
-    pending = [name]
+    pending = list(requirements)
     while pending:
-        for line in importlib.metadata.requires(pending.pop()) or []:
-            requirement = packaging.requirements.Requirement(line)
-            normal = re.sub(r"[-_.]+", "-", requirement.name).lower()
-            wanted = requirement.marker is None or requirement.marker.evaluate({"extra": ""})
-            if wanted and normal not in found:
-                found.add(normal)
-                pending.append(normal)
+        requirement = packaging.requirements.Requirement(pending.pop())
+        name = re.sub(r"[-_.]+", "-", requirement.name).lower()
+        wanted = requirement.marker is None or requirement.marker.evaluate({"extra": ""})
+        if wanted and name not in found:
+            found.add(name)
+            pending += importlib.metadata.requires(name) or []
     return found
 
 
--- a/toucanhold/callers/app.py
+++ b/toucanhold/callers/app.py
@@ -1,5 +1,7 @@
 """The callers' ASGI application."""
 
+from __future__ import annotations
+
 import json
 import logging
 import uuid
@@ -7,8 +9,8 @@
 import attrs
 import trio
 
-from toucanhold import asgi, events
-from toucanhold.callers import directory, problems
+from toucanhold import asgi, events, metrics
+from toucanhold.callers import directory, measuring, problems
 from toucanhold.configuration import holder, rules
 from toucanhold.routing import dispatch, requests
 
@@ -35,6 +37,7 @@
     configuration: holder.ConfigurationHolder
     dispatcher: dispatch.Dispatcher
     directory: directory.Directory
+    metrics: metrics.Metrics
     body_limit_bytes: int
     default_timeout_s: float
     max_timeout_s: float
@@ -45,11 +48,15 @@
         if scope["type"] == "lifespan":
             await asgi.acknowledge_lifespan(receive, send)
         elif scope["type"] == "http":
+            timed = measuring.TimedSend(
+                send, self.metrics.new_timer(scope["method"], _route(scope))
+            )
             self.in_flight += 1
             try:
-                await self._handle(scope, receive, send)
+                await self._handle(scope, receive, timed)
             finally:
                 self.in_flight -= 1
+                timed.finish()
 
     async def _handle(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         path = scope["path"]
@@ -212,6 +219,15 @@
         return {"object": "list", "data": models}
 
 
+def _route(scope: asgi.Scope) -> str:
+    # Paths are the callers' choice; as attributes of a metric they would grow without bound.
+    path = scope["path"]
+    known = (*CHAT_PATHS, ADDRESSES_PATH, MODELS_PATH)
+    if path in known:
+        return path
+    return SERVICES_PREFIX if path.startswith(SERVICES_PREFIX) else ""
+
+
 async def _break_off(send: asgi.Send, error: requests.RequestError, request_id: str) -> None:
     # A clean end would make a torn answer look whole. The error event tells a reader of the
     # stream why; the missing last chunk tells the HTTP client, whatever it does with events:
--- a/toucanhold/entry.py
+++ b/toucanhold/entry.py
@@ -9,7 +9,7 @@
 import attrs
 import trio
 
-from toucanhold import application, codec, events, outside, settings
+from toucanhold import application, codec, events, gauges, metrics, outside, settings
 from toucanhold.callers import app as callers_app
 from toucanhold.callers import directory
 from toucanhold.configuration import holder, snapshot, store
@@ -44,6 +44,7 @@
         """Build the components; none does anything before :meth:`start`."""
         own = self.settings
         self.rng = own.new_rng()
+        self.metrics = metrics.Metrics(own.entry)
         self.platform = self.outside.platform
         self.backends = self.outside.backends
         self.configuration = holder.ConfigurationHolder()
@@ -57,6 +58,7 @@
         self._build_routing()
         self._build_followers()
         self._build_interfaces()
+        gauges.register(self)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """See :class:`application.Application`."""
@@ -180,6 +182,7 @@
             self.configuration,
             self.dispatcher,
             directory.Directory(self.roster, own.directory_keep_s),
+            self.metrics,
             own.body_limit_bytes,
             own.default_timeout_s,
             own.max_timeout_s,
@@ -195,7 +198,11 @@
             self.configuration_follower,
         )
         self.operators = operators_app.OperatorsApp(
-            self.store, self.configuration, self.status_composer, own.operator_token
+            self.store,
+            self.configuration,
+            self.status_composer,
+            self.metrics,
+            own.operator_token,
         )
 
     async def _serve(self, nursery: trio.Nursery, app, address: str) -> None:
--- /dev/null
+++ b/toucanhold/metrics.py
@@ -0,0 +1,151 @@
+"""Metrics of an entry, by OpenTelemetry, in the form that usual scrapers read."""
+
+import collections.abc
+import math
+
+import attrs
+import prometheus_client
+import trio
+from opentelemetry import metrics as api
+from opentelemetry.exporter import prometheus
+from opentelemetry.sdk import metrics as sdk
+from opentelemetry.sdk import resources
+from opentelemetry.sdk.metrics import view
+
+SERVICE_NAME = "toucanhold"
+CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST.encode()
+DURATION_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0)
+FIRST_TOKEN_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 0.98, 1.25, 2.5, 5.0, 10.0)
+TOKEN_BUCKETS_S = (0.001, 0.0025, 0.005, 0.01, 0.02, 0.03, 0.04, 0.048, 0.06, 0.1, 0.25, 1.0)
+
+Observed = collections.abc.Iterable[tuple[float, dict[str, str]]]
+
+
+@attrs.define(eq=False)
+class Metrics:
+    """The instruments of one entry.
+
+    :ivar entry: name of the entry, told as ``service.instance.id``
+    """
+
+    entry: str
+    _registry: prometheus_client.CollectorRegistry = attrs.field(init=False)
+    _meter: api.Meter = attrs.field(init=False)
+    _request_duration_s: api.Histogram = attrs.field(init=False)
+    _first_token_s: api.Histogram = attrs.field(init=False)
+    _token_s: api.Histogram = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the instruments; names follow the semantic conventions where there are any."""
+        self._registry = prometheus_client.CollectorRegistry()
+        reader = prometheus.PrometheusMetricReader(
+            registry=self._registry, scope_info_enabled=False
+        )
+        attributes = {"service.name": SERVICE_NAME, "service.instance.id": self.entry}
+        provider = sdk.MeterProvider(
+            [reader], resources.Resource(attributes), shutdown_on_exit=False, views=_views()
+        )
+        self._meter = provider.get_meter(SERVICE_NAME)
+        self._request_duration_s = self._meter.create_histogram(
+            "http.server.request.duration", "s", "Time to answer callers' requests"
+        )
+        self._first_token_s = self._meter.create_histogram(
+            "gen_ai.server.time_to_first_token", "s", "Time to a stream's first event"
+        )
+        self._token_s = self._meter.create_histogram(
+            "gen_ai.server.time_per_output_token", "s", "Mean time between a stream's events"
+        )
+
+    def observe(
+        self, name: str, unit: str, description: str, read: collections.abc.Callable[[], Observed]
+    ) -> None:
+        """Add a gauge that is read when a scraper asks.
+
+        :param read: returns values with their attributes
+        """
+
+        def callback(options: api.CallbackOptions) -> list[api.Observation]:
+            return [api.Observation(value, attributes) for value, attributes in read()]
+
+        self._meter.create_observable_gauge(name, [callback], unit, description)
+
+    def count(
+        self, name: str, unit: str, description: str, read: collections.abc.Callable[[], Observed]
+    ) -> None:
+        """Add a counter that is read when a scraper asks.
+
+        :param read: returns totals since the start with their attributes
+        """
+
+        def callback(options: api.CallbackOptions) -> list[api.Observation]:
+            return [api.Observation(value, attributes) for value, attributes in read()]
+
+        self._meter.create_observable_counter(name, [callback], unit, description)
+
+    def new_timer(self, method: str, route: str) -> "RequestTimer":
+        """Return a timer for one request of a caller."""
+        return RequestTimer(self, method, route, trio.current_time())
+
+    def exposition(self) -> bytes:
+        """Return all values in the text format of :data:`CONTENT_TYPE`."""
+        return prometheus_client.generate_latest(self._registry)
+
+    def record(self, timer: "RequestTimer", status: int, answer: str) -> None:
+        """Take in a finished request.
+
+        :param answer: whether the answer was whole
+        """
+        now_s = trio.current_time()
+        attributes = {
+            "http.request.method": timer.method,
+            "http.route": timer.route,
+            "http.response.status_code": status,
+            "toucanhold.answer": answer,
+        }
+        self._request_duration_s.record(now_s - timer.started_at_s, attributes)
+        if math.isfinite(timer.first_event_at_s):
+            route = {"http.route": timer.route}
+            self._first_token_s.record(timer.first_event_at_s - timer.started_at_s, route)
+            if timer.events > 1:
+                streamed_s = timer.last_event_at_s - timer.first_event_at_s
+                self._token_s.record(streamed_s / (timer.events - 1), route)
+
+
+@attrs.define(eq=False)
+class RequestTimer:
+    """Times one request; a stream's tokens cost one record for all of them."""
+
+    metrics: Metrics
+    method: str
+    route: str
+    started_at_s: float
+    first_event_at_s: float = math.inf
+    last_event_at_s: float = math.inf
+    events: int = 0
+
+    def note_events(self, count: int) -> None:
+        """Count events of a stream that were passed on now."""
+        now_s = trio.current_time()
+        if not self.events:
+            self.first_event_at_s = now_s
+        self.last_event_at_s = now_s
+        self.events += count
+
+    def finish(self, status: int, answer: str) -> None:
+        """Record the request."""
+        self.metrics.record(self, status, answer)
+
+
+def _views() -> list[view.View]:
+    buckets = {
+        "http.server.request.duration": DURATION_BUCKETS_S,
+        "gen_ai.server.time_to_first_token": FIRST_TOKEN_BUCKETS_S,
+        "gen_ai.server.time_per_output_token": TOKEN_BUCKETS_S,
+    }
+    return [
+        view.View(
+            instrument_name=name,
+            aggregation=view.ExplicitBucketHistogramAggregation(list(bounds)),
+        )
+        for name, bounds in buckets.items()
+    ]
--- a/toucanhold/operators/app.py
+++ b/toucanhold/operators/app.py
@@ -1,11 +1,13 @@
 """The operators' ASGI application."""
 
+from __future__ import annotations
+
 import hmac
 import logging
 
 import attrs
 
-from toucanhold import asgi, codec, events
+from toucanhold import asgi, codec, events, metrics
 from toucanhold.configuration import document, holder, store
 from toucanhold.operators import messages, status
 
@@ -13,6 +15,7 @@
 STATUS_PATH = "/operators/v1/status"
 ZONES_PREFIX = "/operators/v1/availability-zones/"
 HEALTH_PATH = "/health"
+METRICS_PATH = "/metrics"
 BODY_LIMIT_BYTES = 8 * 1024 * 1024
 
 LOGGER = logging.getLogger(__name__)
@@ -35,6 +38,7 @@
     store: store.ConfigurationStore
     configuration: holder.ConfigurationHolder
     status: status.StatusComposer
+    metrics: metrics.Metrics
     token: str = attrs.field(repr=False)
 
     async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
@@ -50,6 +54,10 @@
             return
         try:
             self._authenticate(scope)
+            if scope["path"] == METRICS_PATH:
+                lines = [(b"content-type", metrics.CONTENT_TYPE)]
+                await asgi.respond(send, 200, lines, self.metrics.exposition())
+                return
             answer = await self._route(scope, receive)
             body, code = codec.to_json(answer), 200
         except _OperatorError as error:
