Claim each order by compare-and-swap before it is sent

A non-idempotent call with an idempotency key was sent as often as it was repeated. Now its key (workspace, service, key, hashed) is claimed in the key-value service first; whoever does not hold the claim sends nothing; the outcome is recorded, and a repeat at any entry gets the recorded answer, "in progress" or "unknown". A claim whose answer was lost is found again by its attempt id; one that nobody uses is removed, also when its write arrives late. Without a key there is one attempt and nothing to claim.

Ruled out: reading the key first (a third call an order); claiming only once a backend server is chosen (a repeat would wait in the queue for an answer that stands). Claims hang on one lease an hour, and those that gather while a call is under way go in one transaction.

--- /dev/null
+++ b/tests/order_fakes.py
@@ -0,0 +1,207 @@
+"""Fakes at the interfaces of orders: a key-value service and a sender, both with faults."""
+
+import collections
+import contextlib
+import random
+
+import attrs
+import trio
+
+from toucanhold.configuration import rules
+from toucanhold.orders import claims, commits, keeper, leases, limits
+from toucanhold.platform import keyvalue
+from toucanhold.routing import dispatch, requests
+
+SERVICE = rules.Service("releases", rules.ServiceKind.PLAIN)
+LATE_S = 5.0
+
+
+@attrs.define(eq=False)
+class FakeKeyValue(keyvalue.KeyValueClient):
+    """A store in memory.
+
+    :ivar faults: by number of the call: "unavailable", "lost-request", "lost-answer" or "late"
+    :ivar down: every call fails before it has an effect
+    :ivar latency_s: time of each call
+    """
+
+    items: dict[str, keyvalue.Item] = attrs.field(factory=dict)
+    leases: set[int] = attrs.field(factory=set)
+    faults: dict[int, str] = attrs.field(factory=dict)
+    down: bool = False
+    latency_s: float = 0.005
+    calls: collections.Counter = attrs.field(factory=collections.Counter)
+    revision: int = 1
+    _late: list = attrs.field(factory=list)
+
+    async def close(self):
+        pass
+
+    async def read(self, prefix, min_mod_revision=0):
+        found = tuple(item for key, item in self.items.items() if key.startswith(prefix))
+        return await self._call("read", lambda: keyvalue.RangeResult(self.revision, found))
+
+    async def read_key(self, key):
+        return await self._call("read", lambda: self.items.get(key))
+
+    async def commit(self, conditions, writes):
+        return await self._call("write", lambda: self._commit(conditions, writes))
+
+    async def grant_lease(self, ttl_s):
+        return await self._call("grant", self._grant)
+
+    async def keep_alive(self, lease):
+        return lease in self.leases
+
+    async def revoke_lease(self, lease):
+        self.lapse(lease)
+
+    def watch(self, prefix, start_revision):
+        raise NotImplementedError
+
+    def lapse(self, lease):
+        self.leases.discard(lease)
+        self.items = {key: item for key, item in self.items.items() if item.lease != lease}
+
+    async def _call(self, kind, effect):
+        number = self.calls.total()
+        self.calls[kind] += 1
+        await trio.sleep(self.latency_s)
+        self._arrive()
+        fault = "unavailable" if self.down else self.faults.get(number)
+        if fault == "unavailable":
+            raise keyvalue.UnavailableError("down")
+        if fault == "bug":
+            raise ValueError("a fault of our own")
+        if fault == "late":
+            self._late.append((trio.current_time() + LATE_S, effect))
+        if fault in ("lost-request", "late"):
+            raise keyvalue.UnclearError(fault)
+        result = effect()
+        if fault == "lost-answer":
+            raise keyvalue.UnclearError(fault)
+        return result
+
+    def _arrive(self):
+        due = [effect for due_s, effect in self._late if due_s <= trio.current_time()]
+        self._late = [late for late in self._late if late[0] > trio.current_time()]
+        for effect in due:
+            with contextlib.suppress(keyvalue.KeyValueError):
+                effect()
+
+    def _grant(self):
+        self.leases.add(len(self.leases) + 1000)
+        return len(self.leases) + 999
+
+    def _commit(self, conditions, writes):
+        if any(write.lease and write.lease not in self.leases for write in writes):
+            raise keyvalue.UnclearError("HTTP status 404: requested lease not found")
+        absent = keyvalue.Item("", b"")
+        for condition in conditions:
+            item = self.items.get(condition.key, absent)
+            if condition.mod_revision not in (None, item.mod_revision):
+                return keyvalue.CommitResult(False, self.revision)
+            if condition.create_revision not in (None, item.create_revision):
+                return keyvalue.CommitResult(False, self.revision)
+        self.revision += 1
+        for write in writes:
+            former = self.items.pop(write.key, absent)
+            if write.value is not None:
+                created = former.create_revision or self.revision
+                self.items[write.key] = keyvalue.Item(
+                    write.key, write.value, created, self.revision, write.lease
+                )
+        return keyvalue.CommitResult(True, self.revision)
+
+
+@attrs.define(eq=False)
+class FakeSender:
+    """Runs orders, and notes the ids of those that ran.
+
+    :ivar behaviours: one for each sending: "ok", "not-sent", "lost-after-run", "lost-before-run"
+    """
+
+    runs: list[str] = attrs.field(factory=list)
+    behaviours: list[str] = attrs.field(factory=list)
+    run_s: float = 0.1
+    body: bytes = b"done"
+
+    @contextlib.asynccontextmanager
+    async def serve(self, request):
+        behaviour = self.behaviours.pop(0) if self.behaviours else "ok"
+        if behaviour == "not-sent":
+            raise requests.RequestError(
+                requests.Problem.NO_CAPACITY, requests.Outcome.DID_NOT_RUN, "no server", 1.0
+            )
+        await trio.sleep(self.run_s)
+        if behaviour != "lost-before-run":
+            self.runs.append(request.request_id)
+        if behaviour == "bug":
+            raise ValueError("a fault of our own")
+        if behaviour != "ok":
+            raise requests.RequestError(
+                requests.Problem.OUTCOME_UNKNOWN, requests.Outcome.UNKNOWN, "lost"
+            )
+        yield dispatch.Answer(200, ((b"content-type", b"text/plain"),), _once(self.body))
+
+
+async def _once(body):
+    yield body
+
+
+@attrs.define(eq=False)
+class FakeEntry:
+    """An entry's keeper in a nursery of its own, so that it can be ended."""
+
+    keeper: keeper.OrderKeeper
+    scopes: list = attrs.field(factory=list)
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        with trio.CancelScope() as scope:
+            self.scopes.append(scope)
+            await self.keeper.run(task_status=task_status)
+
+    def kill(self):
+        for scope in self.scopes:
+            scope.cancel()
+
+    async def order(self, request):
+        """Return (status, outcome, body); "dead" where the entry ended first."""
+        result = ("dead", "unknown", b"")
+        with trio.CancelScope() as scope:
+            self.scopes.append(scope)
+            try:
+                async with self.keeper.serve(request) as answer:
+                    body = b"".join([chunk async for chunk in answer.chunks])
+                    result = (answer.status, "ran", body)
+            except requests.RequestError as error:
+                result = (error.problem.slug, error.outcome.value, error.retry_after_s)
+        return result
+
+
+def new_entry(name, store, sender, rate_per_s=1000.0, combining=True):
+    bucket = limits.TokenBucket(lambda: rate_per_s, 100)
+    kind = commits.CombiningCommitter if combining else commits.SingleCommitter
+    book = claims.ClaimStore(store, kind(store, bucket), leases.ClaimLeases(store))
+    boot = f"boot-of-{name}-{random.random()}"
+    return FakeEntry(keeper.OrderKeeper(name, boot, sender, book, trio.current_time))
+
+
+def new_request(key="key-1", body=b"{}", timeout_s=10.0, **changes):
+    new_request.count += 1
+    values = {
+        "request_id": f"request-{new_request.count}",
+        "workspace": "growers",
+        "service": SERVICE,
+        "method": "POST",
+        "path": "/valves/7",
+        "headers": (),
+        "body": body,
+        "deadline_s": trio.current_time() + timeout_s,
+        "may_repeat": False,
+        "idempotency_key": key,
+    }
+    return requests.CallerRequest(**(values | changes))
+
+
+new_request.count = 0
--- a/toucanhold/callers/app.py
+++ b/toucanhold/callers/app.py
@@ -12,6 +12,7 @@
 from toucanhold import asgi, events, metrics
 from toucanhold.callers import directory, measuring, problems
 from toucanhold.configuration import holder, rules
+from toucanhold.orders import keeper
 from toucanhold.routing import dispatch, requests
 
 CHAT_PATHS = ("/v1/chat/completions", "/v1/completions")
@@ -36,6 +37,7 @@
 
     configuration: holder.ConfigurationHolder
     dispatcher: dispatch.Dispatcher
+    orders: keeper.OrderKeeper
     directory: directory.Directory
     metrics: metrics.Metrics
     body_limit_bytes: int
@@ -99,7 +101,9 @@
             raise refusal
 
     async def _relay(self, request: requests.CallerRequest, send: asgi.Send) -> None:
-        async with self.dispatcher.serve(request) as answer:
+        # Repeating an idempotent call does no harm, so its key needs no claim.
+        server = self.dispatcher if request.may_repeat else self.orders
+        async with server.serve(request) as answer:
             lines = [*answer.headers, (b"x-request-id", request.request_id.encode())]
             started = False
             try:
--- a/toucanhold/entry.py
+++ b/toucanhold/entry.py
@@ -17,6 +17,7 @@
 from toucanhold.observing import poller, view
 from toucanhold.operators import app as operators_app
 from toucanhold.operators import status
+from toucanhold.orders import building
 from toucanhold.peers import exchange, handshake, revisions, streams
 from toucanhold.planning import placement, plan, planner
 from toucanhold.platform import following, lease, vms
@@ -72,6 +73,7 @@
         nursery.start_soon(self.poller.run)
         nursery.start_soon(self._watch_vm_list)
         nursery.start_soon(self.planner.run)
+        await nursery.start(self.orders.run)
         await self._serve(nursery, self.callers, self.settings.callers_address)
         await self._serve(nursery, self.operators, self.settings.operators_address)
         events.log(
@@ -169,6 +171,13 @@
         policy = choice.LeastLoaded(self.in_flight, self.rng)
         self.admission = gate.PlainQueue(self.finder, policy, self.in_flight)
         self.dispatcher = dispatch.Dispatcher(self.admission, self.backends)
+        self.orders = building.new_keeper(
+            self.settings.entry,
+            self.roster.own.boot,
+            self.dispatcher,
+            self.platform,
+            lambda: len(self.roster.members()),
+        )
 
     def _build_followers(self) -> None:
         follower = functools.partial(following.Follower, self.platform, rng=self.rng)
@@ -181,6 +190,7 @@
         self.callers = callers_app.CallersApp(
             self.configuration,
             self.dispatcher,
+            self.orders,
             directory.Directory(self.roster, own.directory_keep_s),
             self.metrics,
             own.body_limit_bytes,
--- /dev/null
+++ b/toucanhold/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders: calls that may not be repeated and run at most once."""
--- a/toucanhold/routing/requests.py
+++ b/toucanhold/routing/requests.py
@@ -31,6 +31,7 @@
     CLAIM_UNAVAILABLE = (503, "The idempotency key could not be claimed")
     DEADLINE = (504, "The request was not finished in time")
     BACKEND_FAILED = (502, "The backend server failed")
+    ANSWER_NOT_KEPT = (410, "The request ran; its answer was not kept")
     OUTCOME_UNKNOWN = (502, "It is not known whether the request ran")
 
     def __init__(self, status: int, title: str) -> None:
