Keep VMs out of two groups through paused planners, lost answers and restarts

Terms are kept in one small record. - An order without an answer holds back other orders to such an engine for 10 s. - A plan write with a lost answer is read back; until then its domain gets no orders. A record that vanished is written anew; generation numbers start above the planner's fencing number, so they are not reused when the record is lost. - A group records its members' boot ids and that it has formed: a member that restarts, leaves or forgets ends the generation and never rejoins it. Each entry also remembers departures it saw. - Two refused connections end a generation at once; silence only after LOST_AFTER_S. - A planned leave waits until nothing is in flight on any member, for three seconds, and starts with the first member; a broken group is disbanded at once. - A planner that has not polled yet takes no VM for lost. - Loads from the weight store are bounded by rules.max_loading_vms, the most important first.

--- a/toucanhold/backends/client.py
+++ b/toucanhold/backends/client.py
@@ -18,6 +18,10 @@
     """No byte of the request left: it certainly did not run."""
 
 
+class RefusedError(NotSentError):
+    """Nothing listens at the address: the process is gone, not merely slow or cut off."""
+
+
 class AnswerLostError(BackendError):
     """The request was sent at least in part: it may have run."""
 
--- a/toucanhold/configuration/document.py
+++ b/toucanhold/configuration/document.py
@@ -94,6 +94,7 @@
         *_vm_mistakes(document),
         *_service_mistakes(document),
         *_workspace_mistakes(document),
+        *_loading_mistakes(document),
     ]
     if mistakes:
         raise InvalidDocumentError("invalid document", mistakes)
@@ -179,6 +180,11 @@
             yield DocumentError(f"rules.workspaces[{index}].max_in_flight", "must be 0 or more")
 
 
+def _loading_mistakes(document: Document) -> Mistakes:
+    if document.rules.max_loading_vms < 0:
+        yield DocumentError("rules.max_loading_vms", "must be 0 or more")
+
+
 def _repeated(path: str, field: str, values: collections.abc.Sequence[str]) -> Mistakes:
     seen: dict[str, int] = {}
     for index, value in enumerate(values):
--- a/toucanhold/configuration/rules.py
+++ b/toucanhold/configuration/rules.py
@@ -85,11 +85,15 @@
 
 @attrs.frozen
 class Rules:
-    """All rules."""
+    """All rules.
+
+    :ivar max_loading_vms: VMs that may load a model from the weight store at once; 0 for no limit
+    """
 
     services: tuple[Service, ...] = ()
     availability_zones: tuple[AvailabilityZone, ...] = ()
     workspaces: tuple[Workspace, ...] = ()
+    max_loading_vms: int = 0
 
     def service(self, name: str) -> Service | None:
         """Return a service by name."""
--- a/toucanhold/entry.py
+++ b/toucanhold/entry.py
@@ -163,6 +163,8 @@
             self.platform,
             self.backends,
             self.planner_lease,
+            self.settings.entry,
+            self.settings.peers_address,
         )
 
     def _build_routing(self) -> None:
--- a/toucanhold/observing/poller.py
+++ b/toucanhold/observing/poller.py
@@ -11,6 +11,7 @@
 
 POLL_INTERVAL_S = 0.5
 POLL_TIMEOUT_S = 1.0
+REFUSED_RECHECK_S = 0.1
 
 
 @attrs.define(eq=False)
@@ -42,18 +43,22 @@
     async def _poll(self, vm: inventory.Vm, scope: trio.CancelScope) -> None:
         with scope:
             while True:
-                await self._poll_once(vm)
+                interval_s = await self._poll_once(vm)
                 # Without jitter all entries ask at the same moment and act on equally old reports.
-                await trio.sleep(POLL_INTERVAL_S * self.rng.uniform(0.8, 1.2))
+                await trio.sleep(interval_s * self.rng.uniform(0.8, 1.2))
 
-    async def _poll_once(self, vm: inventory.Vm) -> None:
+    async def _poll_once(self, vm: inventory.Vm) -> float:
         asked_at_s = trio.current_time()
         try:
             report = await self.backends.read_report(vm.address, POLL_TIMEOUT_S)
+        except client.RefusedError as error:
+            self.view.record_refusal(vm.vm, trio.current_time(), str(error))
+            return POLL_INTERVAL_S if self.view.is_refused(vm.vm) else REFUSED_RECHECK_S
         except client.BackendError as error:
             self.view.record_failure(vm.vm, trio.current_time(), str(error))
-            return
+            return POLL_INTERVAL_S
         if report.vm != vm.vm:
             self.view.record_failure(vm.vm, trio.current_time(), f"{report.vm} answered instead")
-            return
-        self.view.record(vm.vm, report, asked_at_s)
+        else:
+            self.view.record(vm.vm, report, asked_at_s)
+        return POLL_INTERVAL_S
--- a/toucanhold/planning/placement.py
+++ b/toucanhold/planning/placement.py
@@ -3,9 +3,11 @@
 import abc
 import collections
 import collections.abc
+import functools
 
 import attrs
 
+from toucanhold.backends import client
 from toucanhold.configuration import inventory, rules, snapshot
 from toucanhold.planning import plan
 
@@ -15,11 +17,42 @@
     """The facts that a placement rests on.
 
     :ivar usable: VMs that answer, stay, and lie in an availability zone that is not out
+    :ivar lost: VMs that are gone, leave, or have been silent for too long
+    :ivar reports: each VM's latest report, however old
+    :ivar ended: group and generation of groups that lost a member
+    :ivar whole: group and generation of groups all of whose members say that they have joined
+    :ivar generation_floor: no generation number up to here is given out again
     """
 
     configuration: snapshot.Configuration
     plans: collections.abc.Mapping[str, plan.DomainPlan]
     usable: frozenset[str]
+    lost: frozenset[str] = frozenset()
+    reports: collections.abc.Mapping[str, client.Report] = attrs.field(factory=dict)
+    ended: frozenset[tuple[str, int]] = frozenset()
+    whole: frozenset[tuple[str, int]] = frozenset()
+    generation_floor: int = 0
+
+    @functools.cached_property
+    def vms(self) -> dict[str, inventory.Vm]:
+        """The inventory keyed by name."""
+        return self.configuration.inventory.by_name()
+
+    def is_broken(self, group: plan.Group) -> bool:
+        """Tell whether a group lost a member, so that its generation is over."""
+        if group.place in self.ended:
+            return True
+        return any(self._has_left(member, group) for member in group.members)
+
+    def _has_left(self, member: str, group: plan.Group) -> bool:
+        report = self.reports.get(member)
+        if report is None:
+            # Never seen by this entry. A planner that has just started would otherwise tear every
+            # group apart before its first polls return; a dead VM turns lost soon enough.
+            return member in self.lost
+        if member in self.lost or not group.expects_boot(member, report.boot_id):
+            return True
+        return group.formed and (report.group, report.generation) != group.place
 
 
 @attrs.frozen
@@ -71,8 +104,9 @@
                     shortfalls.append(Shortfall(service.name, service.replicas, have))
                     break
                 members = take(service, free[domain])
-                generations[domain] = generations.get(domain, 0) + 1
-                group = new_group(domain, generations[domain], service.name, members)
+                last = generations.get(domain, 0)
+                generations[domain] = max(last, facts.generation_floor) + 1
+                group = new_group(domain, generations[domain], service, members, facts)
                 kept.setdefault(domain, []).append(group)
                 have += 1
         return Placement(_changed_plans(facts, kept, generations), tuple(shortfalls))
@@ -88,11 +122,24 @@
 
 
 def new_group(
-    domain: str, generation: int, service: str, members: collections.abc.Sequence[inventory.Vm]
+    domain: str,
+    generation: int,
+    service: rules.Service,
+    members: collections.abc.Sequence[inventory.Vm],
+    facts: PlacementInput,
 ) -> plan.Group:
     """Return a group with a name of its own."""
     names = tuple(vm.vm for vm in members)
-    return plan.Group(f"{domain}/{generation}", generation, service, names)
+    boots = tuple(facts.reports[name].boot_id for name in names if name in facts.reports)
+    return plan.Group(
+        group=f"{domain}/{generation}",
+        generation=generation,
+        service=service.name,
+        members=names,
+        boots=boots if len(boots) == len(names) else (),
+        model=service.model,
+        version=service.version,
+    )
 
 
 def free_vms(
@@ -125,10 +172,23 @@
     return (
         service is not None
         and len(group.members) == service.vms_per_replica
-        and all(member in facts.usable for member in group.members)
+        and is_current(group, service)
+        and not facts.is_broken(group)
+        and not any(is_out(member, facts) for member in group.members)
     )
 
 
+def is_current(group: plan.Group, service: rules.Service) -> bool:
+    """Tell whether a group has the service's present model and version."""
+    return (group.model, group.version) in (("", ""), (service.model, service.version))
+
+
+def is_out(member: str, facts: PlacementInput) -> bool:
+    """Tell whether a VM is not in the inventory, or in an availability zone that is out."""
+    vm = facts.vms.get(member)
+    return vm is None or vm.availability_zone in facts.configuration.zones_out
+
+
 def _without_surplus(
     kept: dict[str, list[plan.Group]], services: collections.abc.Mapping[str, rules.Service]
 ) -> dict[str, list[plan.Group]]:
--- a/toucanhold/planning/plan.py
+++ b/toucanhold/planning/plan.py
@@ -10,6 +10,7 @@
 from toucanhold.platform import keyvalue
 
 PLAN_PREFIX = "toucanhold/plan/"
+FORMER_GROUPS_KEPT = 1000
 
 LOGGER = logging.getLogger(__name__)
 
@@ -22,12 +23,31 @@
     :ivar generation: grows with each new set of members; never used twice
     :ivar service: the service that it serves
     :ivar members: VM names by rank; rank 0 takes the requests
+    :ivar boots: boot ids of the members when they were chosen; empty where not recorded
+    :ivar model: the model that it loads; empty for the service's present one
+    :ivar version: the model's version
+    :ivar formed: all members have joined; from now on a member that is missing ends the generation
     """
 
     group: str
     generation: int
     service: str
     members: tuple[str, ...]
+    boots: tuple[str, ...] = ()
+    model: str = ""
+    version: str = ""
+    formed: bool = False
+
+    @property
+    def place(self) -> tuple[str, int]:
+        """Group and generation, as members report them."""
+        return (self.group, self.generation)
+
+    def expects_boot(self, vm: str, boot_id: str) -> bool:
+        """Tell whether a member still runs the process that was chosen."""
+        # An engine that restarts between two reports and is ordered into the same generation
+        # again looks like one that never left; its boot id tells the two apart on every entry.
+        return not self.boots or self.boots[self.members.index(vm)] == boot_id
 
 
 @attrs.frozen
@@ -46,6 +66,10 @@
     last_generation: int = 0
     groups: tuple[Group, ...] = ()
 
+    def group_of(self, vm: str) -> Group | None:
+        """Return the group that a VM is to be in."""
+        return next((group for group in self.groups if vm in group.members), None)
+
 
 @attrs.frozen
 class VersionedDomainPlan:
@@ -60,6 +84,7 @@
     """The plan as this entry knows it."""
 
     _domains: dict[str, VersionedDomainPlan] = attrs.field(factory=dict)
+    _former: dict[tuple[str, int], Group] = attrs.field(factory=dict)
     _changed: trio.Event = attrs.field(factory=trio.Event)
 
     def domain(self, name: str) -> VersionedDomainPlan:
@@ -75,6 +100,10 @@
         for versioned in self._domains.values():
             yield from versioned.plan.groups
 
+    def former(self, place: tuple[str, int]) -> Group | None:
+        """Return a group that was planned until lately."""
+        return self._former.get(place)
+
     @property
     def revision(self) -> int:
         """The highest revision known."""
@@ -83,9 +112,11 @@
     def apply(self, versioned: VersionedDomainPlan) -> bool:
         """Take in a domain's plan; false where a later one is known."""
         # A late event must not revive a group whose VMs were given to another.
-        if versioned.revision <= self.domain(versioned.plan.domain).revision:
+        old = self.domain(versioned.plan.domain)
+        if versioned.revision <= old.revision:
             return False
         self._domains[versioned.plan.domain] = versioned
+        self._remember_former(old.plan, versioned.plan)
         self._changed.set()
         self._changed = trio.Event()
         return True
@@ -94,6 +125,19 @@
         """Return after the next change."""
         await self._changed.wait()
 
+    def _remember_former(self, old: DomainPlan, new: DomainPlan) -> None:
+        planned = {group.place for group in new.groups}
+        for group in old.groups:
+            if group.place not in planned:
+                self._former[group.place] = group
+        while len(self._former) > FORMER_GROUPS_KEPT:
+            del self._former[next(iter(self._former))]
+
+
+def key_of(domain: str) -> str:
+    """Return the key of a domain's record."""
+    return PLAN_PREFIX + domain
+
 
 def from_item(item: keyvalue.Item) -> VersionedDomainPlan:
     """Decode a stored record.
--- a/toucanhold/planning/planner.py
+++ b/toucanhold/planning/planner.py
@@ -1,28 +1,34 @@
 """The planner: forms groups, writes the plan, and gives engines their orders."""
 
 import logging
+import uuid
 
 import attrs
 import trio
 
-from toucanhold import codec, events
+from toucanhold import events
 from toucanhold.backends import client
-from toucanhold.configuration import holder, inventory
+from toucanhold.configuration import holder
 from toucanhold.observing import view
-from toucanhold.planning import placement, plan
+from toucanhold.planning import facts, ordering, placement, plan, terms, writing
 from toucanhold.platform import keyvalue, lease
 
-PLANNER_KEY = "toucanhold/planner"
+PLANNER_KEY = writing.PLANNER_KEY
 TICK_INTERVAL_S = 0.25
 ORDER_TIMEOUT_S = 2.0
-ORDER_REPEAT_S = 5.0
+LEASE_MARGIN_S = 0.5
 
 LOGGER = logging.getLogger(__name__)
 
 
 @attrs.define(eq=False)
 class Planner:
-    """Plans while this entry holds the planner lease."""
+    """Plans while this entry holds the planner lease.
+
+    :ivar entry: this entry's name
+    :ivar peers_address: where this entry takes peers' connections
+    :ivar probe: finds out whether earlier planners can still act
+    """
 
     configuration: holder.ConfigurationHolder
     plans: plan.PlanHolder
@@ -31,124 +37,94 @@
     store: keyvalue.KeyValueClient
     backends: client.BackendClient
     leadership: lease.LeasedKey
+    entry: str = ""
+    peers_address: str = ""
+    probe: terms.PredecessorProbe = attrs.field(factory=terms.NoProbe)
+    process: str = attrs.field(factory=lambda: uuid.uuid4().hex)
     shortfalls: tuple[placement.Shortfall, ...] = ()
+    composer: facts.FactsComposer = attrs.field(init=False)
+    writer: writing.PlanWriter = attrs.field(init=False)
+    term_log: terms.TermLog = attrs.field(init=False)
+    orders: ordering.Ordering = attrs.field(init=False)
     _fencing: int = attrs.field(default=0, init=False)
-    _ordered: dict[str, tuple[client.Order, float]] = attrs.field(factory=dict, init=False)
+    _sending: int = attrs.field(default=0, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Build the parts."""
+        self.composer = facts.FactsComposer(self.configuration, self.plans, self.view)
+        self.writer = writing.PlanWriter(self.plans, self.store, self.leadership)
+        self.term_log = terms.TermLog(
+            self.store, self.leadership, self.entry, self.process, self.peers_address, self.probe
+        )
+        self.orders = ordering.Ordering(self.configuration, self.plans, self.view, self.term_log)
 
     async def run(self) -> None:
         """Plan until cancelled."""
-        while True:
-            self._note_leadership()
-            if self.leadership.is_held() and self.configuration.current.number:
-                try:
-                    await self._tick()
-                except keyvalue.KeyValueError as error:
-                    LOGGER.debug("planning is put off: %s", error)
-            await trio.sleep(TICK_INTERVAL_S)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.term_log.run)
+            while True:
+                self._note_leadership()
+                self.view.keep_ended({group.group for group in self.plans.groups()})
+                if self.leadership.is_held() and self.configuration.current.number:
+                    try:
+                        await self._tick()
+                    except keyvalue.KeyValueError as error:
+                        LOGGER.debug("planning is put off: %s", error)
+                await trio.sleep(TICK_INTERVAL_S)
 
     def facts(self) -> placement.PlacementInput:
         """Return what a placement would rest on now."""
-        now_s = trio.current_time()
-        configuration = self.configuration.current
-        usable = frozenset(
-            vm.vm
-            for vm in configuration.inventory.vms
-            if vm.availability_zone not in configuration.zones_out
-            and self.view.report_age_s(vm.vm, now_s) != float("inf")
-            and not self.view.is_lost(vm.vm, now_s)
-            and not self.view.is_leaving(vm.vm)
-        )
-        plans = {each.plan.domain: each.plan for each in self.plans.domains()}
-        return placement.PlacementInput(configuration, plans, usable)
+        return self.composer.compose(self.leadership.fencing)
+
+    def can_act(self) -> bool:
+        """Tell whether an order may still leave this entry."""
+        return self.leadership.is_held() or self._sending > 0
 
     async def _tick(self) -> None:
+        fencing = self.leadership.fencing
+        await self.term_log.begin()
+        await self.writer.settle()
         decided = self.policy.place(self.facts())
         self._note_shortfalls(decided.shortfalls)
         for domain_plan in decided.changed:
-            await self._write(domain_plan)
+            await self.writer.write(domain_plan)
+        await self._note_formed()
+        if not self.term_log.has_begun:
+            return
         async with trio.open_nursery() as nursery:
-            for vm, order in self._due_orders():
-                nursery.start_soon(self._send, vm, order)
-
-    async def _write(self, domain_plan: plan.DomainPlan) -> None:
-        fencing = self.leadership.fencing
-        old = self.plans.domain(domain_plan.domain)
-        new = attrs.evolve(domain_plan, fencing=fencing)
-        # A planner that was paused past its lease would overwrite its successor's plan. Both
-        # conditions are checked by the service itself: the planner's key is still this holder's,
-        # and the record is the one that the decision was based on.
-        conditions = [
-            keyvalue.Condition(PLANNER_KEY, create_revision=fencing),
-            keyvalue.Condition(plan.PLAN_PREFIX + new.domain, mod_revision=old.revision),
-        ]
-        write = keyvalue.Write(plan.PLAN_PREFIX + new.domain, codec.to_json(new))
-        result = await self.store.commit(conditions, [write])
-        if result.succeeded:
-            self.plans.apply(plan.VersionedDomainPlan(new, result.revision))
-            _log_changes(old.plan, new)
-
-    def _due_orders(self) -> list[tuple[inventory.Vm, client.Order]]:
-        now_s = trio.current_time()
-        due = []
-        for vm in self.configuration.current.inventory.vms:
-            report = self.view.fresh_report(vm.vm, now_s)
-            if vm.kind is not inventory.VmKind.ENGINE or report is None:
-                continue
-            order = self._order_for(vm, report)
-            if order is None:
-                self._ordered.pop(vm.vm, None)
-                continue
-            last, sent_at_s = self._ordered.get(vm.vm, (None, 0.0))
-            if order != last or now_s - sent_at_s > ORDER_REPEAT_S:
-                self._ordered[vm.vm] = (order, now_s)
-                due.append((vm, order))
-        return due
-
-    def _order_for(self, vm: inventory.Vm, report: client.Report) -> client.Order | None:
-        fencing = self.leadership.fencing
-        group = self._planned_group(vm)
-        if group is not None and (report.group, report.generation) == (
-            group.group,
-            group.generation,
-        ):
-            return None
-        if report.group is not None:
-            # Requests in flight finish first: a planned change never cuts them.
-            return client.LeaveOrder(fencing) if report.running == 0 else None
-        if group is None or report.loading:
-            return None
-        return self._join_order(group, vm, fencing)
-
-    def _planned_group(self, vm: inventory.Vm) -> plan.Group | None:
-        groups = self.plans.domain(vm.fabric_domain).plan.groups
-        return next((group for group in groups if vm.vm in group.members), None)
-
-    def _join_order(
-        self, group: plan.Group, vm: inventory.Vm, fencing: int
-    ) -> client.JoinOrder | None:
-        configuration = self.configuration.current
-        vms = configuration.inventory.by_name()
-        service = configuration.rules.service(group.service)
-        if service is None or any(member not in vms for member in group.members):
-            return None
-        return client.JoinOrder(
-            group=group.group,
-            generation=group.generation,
-            fencing=fencing,
-            rank=group.members.index(vm.vm),
-            members=tuple(vms[member].address for member in group.members),
-            model=service.model,
-            version=service.version,
-        )
-
-    async def _send(self, vm: inventory.Vm, order: client.Order) -> None:
-        if not self.leadership.is_held():
+            for due in self.orders.due(fencing):
+                if self.writer.is_clear(due.vm.fabric_domain):
+                    nursery.start_soon(self._send, due, fencing)
+
+    async def _note_formed(self) -> None:
+        whole = self.facts().whole
+        for versioned in self.plans.domains():
+            old = versioned.plan
+            groups = tuple(
+                attrs.evolve(group, formed=group.formed or group.place in whole)
+                for group in old.groups
+            )
+            if groups != old.groups and await self.writer.write(attrs.evolve(old, groups=groups)):
+                _log_formed(old, groups)
+
+    async def _send(self, due: ordering.DueOrder, fencing: int) -> None:
+        # A tick can take seconds when the store is slow, and a process can be paused anywhere. The
+        # lease is looked at once more right before the order leaves, with time for it to arrive.
+        remaining_s = self.leadership.remaining_s()
+        if remaining_s < LEASE_MARGIN_S or self.leadership.fencing != fencing:
             return
+        vm, order = due.vm, due.order
+        clear = True
+        self._sending += 1
         try:
-            await self.backends.send_order(vm.address, order, ORDER_TIMEOUT_S)
+            await self.backends.send_order(vm.address, order, min(ORDER_TIMEOUT_S, remaining_s))
         except client.BackendError as error:
+            clear = isinstance(error, client.NotSentError | client.OrderRefusedError)
             events.log(LOGGER, events.Event.ORDER_FAILED, vm=vm.vm, reason=str(error))
             return
+        finally:
+            self._sending -= 1
+            self.orders.note_sent(due, clear)
         events.log(
             LOGGER, events.Event.ORDER_SENT, vm=vm.vm, order=order.order, fencing=order.fencing
         )
@@ -173,14 +149,7 @@
         self.shortfalls = shortfalls
 
 
-def _log_changes(old: plan.DomainPlan, new: plan.DomainPlan) -> None:
-    for group in set(old.groups) - set(new.groups):
-        events.log(LOGGER, events.Event.GROUP_ENDED, group=group.group, service=group.service)
-    for group in set(new.groups) - set(old.groups):
-        events.log(
-            LOGGER,
-            events.Event.GROUP_PLANNED,
-            group=group.group,
-            service=group.service,
-            members=list(group.members),
-        )
+def _log_formed(old: plan.DomainPlan, groups: tuple[plan.Group, ...]) -> None:
+    for before, after in zip(old.groups, groups, strict=True):
+        if after.formed and not before.formed:
+            events.log(LOGGER, events.Event.GROUP_FORMED, group=after.group, service=after.service)
--- a/toucanhold/platform/lease.py
+++ b/toucanhold/platform/lease.py
@@ -35,6 +35,10 @@
         # the service lets the key go, even when the answer took long or the process was paused.
         return self.fencing != 0 and trio.current_time() < self._valid_until_s
 
+    def remaining_s(self) -> float:
+        """Return for how long the lease certainly still runs; negative when it may have ended."""
+        return self._valid_until_s - trio.current_time() if self.fencing else float("-inf")
+
     async def run(self) -> None:
         """Acquire, renew and acquire again until cancelled."""
         while True:
--- a/toucanhold/routing/candidates.py
+++ b/toucanhold/routing/candidates.py
@@ -75,15 +75,20 @@
         # The plan says who should serve, an order that was sent says nothing: only the members'
         # own fresh and equal reports show that the group exists. Without this a group that lost a
         # member, or that an old planner's order took apart, would get requests it cannot serve.
+        if self.view.is_ended(*group.place):
+            return False
         for member in group.members:
             if member not in vms or not self._may_work(vms[member]):
                 return False
             report = self.view.fresh_report(member, now_s)
             if report is None or report.loading:
                 return False
-            if (report.group, report.generation) != (group.group, group.generation):
+            if (report.group, report.generation) != group.place:
                 return False
-            if (report.model, report.version) != (service.model, service.version):
+            if not group.expects_boot(member, report.boot_id):
+                return False
+            model = group.model or service.model, group.version or service.version
+            if (report.model, report.version) != model:
                 return False
         return True
 
