Give operators a command line with checks, progress and JSON

Cause: the first commands had neither help with examples nor progress, told a lost answer to a change as 'unreachable', and swallowed tracebacks. Change: definitions apart from what commands do; check, explain, apply, document, zone out, zone in, status, addresses and entry; exit statuses in one enum with one for an unknown outcome; apply and zone wait until in force on every entry.

--- a/toucanhold/cli/application.py
+++ b/toucanhold/cli/application.py
@@ -9,9 +9,20 @@
 
 import toucanhold
 from toucanhold import environment, exitstatus
-from toucanhold.cli import commands
+from toucanhold.cli import documents, queries, running, zones
 
 PROGRAM = "toucanhold"
+COMMANDS = (
+    running.EntryCommand,
+    documents.CheckCommand,
+    documents.ExplainCommand,
+    documents.ApplyCommand,
+    documents.DocumentCommand,
+    zones.ZoneOutCommand,
+    zones.ZoneInCommand,
+    queries.StatusCommand,
+    queries.AddressesCommand,
+)
 
 
 def run(
@@ -23,7 +34,7 @@
     """
     app = cleo.application.Application(PROGRAM, toucanhold.__version__)
     app.auto_exits(False)
-    for command in commands.ALL:
+    for command in COMMANDS:
         app.add(command(env))
     app.catch_exceptions(False)
     errors = cleo.io.outputs.stream_output.StreamOutput(env.stderr)
--- /dev/null
+++ b/toucanhold/cli/queries.py
@@ -0,0 +1,54 @@
+"""Commands that only ask."""
+
+import json
+import ssl
+
+import httpcore
+
+from toucanhold import exitstatus
+from toucanhold.callers import app
+from toucanhold.cli import command, definitions
+from toucanhold.operators import client
+from toucanhold.output import text
+
+CALL_TIMEOUT_S = 5.0
+
+
+class StatusCommand(command.OperatorCommand):
+    """Show the system's state."""
+
+    shown = definitions.STATUS
+
+    async def call_entry(self, entry: client.OperatorsClient) -> exitstatus.ExitStatus:
+        """See :class:`command.OperatorCommand`."""
+        seen = await entry.status()
+        self.show(seen, text.status(seen))
+        return exitstatus.ExitStatus.OK
+
+
+class AddressesCommand(command.Command):
+    """Ask the directory."""
+
+    shown = definitions.ADDRESSES
+
+    def execute_command(self) -> exitstatus.ExitStatus:
+        """See :class:`command.Command`."""
+        url = self.argument("url").rstrip("/") + app.ADDRESSES_PATH
+        timeouts = dict.fromkeys(("connect", "write", "read", "pool"), CALL_TIMEOUT_S)
+        authority = self.option("ca") or self.env.variables.get(definitions.CA_VARIABLE)
+        context = ssl.create_default_context(cafile=authority or None)
+        try:
+            with httpcore.ConnectionPool(ssl_context=context) as pool:
+                response = pool.request("GET", url, extensions={"timeout": timeouts})
+            answer = json.loads(response.content)
+            lines = [
+                f"{each['address']}  {each['availability_zone']}" for each in answer["addresses"]
+            ]
+        except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
+            self.fail(exitstatus.ExitStatus.UNAVAILABLE, f"{url}: {error!r}")
+            return exitstatus.ExitStatus.UNAVAILABLE
+        except (ValueError, KeyError, TypeError):
+            self.fail(exitstatus.ExitStatus.ERROR, f"{url}: not a directory's answer")
+            return exitstatus.ExitStatus.ERROR
+        self.show(answer, [*lines, f"keep for {answer['keep_s']} s"])
+        return exitstatus.ExitStatus.OK
--- a/toucanhold/exitstatus.py
+++ b/toucanhold/exitstatus.py
@@ -13,4 +13,5 @@
     CONFLICT = 4
     UNAVAILABLE = 5
     TIMEOUT = 6
+    UNKNOWN = 7
     INTERRUPTED = 130
--- a/toucanhold/operators/client.py
+++ b/toucanhold/operators/client.py
@@ -1,5 +1,6 @@
 """The operators' side of the wire, used by the command line."""
 
+import ssl
 import typing
 
 import attrs
@@ -32,10 +33,12 @@
     """Calls one entry.
 
     :ivar base_url: for example ``http://127.0.0.1:7001``
+    :ivar authority_file: PEM file of the certificate authority; empty for the system's own
     """
 
     base_url: str
     token: str = attrs.field(repr=False)
+    authority_file: str = ""
 
     async def status(self) -> messages.StatusAnswer:
         """Return the entry's status."""
@@ -58,8 +61,9 @@
         body = codec.to_json(request) if request is not None else b""
         headers = {"authorization": f"Bearer {self.token}", "content-type": "application/json"}
         timeouts = dict.fromkeys(("connect", "write", "read", "pool"), CALL_TIMEOUT_S)
+        context = ssl.create_default_context(cafile=self.authority_file or None)
         try:
-            async with httpcore.AsyncConnectionPool(retries=0) as pool:
+            async with httpcore.AsyncConnectionPool(context, retries=0) as pool:
                 response = await pool.request(
                     method,
                     self.base_url + path,
@@ -67,8 +71,12 @@
                     content=body,
                     extensions={"timeout": timeouts},
                 )
-        except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             raise OperatorsClientError("unreachable", f"{self.base_url}: {error!r}") from error
+        except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
+            # A change whose answer was lost may have been accepted: "unreachable" would lie.
+            kind = "unreachable" if method == "GET" else "unknown-outcome"
+            raise OperatorsClientError(kind, f"{self.base_url}: {error!r}") from error
         return _decode(response, kind)
 
 
--- /dev/null
+++ b/toucanhold/output/__init__.py
@@ -0,0 +1,1 @@
+"""What operators read: text for people, JSON for scripts."""
--- /dev/null
+++ b/toucanhold/output/text.py
@@ -0,0 +1,92 @@
+"""Answers as lines of text."""
+
+import collections.abc
+
+from toucanhold.configuration import document
+from toucanhold.operators import messages
+from toucanhold.planning import placement
+
+Lines = collections.abc.Iterator[str]
+Row = collections.abc.Sequence[object]
+
+UNKNOWN_CONFIGURATION = -1
+
+
+def table(titles: Row, rows: collections.abc.Iterable[Row]) -> Lines:
+    """Yield rows in columns under their titles; nothing where there are no rows."""
+    cells = [[str(cell) for cell in row] for row in rows]
+    if not cells:
+        return
+    cells.insert(0, [str(title) for title in titles])
+    widths = [max(len(row[column]) for row in cells) for column in range(len(titles))]
+    for row in cells:
+        padded = [cell.ljust(width) for cell, width in zip(row, widths, strict=True)]
+        yield "  ".join(padded).rstrip()
+
+
+def status(seen: messages.StatusAnswer) -> Lines:
+    """Yield the system's state as one entry sees it."""
+    yield f"Seen by {seen.entry}: configuration {seen.configuration}, plan {seen.plan_revision}"
+    if not seen.platform_answering:
+        yield "The key-value service does not answer: nothing new is decided."
+    yield ""
+    titles = ("ENTRY", "AVAILABILITY ZONE", "CALLERS", "STATE", "CONFIGURATION")
+    yield from table(titles, (_entry_row(entry) for entry in seen.entries))
+    yield ""
+    yield from table(
+        ("SERVICE", "WANTED", "PLANNED", "SERVING"),
+        ((each.service, each.wanted, each.planned, each.serving) for each in seen.services),
+    )
+    yield ""
+    yield from table(("AVAILABILITY ZONE", "STATE", "VMS", "IN FLIGHT"), map(_zone_row, seen.zones))
+    yield ""
+    yield from table(("GROUP", "SERVICE", "STATE", "MEMBERS"), map(_group_row, seen.groups))
+
+
+def check(checked: document.Document) -> Lines:
+    """Yield the size of a valid document."""
+    rules = checked.rules
+    yield (
+        f"valid: {len(checked.inventory.vms)} VMs in {len(rules.availability_zones)} availability "
+        f"zones, {len(rules.services)} services, {len(rules.workspaces)} workspaces"
+    )
+
+
+def explanation(decided: placement.Placement) -> Lines:
+    """Yield the groups that a planner would form, and what falls short."""
+    rows = (
+        (group.group, group.service, " ".join(group.members))
+        for domain in decided.changed
+        for group in domain.groups
+    )
+    yield from table(("GROUP", "SERVICE", "MEMBERS"), rows)
+    for each in decided.shortfalls:
+        yield f"falls short: {each.service} gets {each.placed} of {each.wanted} replicas"
+
+
+def in_force(seen: messages.StatusAnswer, number: int) -> str:
+    """Return how far configuration ``number`` has come."""
+    behind = entries_behind(seen, number)
+    total = len(seen.entries)
+    line = f"configuration {number} in force on {total - len(behind)} of {total} entries"
+    return f"{line}; waiting for {', '.join(behind)}" if behind else line
+
+
+def entries_behind(seen: messages.StatusAnswer, number: int) -> list[str]:
+    """Return the entries where configuration ``number`` is not known to be in force."""
+    return [entry.entry for entry in seen.entries if entry.configuration < number]
+
+
+def _entry_row(entry: messages.EntryStatus) -> Row:
+    known = entry.configuration != UNKNOWN_CONFIGURATION
+    number = entry.configuration if known else "not known"
+    return (entry.entry, entry.availability_zone, entry.callers_address, entry.state, number)
+
+
+def _zone_row(zone: messages.ZoneStatus) -> Row:
+    return (zone.availability_zone, "out" if zone.out else "in", zone.vms, zone.running)
+
+
+def _group_row(group: messages.GroupStatus) -> Row:
+    state = "serving" if group.serving else "not serving"
+    return (group.group, group.service, state, " ".join(group.members))
