Run orders through a platform outage under keys that an entry issues

While the key-value service is out, no order with a key could run. Now POST /toucanhold/v1/order-keys gives signed keys that only the issuing process (entry and boot) ever runs; its claims are its memory, bounded and ageing with the keys. Another entry refuses and names the issuer; where that is gone, the answer is "unknown". A planned stop stores the outcomes of used keys, so that they outlive the process.

--- a/tests/order_fakes.py
+++ b/tests/order_fakes.py
@@ -8,7 +8,8 @@
 import trio
 
 from toucanhold.configuration import rules
-from toucanhold.orders import claims, commits, keeper, leases, limits
+from toucanhold.membership import roster
+from toucanhold.orders import building, keeper
 from toucanhold.platform import keyvalue
 from toucanhold.routing import dispatch, requests
 
@@ -165,6 +166,9 @@
         for scope in self.scopes:
             scope.cancel()
 
+    def issue(self):
+        return self.keeper.issued.issue("growers", 1)[0]
+
     async def order(self, request):
         """Return (status, outcome, body); "dead" where the entry ended first."""
         result = ("dead", "unknown", b"")
@@ -179,12 +183,13 @@
         return result
 
 
-def new_entry(name, store, sender, rate_per_s=1000.0, combining=True):
-    bucket = limits.TokenBucket(lambda: rate_per_s, 100)
-    kind = commits.CombiningCommitter if combining else commits.SingleCommitter
-    book = claims.ClaimStore(store, kind(store, bucket), leases.ClaimLeases(store))
+def new_entry(name, store, sender, calls_per_s=1000.0, address="127.0.0.1:1"):
     boot = f"boot-of-{name}-{random.random()}"
-    return FakeEntry(keeper.OrderKeeper(name, boot, sender, book, trio.current_time))
+    own = roster.Member(name, "zone-a", address, "", "", boot=boot)
+    entries = roster.Roster(own)
+    return FakeEntry(
+        building.new_keeper(entries, sender, store, "peer-key", trio.current_time, calls_per_s)
+    )
 
 
 def new_request(key="key-1", body=b"{}", timeout_s=10.0, **changes):
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -7,7 +7,7 @@
 import trio.testing
 
 from tests import order_fakes
-from toucanhold.orders import claims, commits, keeper, limits, records
+from toucanhold.orders import claimed, claims, commits, limits, records
 from toucanhold.platform import keyvalue
 
 FAULTS = ("unavailable", "lost-request", "lost-answer", "late")
@@ -276,7 +276,7 @@
     def test_own_failure_ends_no_other_order(self):
         async def body(store, sender, a, b):
             store.faults.update({0: "bug", 2: "bug"})
-            with self.assertLogs("toucanhold.orders.keeper", "ERROR"):
+            with self.assertLogs("toucanhold.orders.running", "ERROR"):
                 answer = await a.order(order_fakes.new_request())
             self.assertEqual(("outcome-unknown", "unknown"), answer[:2])
             self.assertEqual(200, (await a.order(order_fakes.new_request("other")))[0])
@@ -286,7 +286,7 @@
     def test_own_failure_after_sending_is_no_refusal(self):
         async def body(store, sender, a, b):
             sender.behaviours = ["bug"]
-            with self.assertLogs("toucanhold.orders.keeper", "ERROR"):
+            with self.assertLogs("toucanhold.orders.running", "ERROR"):
                 answer = await a.order(order_fakes.new_request())
             self.assertEqual(("outcome-unknown", "unknown"), answer[:2])
             await trio.sleep(1)
@@ -357,10 +357,10 @@
                 await trio.sleep(0.05)
                 store.down = True
             self.assertEqual(200, (await a.order(order_fakes.new_request()))[0])
-            self.assertEqual(1, await a.keeper.wait_settled(limit_s=20))
+            self.assertEqual(1, await a.keeper.finish(limit_s=20))
             self.assertEqual("claim-unavailable", (await b.order(order_fakes.new_request()))[0])
             store.down = False
-            self.assertEqual(0, await a.keeper.wait_settled(limit_s=20))
+            self.assertEqual(0, await a.keeper.finish(limit_s=20))
             self.assertEqual(200, (await b.order(order_fakes.new_request()))[0])
             self.assertEqual(1, len(sender.runs))
 
@@ -382,7 +382,7 @@
 
     async def _flood(self):
         store, sender = order_fakes.FakeKeyValue(), order_fakes.FakeSender()
-        entry = order_fakes.new_entry("a", store, sender, rate_per_s=2.0)
+        entry = order_fakes.new_entry("a", store, sender, calls_per_s=2.0)
         answers = []
 
         async def send(number):
@@ -391,7 +391,7 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(entry.run)
             async with trio.open_nursery() as callers:
-                for number in range(keeper.MAX_UNSETTLED + 200):
+                for number in range(claimed.MAX_UNSETTLED + 200):
                     callers.start_soon(send, number)
             served = [answer for answer in answers if answer[0] == 200]
             refused = [answer for answer in answers if answer[0] != 200]
--- a/tests/test_orders_path.py
+++ b/tests/test_orders_path.py
@@ -71,6 +71,7 @@
             refused = await publish(site, "entry-1", "three")
             self.assertEqual((503, "did-not-run"), (refused.status, refused.json()["outcome"]))
             self.assertEqual(["one", "two"], await runs(site))
+            await self._order_without_platform(site)
 
     async def _kill_in_the_middle(self, site):
         async def send():
@@ -84,3 +85,12 @@
         await trio.sleep(0.5)
         repeat = await publish(site, "entry-1", "two")
         self.assertEqual("unknown", repeat.json()["outcome"])
+
+    async def _order_without_platform(self, site):
+        url = f"http://{site.entry('entry-1').callers}/toucanhold/v1/order-keys"
+        issued = await sites.call("POST", url, {"count": 2})
+        self.assertEqual(201, issued.status, issued.body)
+        key = issued.json()["order_keys"][0]
+        answers = [await publish(site, "entry-1", key) for _ in range(3)]
+        self.assertEqual([200] * 3, [answer.status for answer in answers], answers[0].body)
+        self.assertEqual(["one", "two", key], await runs(site))
--- a/toucanhold/callers/app.py
+++ b/toucanhold/callers/app.py
@@ -10,7 +10,7 @@
 import trio
 
 from toucanhold import asgi, events, metrics
-from toucanhold.callers import directory, measuring, problems
+from toucanhold.callers import directory, measuring, order_keys, problems
 from toucanhold.configuration import holder, rules
 from toucanhold.orders import keeper
 from toucanhold.routing import dispatch, requests
@@ -19,6 +19,7 @@
 SERVICES_PREFIX = "/services/"
 ADDRESSES_PATH = "/toucanhold/v1/addresses"
 MODELS_PATH = "/v1/models"
+ORDER_KEYS_PATH = "/toucanhold/v1/order-keys"
 DEFAULT_WORKSPACE = "default"
 FORWARDED_HEADERS = (b"content-type", b"accept")
 NOT_READY_RETRY_AFTER_S = 1.0
@@ -43,8 +44,13 @@
     body_limit_bytes: int
     default_timeout_s: float
     max_timeout_s: float
+    order_keys: order_keys.OrderKeys = attrs.field(init=False)
     in_flight: int = attrs.field(default=0, init=False)
 
+    def __attrs_post_init__(self) -> None:
+        """Build what issues order keys."""
+        self.order_keys = order_keys.OrderKeys(self.orders.issued)
+
     async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         """Serve one connection event of the ASGI server."""
         if scope["type"] == "lifespan":
@@ -72,6 +78,10 @@
     async def _serve(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         request_id = uuid.uuid4().hex
         try:
+            if scope["path"] == ORDER_KEYS_PATH and scope["method"] == "POST":
+                answer = await self.order_keys.answer(receive, _workspace(scope))
+                await asgi.respond_json(send, 201, answer)
+                return
             request = await self._understand(scope, receive, request_id)
             await self._answer(request, receive, send)
         except asgi.ClientGoneError:
@@ -182,7 +192,7 @@
         forwarded = [line for line in scope["headers"] if line[0] in FORWARDED_HEADERS]
         return requests.CallerRequest(
             request_id=request_id,
-            workspace=asgi.header(scope, "toucanhold-workspace") or DEFAULT_WORKSPACE,
+            workspace=_workspace(scope),
             service=service,
             method=scope["method"],
             path=path,
@@ -232,6 +242,10 @@
     return SERVICES_PREFIX if path.startswith(SERVICES_PREFIX) else ""
 
 
+def _workspace(scope: asgi.Scope) -> str:
+    return asgi.header(scope, "toucanhold-workspace") or DEFAULT_WORKSPACE
+
+
 async def _break_off(send: asgi.Send, error: requests.RequestError, request_id: str) -> None:
     # A clean end would make a torn answer look whole. The error event tells a reader of the
     # stream why; the missing last chunk tells the HTTP client, whatever it does with events:
--- a/toucanhold/callers/problems.py
+++ b/toucanhold/callers/problems.py
@@ -21,6 +21,8 @@
     }
     if error.retry_after_s is not None:
         details["retry_after_s"] = round(error.retry_after_s, 3)
+    if error.entry_address:
+        details["entry_address"] = error.entry_address
     return json.dumps(details).encode()
 
 
--- a/toucanhold/entry.py
+++ b/toucanhold/entry.py
@@ -174,11 +174,7 @@
         self.admission = gate.PlainQueue(self.finder, policy, self.in_flight)
         self.dispatcher = dispatch.Dispatcher(self.admission, self.backends)
         self.orders = building.new_keeper(
-            self.settings.entry,
-            self.roster.own.boot,
-            self.dispatcher,
-            self.platform,
-            lambda: len(self.roster.members()),
+            self.roster, self.dispatcher, self.platform, self.settings.peer_key
         )
 
     def _build_followers(self) -> None:
--- a/toucanhold/orders/building.py
+++ b/toucanhold/orders/building.py
@@ -1,8 +1,20 @@
 """Puts the order keeper of an entry together."""
 
 import collections.abc
-
-from toucanhold.orders import claims, commits, keeper, leases, limits
+import time
+
+from toucanhold.membership import roster
+from toucanhold.orders import (
+    claimed,
+    claims,
+    commits,
+    issued,
+    keeper,
+    keys,
+    leases,
+    limits,
+    running,
+)
 from toucanhold.platform import keyvalue
 
 # The platform takes several hundred writes a second from everything that uses it.
@@ -11,23 +23,29 @@
 
 
 def new_keeper(
-    entry: str,
-    boot: str,
-    sender: keeper.Sender,
+    entries: roster.Roster,
+    sender: running.Sender,
     platform: keyvalue.KeyValueClient,
-    count_entries: collections.abc.Callable[[], int],
+    peer_key: str,
+    wall_clock: collections.abc.Callable[[], float] = time.time,
+    calls_per_s: float = CLAIM_CALLS_PER_S,
 ) -> keeper.OrderKeeper:
     """Return a keeper whose calls are this entry's share of what all entries may use.
 
-    :param boot: unique to this process
-    :param count_entries: returns the number of entries, this one among them
+    :param peer_key: the secret that entries share
+    :param calls_per_s: what all entries together may send to the platform
     """
 
     def rate_per_s() -> float:
-        return CLAIM_CALLS_PER_S / max(1, count_entries())
+        return calls_per_s / len(entries.members())
 
     bucket = limits.TokenBucket(rate_per_s, max(1.0, BURST_S * rate_per_s()))
     store = claims.ClaimStore(
         platform, commits.CombiningCommitter(platform, bucket), leases.ClaimLeases(platform)
     )
-    return keeper.OrderKeeper(entry, boot, sender, store)
+    runner = running.OrderRunner(sender)
+    own = entries.own
+    by_claim = claimed.ClaimedOrders(own.entry, own.boot, runner, store, wall_clock)
+    signer = keys.KeySigner(peer_key.encode())
+    by_issue = issued.IssuedOrders(entries, runner, store, signer, wall_clock)
+    return keeper.OrderKeeper(runner, by_claim, by_issue)
--- a/toucanhold/orders/claims.py
+++ b/toucanhold/orders/claims.py
@@ -123,6 +123,15 @@
             return None
         return found
 
+    async def read(self, key: str) -> records.ClaimRecord | None:
+        """Return the record under ``key``, or None.
+
+        :raises keyvalue.KeyValueError: when it cannot be read
+        :raises records.RecordError: when it is malformed
+        """
+        item = await self.client.read_key(key)
+        return None if item is None else records.decode(item.value)
+
     async def record(self, held: HeldClaim, record: records.ClaimRecord) -> None:
         """Write an order's outcome, trying until it stands or the claim is gone."""
         await self._replace(held, records.encode(record))
--- a/toucanhold/orders/results.py
+++ b/toucanhold/orders/results.py
@@ -44,10 +44,15 @@
 
 
 def refused(
-    problem: requests.Problem, detail: str, retry_after_s: float | None = None
+    problem: requests.Problem,
+    detail: str,
+    retry_after_s: float | None = None,
+    entry_address: str = "",
 ) -> requests.RequestError:
     """Return the error for a sending that did not run."""
-    return requests.RequestError(problem, requests.Outcome.DID_NOT_RUN, detail, retry_after_s)
+    return requests.RequestError(
+        problem, requests.Outcome.DID_NOT_RUN, detail, retry_after_s, entry_address
+    )
 
 
 def in_progress(rest_s: float) -> requests.RequestError:
@@ -101,3 +106,20 @@
             f"the order ran with HTTP status {answer.status}; its answer was too large to keep",
         )
     return Answered(answer.status, (*answer.headers, REPLAYED_HEADER), answer.body)
+
+
+def to_record(claimed: records.ClaimRecord, result: Result) -> records.ClaimRecord | None:
+    """Return the record of an order that ended so; None where it did not run."""
+    if isinstance(result, Answered):
+        answer = records.keep(result.status, result.headers, result.body)
+        return attrs.evolve(claimed, state=records.ClaimState.RAN, answer=answer)
+    if result.outcome is requests.Outcome.DID_NOT_RUN:
+        return None
+    return attrs.evolve(claimed, state=records.ClaimState.UNKNOWN)
+
+
+def as_repeated(result: Result, record: records.ClaimRecord | None) -> Result:
+    """Return what a repeat is told of an order that ended so."""
+    if record is not None and record.answer is not None:
+        return of_answer(record.answer)
+    return result
--- a/toucanhold/routing/requests.py
+++ b/toucanhold/routing/requests.py
@@ -31,6 +31,7 @@
     CLAIM_UNAVAILABLE = (503, "The idempotency key could not be claimed")
     DEADLINE = (504, "The request was not finished in time")
     BACKEND_FAILED = (502, "The backend server failed")
+    WRONG_ENTRY = (421, "Only the entry that issued this order key runs it")
     ANSWER_NOT_KEPT = (410, "The request ran; its answer was not kept")
     OUTCOME_UNKNOWN = (502, "It is not known whether the request ran")
 
@@ -50,6 +51,7 @@
     :ivar problem: what went wrong
     :ivar outcome: whether the request ran
     :ivar retry_after_s: when coming back helps; None where it does not
+    :ivar entry_address: the entry to send it to; empty for any
     """
 
     def __init__(
@@ -58,12 +60,14 @@
         outcome: Outcome,
         detail: str,
         retry_after_s: float | None = None,
+        entry_address: str = "",
     ) -> None:
         super().__init__(detail)
         self.problem = problem
         self.outcome = outcome
         self.detail = detail
         self.retry_after_s = retry_after_s
+        self.entry_address = entry_address
 
 
 @attrs.frozen
