Take availability zones out by holds that spread among entries

A take-out was a compare-and-swap and nothing else: with each call of the key-value service taking 1.9 s it was in force after about 6 s, and in an outage it was refused while the availability zone got hotter.

An entry that is asked now puts a hold in force at once and tells its peers, who pass it on; whichever entry can makes it durable, the asked one first. A hold only takes work away, so no entry has to ask before it obeys. It has no end of its own: only an accepted configuration that names it settles it, by making its availability zone out or by the operator's return. So a late hold cannot take out a zone that was returned, and writing it twice, or again after a lost answer, changes nothing. Every reader of ConfigurationHolder.current sees the holds: the candidates and the planner needed no change. A time limit on holds was ruled out: it would give a hot availability zone work again in a long outage.

The answer tells what is durable and which entries have acknowledged; status 202 says "in force there, not yet durable". Returns need the key-value service and are refused truthfully without it.

--- a/toucanhold/cli/documents.py
+++ b/toucanhold/cli/documents.py
@@ -81,6 +81,8 @@
     """Wait until a change is in force on every entry and print the answer."""
     number = answer.configuration
     status = exitstatus.ExitStatus.OK
+    if not answer.durable:
+        return _show_held(asked, answer)
     if wait_s:
         done = await waiting.wait_until(
             asked,
@@ -96,6 +98,15 @@
     return status
 
 
+def _show_held(asked: command.Command, answer: messages.ChangeAnswer) -> exitstatus.ExitStatus:
+    asked.progress("the platform has not accepted it yet; entries hold it until it does")
+    lines = [f"in force on {', '.join(answer.in_force)}"]
+    if answer.not_in_force:
+        lines.append(f"not known to be in force on {', '.join(answer.not_in_force)}")
+    asked.show(answer, lines)
+    return exitstatus.ExitStatus.TIMEOUT if answer.not_in_force else exitstatus.ExitStatus.OK
+
+
 def _facts(checked: document.Document, without: frozenset[str]) -> placement.PlacementInput:
     configuration = snapshot.Configuration(0, checked.inventory, checked.rules, without)
     usable = frozenset(vm.vm for vm in checked.inventory.vms if vm.availability_zone not in without)
--- a/toucanhold/cli/zones.py
+++ b/toucanhold/cli/zones.py
@@ -17,7 +17,9 @@
         if not self.option("yes") and not self.confirm(f"Take {zone} out?", False):
             self.progress("nothing was changed")
             return exitstatus.ExitStatus.ERROR
-        answer = await entry.set_zone(zone, messages.ZoneRequest(True, self.option("author")))
+        force = bool(self.option("force"))
+        request = messages.ZoneRequest(True, self.option("author"), force)
+        answer = await entry.set_zone(zone, request)
         status = await documents.show_in_force(self, entry, answer, wait_s)
         if status is exitstatus.ExitStatus.OK and wait_s:
             status = await self._wait_drained(entry, zone, wait_s)
--- a/toucanhold/configuration/snapshot.py
+++ b/toucanhold/configuration/snapshot.py
@@ -44,11 +44,23 @@
     parts: tuple[Part, ...]
 
 
+@attrs.frozen
+class ResolvedHold:
+    """A hold that has been made durable, or ended by a return.
+
+    :ivar at_unix_s: when, by the wall clock of the entry that wrote it
+    """
+
+    hold: str
+    at_unix_s: float
+
+
 @attrs.frozen
 class ZonesOut:
-    """Availability zones taken out by operators."""
+    """Availability zones taken out by operators, and the holds that are thereby settled."""
 
     zones: tuple[str, ...] = ()
+    resolved: tuple[ResolvedHold, ...] = ()
 
 
 @attrs.frozen
@@ -57,12 +69,14 @@
 
     :ivar number: counts accepted changes; 0 before the first
     :ivar zones_out: availability zones that get no new work
+    :ivar resolved_holds: identifiers of holds that this or an earlier configuration settled
     """
 
     number: int = 0
     inventory: inventory.Inventory = inventory.Inventory()
     rules: rules.Rules = rules.Rules()
     zones_out: frozenset[str] = frozenset()
+    resolved_holds: frozenset[str] = frozenset()
     parts: collections.abc.Mapping[str, Part] = attrs.field(factory=dict, eq=False, repr=False)
 
     def merged(self, delta: Delta) -> Configuration:
@@ -108,7 +122,12 @@
         raise SnapshotError(str(error)) from error
     vms.sort(key=lambda vm: vm.vm)
     return Configuration(
-        number, inventory.Inventory(tuple(vms)), new_rules, frozenset(zones_out.zones), dict(parts)
+        number,
+        inventory.Inventory(tuple(vms)),
+        new_rules,
+        frozenset(zones_out.zones),
+        frozenset(each.hold for each in zones_out.resolved),
+        dict(parts),
     )
 
 
--- a/toucanhold/configuration/store.py
+++ b/toucanhold/configuration/store.py
@@ -4,13 +4,14 @@
 
 import collections.abc
 import logging
+import time
 import uuid
 
 import attrs
 import trio
 
 from toucanhold import codec, events
-from toucanhold.configuration import document, snapshot
+from toucanhold.configuration import document, holds, snapshot
 from toucanhold.platform import keyvalue
 
 PREFIX = "toucanhold/configuration/"
@@ -19,6 +20,9 @@
 COMMIT_ATTEMPTS = 5
 READ_BACK_ATTEMPTS = 20
 READ_BACK_INTERVAL_S = 0.25
+# An entry that was cut off for longer than this can bring back a hold that was settled: its
+# availability zone is out once more until an operator returns it. Dropping a hold would be worse.
+RESOLVED_KEEP_S = 7 * 24 * 3600
 
 LOGGER = logging.getLogger(__name__)
 
@@ -114,16 +118,31 @@
 
         return await self._change(change, author)
 
-    async def set_zone_out(self, zone: str, out: bool, author: str) -> int:
-        """Take an availability zone out, or return it.
+    async def make_durable(self, wanted: collections.abc.Sequence[holds.Hold]) -> int:
+        """Take out the availability zones of holds; those settled meanwhile are left alone.
 
         Unlike :meth:`apply` it starts from whatever is accepted: it touches nothing else, so two
-        operators who take out different availability zones both get their way.
+        operators who take out different availability zones both get their way. Any number of
+        entries may do it with the same hold, at any time: only the first changes anything.
         """
 
         def change(current: snapshot.Configuration) -> dict[str, bytes]:
-            zones = current.zones_out | {zone} if out else current.zones_out - {zone}
-            return {snapshot.ZONES_PART: codec.to_json(snapshot.ZonesOut(tuple(sorted(zones))))}
+            due = [hold for hold in wanted if hold.hold not in current.resolved_holds]
+            zones = current.zones_out | {hold.availability_zone for hold in due}
+            return _zones_body(current, zones, [hold.hold for hold in due])
+
+        return await self._change(change, wanted[0].author)
+
+    async def return_zone(
+        self, zone: str, settled: collections.abc.Sequence[holds.Hold], author: str
+    ) -> int:
+        """Return an availability zone, and settle the holds on it.
+
+        :param settled: the holds on this availability zone that the operator could know of
+        """
+
+        def change(current: snapshot.Configuration) -> dict[str, bytes]:
+            return _zones_body(current, current.zones_out - {zone}, [hold.hold for hold in settled])
 
         return await self._change(change, author)
 
@@ -214,3 +233,21 @@
 def _part(item: keyvalue.Item) -> snapshot.Part:
     stored = codec.from_json(item.value, StoredPart)
     return snapshot.Part(item.key.removeprefix(PART_PREFIX), stored.number, stored.body.encode())
+
+
+def _zones_body(
+    current: snapshot.Configuration,
+    zones: frozenset[str],
+    settled: collections.abc.Sequence[str],
+) -> dict[str, bytes]:
+    now_s = time.time()
+    known: tuple[snapshot.ResolvedHold, ...] = ()
+    if snapshot.ZONES_PART in current.parts:
+        body = current.parts[snapshot.ZONES_PART].body
+        known = codec.from_json(body, snapshot.ZonesOut).resolved
+    fresh = [hold for hold in settled if hold not in current.resolved_holds]
+    if not fresh and zones == current.zones_out:
+        return {}
+    kept = [each for each in known if now_s - each.at_unix_s < RESOLVED_KEEP_S]
+    resolved = (*kept, *(snapshot.ResolvedHold(hold, now_s) for hold in fresh))
+    return {snapshot.ZONES_PART: codec.to_json(snapshot.ZonesOut(tuple(sorted(zones)), resolved))}
--- a/toucanhold/entry.py
+++ b/toucanhold/entry.py
@@ -16,9 +16,9 @@
 from toucanhold.membership import facts, roster
 from toucanhold.observing import poller, view
 from toucanhold.operators import app as operators_app
-from toucanhold.operators import status
+from toucanhold.operators import changes, status
 from toucanhold.orders import building
-from toucanhold.peers import exchange, handshake, revisions, streams
+from toucanhold.peers import exchange, handshake, holds, revisions, streams
 from toucanhold.planning import placement, plan, planner
 from toucanhold.platform import following, lease, vms
 from toucanhold.routing import candidates, choice, dispatch, gate
@@ -65,6 +65,7 @@
         """See :class:`application.Application`."""
         await nursery.start(self.peers.run)
         nursery.start_soon(self.revisions.run)
+        nursery.start_soon(self.holds.run)
         nursery.start_soon(self.configuration_follower.run)
         nursery.start_soon(self.plan_follower.run)
         nursery.start_soon(self.roster_follower.run)
@@ -132,6 +133,14 @@
         self.revisions = revisions.RevisionExchange(
             self.exchange, self.configuration, self.plans, self.roster, self.facts
         )
+        self.holds = holds.HoldSpreader(
+            own.entry,
+            self.exchange,
+            self.configuration,
+            self.store,
+            self._refresh_configuration,
+            self.rng,
+        )
         self.peers = streams.PeerStreams(
             handshake.Identity(own.entry, self.roster.own.boot),
             own.peers_address,
@@ -205,9 +214,17 @@
             self.planner,
             self.configuration_follower,
         )
-        self.operators = operators_app.OperatorsApp(
+        operators_changes = changes.Changes(
             self.store,
             self.configuration,
+            self.holds,
+            self.roster,
+            self.facts,
+            self._refresh_configuration,
+        )
+        self.operators = operators_app.OperatorsApp(
+            operators_changes,
+            self.configuration,
             self.status_composer,
             self.metrics,
             own.operator_token,
--- a/toucanhold/operators/app.py
+++ b/toucanhold/operators/app.py
@@ -9,7 +9,7 @@
 
 from toucanhold import asgi, codec, events, metrics
 from toucanhold.configuration import document, holder, store
-from toucanhold.operators import messages, status
+from toucanhold.operators import changes, messages, status
 
 DOCUMENT_PATH = "/operators/v1/document"
 STATUS_PATH = "/operators/v1/status"
@@ -17,6 +17,8 @@
 HEALTH_PATH = "/health"
 METRICS_PATH = "/metrics"
 BODY_LIMIT_BYTES = 8 * 1024 * 1024
+OK = 200
+ACCEPTED = 202
 
 LOGGER = logging.getLogger(__name__)
 
@@ -35,7 +37,7 @@
     :ivar token: what operators must present; compared in constant time
     """
 
-    store: store.ConfigurationStore
+    changes: changes.Changes
     configuration: holder.ConfigurationHolder
     status: status.StatusComposer
     metrics: metrics.Metrics
@@ -59,7 +61,7 @@
                 await asgi.respond(send, 200, lines, self.metrics.exposition())
                 return
             answer = await self._route(scope, receive)
-            body, code = codec.to_json(answer), 200
+            body, code = codec.to_json(answer), _status_of(answer)
         except _OperatorError as error:
             body, code = codec.to_json(error.answer), error.status_code
             _log_refusal(scope, error)
@@ -92,18 +94,27 @@
             mistakes = tuple(str(mistake) for mistake in error.exceptions)
             answer = messages.ErrorAnswer("invalid", error.message, mistakes)
             raise _OperatorError(422, answer) from error
-        change = self.store.apply(request.document, request.expected, request.author)
-        return messages.ChangeAnswer(await _translated(change))
+        change = self.changes.apply(request.document, request.expected, request.author)
+        return await _translated(change)
 
     async def _set_zone(self, zone: str, request: messages.ZoneRequest) -> messages.ChangeAnswer:
-        known = {each.name for each in self.configuration.current.rules.availability_zones}
+        known = {each.name: each for each in self.configuration.current.rules.availability_zones}
         if zone not in known:
             raise _error(404, "unknown-availability-zone", f"no availability zone {zone!r}")
-        change = self.store.set_zone_out(zone, request.out, request.author)
-        return messages.ChangeAnswer(await _translated(change))
+        if not request.out:
+            return await _translated(self.changes.return_zone(zone, request.author))
+        if not known[zone].drainable and not request.force:
+            detail = f"the rules say that {zone!r} may not be drained; force overrides them"
+            raise _error(409, "not-drainable", detail)
+        return await _translated(self.changes.take_out(zone, request.author))
 
 
-async def _translated(change) -> int:
+def _status_of(answer: object) -> int:
+    held = isinstance(answer, messages.ChangeAnswer) and not answer.durable
+    return ACCEPTED if held else OK
+
+
+async def _translated(change) -> messages.ChangeAnswer:
     try:
         return await change
     except store.ConflictError as error:
--- a/toucanhold/operators/client.py
+++ b/toucanhold/operators/client.py
@@ -82,7 +82,7 @@
 
 def _decode(response: httpcore.Response, kind: type[T]) -> T:
     try:
-        if response.status == 200:
+        if response.status in (app.OK, app.ACCEPTED):
             return codec.from_json(response.content, kind)
         answer = codec.from_json(response.content, messages.ErrorAnswer)
     except codec.CodecError as error:
--- a/toucanhold/operators/messages.py
+++ b/toucanhold/operators/messages.py
@@ -19,17 +19,32 @@
 
 @attrs.frozen
 class ZoneRequest:
-    """Take an availability zone out, or return it."""
+    """Take an availability zone out, or return it.
+
+    :ivar force: take it out although the rules say that it may not be drained
+    """
 
     out: bool
     author: str = "operator"
+    force: bool = False
 
 
 @attrs.frozen
 class ChangeAnswer:
-    """An accepted change: the number of the configuration it made."""
+    """What became of a change.
+
+    :ivar configuration: number of an accepted configuration that has the change; -1 where it is
+        not accepted yet
+    :ivar durable: whether the key-value service keeps the change; where it does not yet, it ends
+        if all entries that have it in force end first
+    :ivar in_force: entries that have acknowledged it
+    :ivar not_in_force: known entries that have not acknowledged it yet
+    """
 
     configuration: int
+    durable: bool = True
+    in_force: tuple[str, ...] = ()
+    not_in_force: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/toucanhold/peers/messages.py
+++ b/toucanhold/peers/messages.py
@@ -3,7 +3,7 @@
 import attrs
 
 from toucanhold import codec
-from toucanhold.configuration import snapshot
+from toucanhold.configuration import holds, snapshot
 from toucanhold.membership import facts as entry_facts
 from toucanhold.planning import plan
 
@@ -85,6 +85,13 @@
     plans: tuple[plan.VersionedDomainPlan, ...]
 
 
+@attrs.frozen
+class HoldNews:
+    """Holds in force at the sender."""
+
+    holds: tuple[holds.Hold, ...]
+
+
 Message = object
 
 # Each message between entries is listed here once; its class name is its kind on the wire.
@@ -96,6 +103,7 @@
     ConfigurationNews,
     PlanAsk,
     PlanNews,
+    HoldNews,
 )
 
 _BY_NAME = {kind.__name__: kind for kind in KINDS}
--- a/toucanhold/peers/revisions.py
+++ b/toucanhold/peers/revisions.py
@@ -50,7 +50,12 @@
     def heartbeat(self, peer: str) -> messages.Heartbeat:
         """Return what to tell a peer now."""
         number, revision = self.configuration.current.number, self.plans.revision
-        self.facts.say(member=self.roster.own, configuration=number, plan_revision=revision)
+        self.facts.say(
+            member=self.roster.own,
+            configuration=number,
+            plan_revision=revision,
+            holds=tuple(hold.hold for hold in self.configuration.holds()),
+        )
         news = self.facts.news_for(peer)
         return messages.Heartbeat(number, revision, plan_digest(self.plans), news)
 
