Measure how control's state grows with the fleet

Cause: nothing told what an entry needs at 12,000 VMs. Change: tools/capacity.py fits lines through four sizes.

--- /dev/null
+++ b/tools/capacity.py
@@ -0,0 +1,265 @@
+"""Measures slopes on one machine and works out the two-year size: ``python -m tools.capacity``.
+
+Each slope is a least-squares line through four sizes; its fit (R²) shows whether it is a line.
+"""
+
+import collections.abc
+import gc
+import random
+import statistics
+import sys
+import time
+import tracemalloc
+import typing
+
+import attrs
+
+from tools.measure import table
+from toucanhold import codec
+from toucanhold.backends import client
+from toucanhold.configuration import document, inventory, rules, snapshot
+from toucanhold.membership import roster
+from toucanhold.observing import view
+from toucanhold.planning import plan
+
+SIZES = (500, 1000, 2000, 4000)
+REPEATS = 5
+ZONES = 11
+VMS_PER_DOMAIN = 64
+VMS_PER_REPLICA = 8
+SERVICES = 20
+
+TWO_YEAR_VMS = 12_000
+TWO_YEAR_ENTRIES = 390
+TWO_YEAR_CHANGES_PER_S = 47_000 / 86_400
+# 3,200 VMs are restarted or replaced and 71 fail in a day; each shows as several new reports.
+TWO_YEAR_RESTARTS_PER_S = (3_200 + 71) / 86_400
+
+
+@attrs.frozen
+class Slope:
+    """A line through measured points.
+
+    :ivar fit: coefficient of determination; 1 for points on a line
+    """
+
+    name: str
+    unit: str
+    per_item: float
+    offset: float
+    fit: float
+
+    def at(self, size: float) -> float:
+        """Return the value that the line gives at ``size``."""
+        return self.offset + self.per_item * size
+
+
+Measured = collections.abc.Callable[[int], float]
+
+
+def main() -> int:
+    """Measure, and print slopes and what they give at the two-year size."""
+    slopes = [fit(name, unit, measured) for name, unit, measured in MEASUREMENTS]
+    rows = [
+        (each.name, each.unit, each.per_item, each.offset, each.fit, each.at(TWO_YEAR_VMS))
+        for each in slopes
+    ]
+    titles = ("what", "unit", "per VM", "offset", "R2", f"at {TWO_YEAR_VMS} VMs")
+    note = f"Sizes {SIZES}; median of {REPEATS} runs each."
+    print(table.to_markdown(table.Table("Slopes", titles, tuple(rows), note)))
+    return 0
+
+
+def fit(name: str, unit: str, measured: Measured) -> Slope:
+    """Measure at all sizes and return the line."""
+    points = [(size, statistics.median(measured(size) for _ in range(REPEATS))) for size in SIZES]
+    sizes, values = zip(*points, strict=True)
+    line = statistics.linear_regression(sizes, values)
+    correlation = statistics.correlation(sizes, values) if len(set(values)) > 1 else 1.0
+    return Slope(name, unit, line.slope, line.intercept, correlation**2)
+
+
+def sample_document(vms: int) -> document.Document:
+    """Return inventory and rules of a fleet with ``vms`` VMs."""
+    listed = tuple(
+        inventory.Vm(
+            vm=f"vm-{number:05d}",
+            address=f"10.{number // 65536}.{number // 256 % 256}.{number % 256}:9000",
+            availability_zone=f"zone-{number % ZONES}",
+            fabric_domain=f"fabric-{number % ZONES}-{number // ZONES // VMS_PER_DOMAIN}",
+            accelerators=1,
+            fencing=inventory.Fencing.CHECKED,
+        )
+        for number in range(vms)
+    )
+    replicas = vms // VMS_PER_REPLICA // SERVICES
+    services = tuple(
+        rules.Service(
+            f"service-{number}",
+            model=f"model-{number}",
+            replicas=replicas,
+            vms_per_replica=VMS_PER_REPLICA,
+        )
+        for number in range(SERVICES)
+    )
+    zones = tuple(rules.AvailabilityZone(f"zone-{number}") for number in range(ZONES))
+    return document.Document(1, inventory.Inventory(listed), rules.Rules(services, zones))
+
+
+def sample_configuration(vms: int) -> snapshot.Configuration:
+    """Return the configuration of a fleet, decoded from its parts."""
+    bodies = snapshot.bodies_of(sample_document(vms))
+    parts = {name: snapshot.Part(name, 1, body) for name, body in bodies.items()}
+    return snapshot.from_parts(1, parts)
+
+
+def sample_report(number: int) -> client.Report:
+    """Return a load report of a serving engine."""
+    return client.Report(
+        vm=f"vm-{number:05d}",
+        boot_id=f"{number:032x}",
+        warmth=client.Warmth.WARM,
+        running=3,
+        slots=8,
+        group=f"fabric-{number % ZONES}-0/{number}",
+        generation=number,
+        model="model-1",
+        version="1",
+    )
+
+
+def configuration_bytes(vms: int) -> float:
+    """Bytes of the whole configuration in the key-value service."""
+    return sum(len(body) for body in snapshot.bodies_of(sample_document(vms)).values())
+
+
+def largest_part_bytes(vms: int) -> float:
+    """Bytes of the largest value in the key-value service."""
+    return max(len(body) for body in snapshot.bodies_of(sample_document(vms)).values())
+
+
+def configuration_memory_kb(vms: int) -> float:
+    """Memory of the decoded configuration."""
+    return _memory_kb(lambda: sample_configuration(vms))
+
+
+def zone_change_ms(vms: int) -> float:
+    """Processor time to put a take-out in force."""
+    configuration = sample_configuration(vms)
+    body = codec.to_json(snapshot.ZonesOut(("zone-1",)))
+    part = snapshot.Part(snapshot.ZONES_PART, 2, body)
+    return _cpu_ms(lambda: configuration.merged(snapshot.Delta(1, 2, (part,))))
+
+
+def inventory_change_ms(vms: int) -> float:
+    """Processor time to put a change of one availability zone's inventory in force."""
+    configuration = sample_configuration(vms)
+    name = f"{snapshot.INVENTORY_PREFIX}zone-1"
+    part = attrs.evolve(configuration.parts[name], number=2)
+    return _cpu_ms(lambda: configuration.merged(snapshot.Delta(1, 2, (part,))))
+
+
+def check_ms(vms: int) -> float:
+    """Processor time to check a whole document."""
+    checked = sample_document(vms)
+    return _cpu_ms(lambda: document.check(checked))
+
+
+def view_memory_kb(vms: int) -> float:
+    """Memory of the latest report of every VM."""
+    return _memory_kb(lambda: _filled_view(vms))
+
+
+def plan_memory_kb(vms: int) -> float:
+    """Memory of the plan of the whole fleet."""
+    return _memory_kb(lambda: _filled_plan(vms))
+
+
+def report_ms(vms: int) -> float:
+    """Processor time to decode and take in one report of every VM."""
+    seen = view.View()
+    bodies = [codec.to_json(sample_report(number)) for number in range(vms)]
+    moment = iter(range(1_000_000))
+
+    def take_in() -> None:
+        now_s = float(next(moment))
+        for body in bodies:
+            report = codec.from_json(body, client.Report)
+            seen.record(report.vm, report, now_s)
+
+    return _cpu_ms(take_in)
+
+
+def roster_ms(entries: int) -> float:
+    """Processor time to take in a list of as many entries."""
+    member = roster.Member("entry-0", "zone-0", "10.0.0.1:1", "10.0.0.1:2", "10.0.0.1:3")
+    bodies = [
+        codec.to_json(attrs.evolve(member, entry=f"entry-{number}")) for number in range(entries)
+    ]
+    return _cpu_ms(lambda: [codec.from_json(body, roster.Member) for body in bodies])
+
+
+MEASUREMENTS: tuple[tuple[str, str, Measured], ...] = (
+    ("configuration in the key-value service", "bytes", configuration_bytes),
+    ("largest value", "bytes", largest_part_bytes),
+    ("configuration, decoded", "KB", configuration_memory_kb),
+    ("put a take-out in force", "ms", zone_change_ms),
+    ("put one zone's inventory in force", "ms", inventory_change_ms),
+    ("check a document", "ms", check_ms),
+    ("latest reports", "KB", view_memory_kb),
+    ("plan", "KB", plan_memory_kb),
+    ("take in one report of each VM", "ms", report_ms),
+    ("take in a list of as many entries", "ms", roster_ms),
+)
+
+
+def _filled_view(vms: int) -> view.View:
+    seen = view.View()
+    for number in range(vms):
+        body = codec.to_json(sample_report(number))
+        seen.record(f"vm-{number:05d}", codec.from_json(body, client.Report), 1.0)
+    return seen
+
+
+def _filled_plan(vms: int) -> plan.PlanHolder:
+    rng = random.Random(1)
+    plans = plan.PlanHolder()
+    for domain in range(vms // VMS_PER_DOMAIN):
+        groups = tuple(
+            plan.Group(
+                f"fabric-{domain}/{generation}",
+                generation,
+                f"service-{rng.randrange(SERVICES)}",
+                tuple(f"vm-{rng.randrange(vms):05d}" for _ in range(VMS_PER_REPLICA)),
+            )
+            for generation in range(VMS_PER_DOMAIN // VMS_PER_REPLICA)
+        )
+        body = codec.to_json(plan.DomainPlan(f"fabric-{domain}", 1, len(groups), groups))
+        decoded = codec.from_json(body, plan.DomainPlan)
+        plans.apply(plan.VersionedDomainPlan(decoded, 1))
+    return plans
+
+
+def _memory_kb(build: collections.abc.Callable[[], typing.Any]) -> float:
+    gc.collect()
+    tracemalloc.start()
+    try:
+        before = tracemalloc.get_traced_memory()[0]
+        built = build()
+        gc.collect()
+        used = tracemalloc.get_traced_memory()[0] - before
+        del built
+    finally:
+        tracemalloc.stop()
+    return used / 1e3
+
+
+def _cpu_ms(action: collections.abc.Callable[[], typing.Any]) -> float:
+    action()
+    started_s = time.process_time()
+    action()
+    return (time.process_time() - started_s) * 1e3
+
+
+if __name__ == "__main__":
+    sys.exit(main())
