Tell operators of a take-out that is in force but not durable yet

Cause: during a platform outage the answer names the entries that hold an availability zone back; the command line waited for a configuration that could not come, and ended with a timeout.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -155,6 +155,30 @@
             code, out, _ = await self._run(site, "addresses", url, "--format", "json")
             self.assertEqual(2, len(json.loads(out)["addresses"]))
 
+    def test_a_take_out_during_a_platform_outage(self):
+        # The operator sees that every entry holds the availability zone back and that this is not
+        # durable yet, by an exit status of its own. The key-value service ends, the operator
+        # takes a zone out at one entry, which tells its peer; nothing can be written.
+        trio.run(self._take_out_during_outage)
+
+    async def _take_out_during_outage(self):
+        site = sites.new_site(sites.log_folder(), ("zone-a", "zone-b"), 2, "releases", 1, 2)
+        async with sites.running(site):
+            document = sites.document_for(site, demo.SERVICES)
+            body = {"document": document, "expected": 0}
+            await site.operate("entry-0", "PUT", "document", body)
+            for each in site.entries:
+                await site.wait_status(each.entry, lambda seen: seen["configuration"] == 1)
+            await site.wait_status(
+                "entry-0", lambda seen: all(each["configuration"] == 1 for each in seen["entries"])
+            )
+            await site.group.kill(sites.KEYVALUE)
+            code, _, err = await self._run(site, "zone", "out", "zone-a", "--yes")
+            self.assertEqual(exitstatus.ExitStatus.NOT_DURABLE, code, err)
+            self.assertIn("zone-a gets no new work from entry-0, entry-1", err)
+            for each in site.entries:
+                await site.wait_status(each.entry, lambda seen: seen["zones"][0]["out"], 3)
+
     async def _run(self, site: sites.Site, *words: str) -> tuple[int, str, str]:
         variables = {
             "TOUCANHOLD_ENTRY_URL": f"http://{site.entries[0].operators}",
--- a/toucanhold/cli/command.py
+++ b/toucanhold/cli/command.py
@@ -18,6 +18,7 @@
     "conflict": exitstatus.ExitStatus.CONFLICT,
     "unavailable": exitstatus.ExitStatus.UNAVAILABLE,
     "unreachable": exitstatus.ExitStatus.UNAVAILABLE,
+    "not-drainable": exitstatus.ExitStatus.CONFLICT,
     "unknown-outcome": exitstatus.ExitStatus.UNKNOWN,
 }
 
--- a/toucanhold/cli/zones.py
+++ b/toucanhold/cli/zones.py
@@ -20,14 +20,23 @@
         force = bool(self.option("force"))
         request = messages.ZoneRequest(True, self.option("author"), force)
         answer = await entry.set_zone(zone, request)
-        status = await documents.show_in_force(self, entry, answer, wait_s)
-        if status is exitstatus.ExitStatus.OK and wait_s:
-            status = await self._wait_drained(entry, zone, wait_s)
+        if answer.durable:
+            status = await documents.show_in_force(self, entry, answer, wait_s)
+        else:
+            status = self._show_held(zone, answer)
+        if wait_s and not await self._wait_drained(entry, zone, wait_s):
+            status = exitstatus.ExitStatus.TIMEOUT
         return status
 
-    async def _wait_drained(
-        self, entry: client.OperatorsClient, zone: str, wait_s: float
-    ) -> exitstatus.ExitStatus:
+    def _show_held(self, zone: str, answer: messages.ChangeAnswer) -> exitstatus.ExitStatus:
+        self.progress(f"{zone} gets no new work from {', '.join(answer.in_force)}")
+        if answer.not_in_force:
+            self.progress(f"not acknowledged by {', '.join(answer.not_in_force)}")
+        self.progress("not durable yet: the key-value service does not answer")
+        self.show(answer, [f"{zone} is held, not durable"])
+        return exitstatus.ExitStatus.NOT_DURABLE
+
+    async def _wait_drained(self, entry: client.OperatorsClient, zone: str, wait_s: float) -> bool:
         done = await waiting.wait_until(
             self,
             entry,
@@ -35,7 +44,7 @@
             lambda seen: f"{zone}: {_running(seen, zone)} requests in flight",
             wait_s,
         )
-        return exitstatus.ExitStatus.OK if done else exitstatus.ExitStatus.TIMEOUT
+        return done is not None
 
 
 class ZoneInCommand(command.OperatorCommand):
--- a/toucanhold/exitstatus.py
+++ b/toucanhold/exitstatus.py
@@ -14,4 +14,5 @@
     UNAVAILABLE = 5
     TIMEOUT = 6
     UNKNOWN = 7
+    NOT_DURABLE = 8
     INTERRUPTED = 130
