Divide what a cold backend server bears among entries

Cause: each entry believed that the whole limit of a cold server was its own, so seven entries together sent up to seven times what it bears; and a server that restarted between two reports got work meant for its warm predecessor.

Change: 256 slots are keys on leases of the key-value service, held by one entry each. The limit of a cold boot is given to slots by a hash of VM and boot id, so the shares add up to no more than the limit without any agreement. A slot that changed hands is unused on a server until that server was idle after the change or has booted since. A request that ended uncleanly keeps its place until the server was idle. The lease is looked at again right before the first and the last byte of a request leave. A new connection asks for a load report first and stays known to that boot. Candidates are kept between requests and looked at again only where a report changed or aged.

Ruled out: shares by the list of entries alone (two lists differ for a while, and an acknowledgement needs a round of messages that a paused entry never ends).

Shown failing: with the baseline (each entry believes in the whole limit) the same flood of seven entries exceeds a limit of 3; with slots it reaches 3 exactly.

--- /dev/null
+++ b/standins/routers.py
@@ -0,0 +1,182 @@
+"""Several entries' real routing over backend servers in memory, on trio's test clock."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import contextlib
+import random
+
+import attrs
+import trio
+
+from standins import backends, memory
+from toucanhold import codec
+from toucanhold.configuration import holder, inventory, rules, snapshot
+from toucanhold.observing import poller, view
+from toucanhold.planning import plan
+from toucanhold.routing import requests, router
+
+SERVICE = "lookups"
+Builder = collections.abc.Callable[[router.Surroundings], router.Router]
+
+
+@attrs.define(eq=False)
+class Entry:
+    """One entry's routing and what it rests on."""
+
+    name: str
+    router: router.Router
+    view: view.View
+    backends: backends.MemoryBackends
+    _scopes: list[trio.CancelScope] = attrs.field(factory=list)
+
+    def new_scope(self) -> trio.CancelScope:
+        """Return a scope that ends with the entry."""
+        self._scopes.append(trio.CancelScope())
+        return self._scopes[-1]
+
+    def end(self) -> None:
+        """End everything at once, without a goodbye."""
+        for scope in self._scopes:
+            scope.cancel()
+
+    def pause(self) -> None:
+        """Send and hear nothing until :meth:`wake`."""
+        self.backends.awake = trio.Event()
+
+    def wake(self) -> None:
+        """Go on."""
+        awake, self.backends.awake = self.backends.awake, None
+        awake.set()
+
+
+@attrs.define(eq=False)
+class Fleet:
+    """Entries, servers of one plain service, and the key-value service."""
+
+    nursery: trio.Nursery
+    servers: list[backends.Server]
+    rules: rules.Rules
+    build: Builder = router.chosen
+    seed: int = 1
+    platform: memory.MemoryPlatform = attrs.field(factory=memory.MemoryPlatform)
+    entries: dict[str, Entry] = attrs.field(factory=dict)
+    outcomes: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    tokens: collections.abc.Callable = lambda request: 8
+
+    def add_entry(self, name: str) -> Entry:
+        """Start an entry."""
+        rng = random.Random(f"{self.seed}:{name}")
+        seen = view.View()
+        clients = backends.MemoryBackends(
+            {server.vm + ":1": server for server in self.servers}, self.nursery, self.tokens
+        )
+        configuration = holder.ConfigurationHolder(self._configuration())
+        around = router.Surroundings(
+            entry=name,
+            availability_zone="zone-a",
+            configuration=configuration,
+            plans=plan.PlanHolder(),
+            view=seen,
+            platform=self.platform.client(name),
+            backends=clients,
+            entries=lambda: sorted(self.entries),
+            rng=rng,
+        )
+        entry = Entry(name, self.build(around), seen, clients)
+        self.entries[name] = entry
+        polling = poller.Poller(configuration, clients, seen, rng)
+        self.nursery.start_soon(self._run, entry, polling)
+        return entry
+
+    def kill(self, name: str) -> None:
+        """End an entry at once; it says goodbye to nobody."""
+        self.entries.pop(name).end()
+
+    def request(self, workspace: str = "w", timeout_s: float = 30, **fields):
+        """Return an idempotent streamed request."""
+        return requests.CallerRequest(
+            request_id=f"r{random.getrandbits(60):x}",
+            workspace=workspace,
+            service=self.rules.services[0],
+            method="GET",
+            path="/",
+            headers=(),
+            body=b"",
+            deadline_s=trio.current_time() + timeout_s,
+            may_repeat=True,
+            stream=True,
+            **fields,
+        )
+
+    async def ask(self, entry: Entry, leave_after_s: float = 1e9, **fields) -> str:
+        """Send one request through an entry; return and count how it ended."""
+        outcome = "left"
+        with trio.move_on_after(leave_after_s):
+            try:
+                async with entry.router.dispatcher.serve(self.request(**fields)) as answer:
+                    async for _ in answer.chunks:
+                        pass
+                outcome = "whole"
+            except requests.RequestError as error:
+                outcome = error.problem.slug
+        self.outcomes[outcome] += 1
+        return outcome
+
+    async def keep_asking(self, entry: Entry, pause_s: float = 0.01, **fields) -> None:
+        """Send one request after the other until cancelled or the entry dies."""
+        with entry.new_scope():
+            while True:
+                await self.ask(entry, **fields)
+                await trio.sleep(pause_s)
+
+    def flood(self, entry: Entry, callers: int, **fields) -> None:
+        """Let several callers keep asking one entry."""
+        for _ in range(callers):
+            self.nursery.start_soon(lambda: self.keep_asking(entry, **fields))
+
+    def _configuration(self) -> snapshot.Configuration:
+        vms = tuple(
+            inventory.Vm(
+                server.vm,
+                server.vm + ":1",
+                "zone-a",
+                kind=inventory.VmKind.SERVICE,
+                service=SERVICE,
+            )
+            for server in self.servers
+        )
+        parts = {
+            snapshot.RULES_PART: snapshot.Part(snapshot.RULES_PART, 1, codec.to_json(self.rules)),
+            "inventory/zone-a": snapshot.Part(
+                "inventory/zone-a", 1, codec.to_json(inventory.Inventory(vms))
+            ),
+        }
+        return snapshot.from_parts(1, parts)
+
+    async def _run(self, entry: Entry, polling: poller.Poller) -> None:
+        with entry.new_scope():
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(polling.run)
+                nursery.start_soon(entry.router.run)
+
+
+def plain_rules(**fields) -> rules.Rules:
+    """Return rules with one plain service."""
+    service = rules.Service(SERVICE, rules.ServiceKind.PLAIN, **fields)
+    return rules.Rules(services=(service,), availability_zones=(rules.AvailabilityZone("zone-a"),))
+
+
+@contextlib.asynccontextmanager
+async def running(
+    servers: list[backends.Server], entries: int = 7, **fields
+) -> collections.abc.AsyncIterator[Fleet]:
+    """Run a fleet, and end all of it afterwards."""
+    fields.setdefault("rules", plain_rules())
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(nursery, servers, **fields)
+        for number in range(entries):
+            fleet.add_entry(f"entry-{number}")
+        yield fleet
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_cold_servers.py
@@ -0,0 +1,200 @@
+"""Work on cold backend servers, summed over all entries."""
+
+import random
+import unittest
+
+import trio
+import trio.testing
+
+from standins import backends, routers
+from toucanhold.routing import router
+
+SETTLED_S = 15
+
+
+def on_test_clock(check, *arguments):
+    """Run an async check on trio's test clock."""
+    return trio.run(check, *arguments, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class ColdSumTest(unittest.TestCase):
+    def test_seven_entries_share_what_one_cold_server_bears(self):
+        # Callers flood all seven entries while the only server is cold and bears 3 requests.
+        # Each entry alone would keep to 3; the server would get 21 and fall over.
+        self.assertEqual(3, on_test_clock(self._flood, router.chosen, 3))
+
+    def test_baseline_overloads_a_cold_server(self):
+        # The same flood with the baseline, which shows that the check above can fail.
+        self.assertGreater(on_test_clock(self._flood, router.baseline, 3), 3)
+
+    async def _flood(self, build, bearable):
+        server = backends.Server("vm-0", bearable=bearable, report_lag_s=0.5)
+        async with routers.running([server], build=build) as site:
+            await trio.sleep(SETTLED_S)
+            for entry in list(site.entries.values()):
+                site.flood(entry, 5)
+            await trio.sleep(20)
+            self.assertGreater(site.outcomes["whole"], 50)
+        return server.max_running_cold
+
+    def test_restart_without_warning_meets_no_work_meant_for_the_warm_server(self):
+        # A warm server full of work restarts and is up again at once. Reports that call it warm
+        # are up to half a second old; requests placed by them must not reach its cold successor.
+        on_test_clock(self._restart)
+
+    async def _restart(self):
+        server = backends.Server("vm-0", bearable=2, warm=True, report_lag_s=0.5)
+        async with routers.running([server]) as site:
+            await trio.sleep(SETTLED_S)
+            for entry in list(site.entries.values()):
+                site.flood(entry, 5, timeout_s=1)
+            for _ in range(20):
+                await trio.sleep(1.3)
+                self.assertLessEqual(server.max_running_cold, 2)
+                server.restart()
+                await trio.sleep(4.1)
+                server.warm = True
+        self.assertEqual(2, server.max_running_cold)
+
+    def test_roster_change_moves_shares_without_a_moment_of_both(self):
+        # Entries join and end cleanly while the server is cold and flooded: a share that moves
+        # is unused until the server was idle after the change of hands.
+        on_test_clock(self._roster)
+
+    async def _roster(self):
+        server = backends.Server("vm-0", bearable=4, first_token_s=0.3)
+        async with routers.running([server], entries=2) as site:
+            for number in range(2, 9):
+                entry = site.add_entry(f"entry-{number}")
+                site.flood(entry, 3, timeout_s=2)
+                await trio.sleep(10)
+            for number in range(3, 8):
+                leaver = site.entries.pop(f"entry-{number}")
+                await leaver.router.release()
+                leaver.end()
+                await trio.sleep(10)
+        self.assertLessEqual(server.max_running_cold, 4)
+        self.assertGreaterEqual(server.max_running_cold, 1)
+
+    def test_entry_that_dies_leaves_requests_running(self):
+        # Entries die while their requests run on for a minute on the cold server, which does not
+        # notice. Their slots lapse and others take them: those may add nothing before it is idle.
+        on_test_clock(self._death)
+
+    async def _death(self):
+        server = backends.Server("vm-0", bearable=2, first_token_s=60, unnoticed_s=100)
+        async with routers.running([server]) as site:
+            await trio.sleep(SETTLED_S)
+            for entry in list(site.entries.values()):
+                site.flood(entry, 1, timeout_s=300)
+            for number in range(5):
+                await trio.sleep(20)
+                site.kill(f"entry-{number}")
+            await trio.sleep(200)
+            self.assertGreater(server.started, 4)
+        self.assertLessEqual(server.max_running_cold, 2)
+
+    def test_paused_entry_wakes_after_its_slots_went_to_others(self):
+        # An entry is paused between choosing the cold server and sending. Its slots lapse, others
+        # take and use them; when it wakes, its request must not be sent.
+        on_test_clock(self._pause)
+
+    async def _pause(self):
+        server = backends.Server("vm-0", bearable=3)
+        async with routers.running([server]) as site:
+            await trio.sleep(SETTLED_S)
+            for entry in list(site.entries.values()):
+                site.flood(entry, 1, timeout_s=600)
+            for entry in list(site.entries.values())[:3]:
+                await trio.sleep(2)
+                entry.pause()
+                site.platform.set_mode("silent", entry.name)
+                await trio.sleep(45)
+                entry.wake()
+                await trio.sleep(1)
+                site.platform.set_mode("up", entry.name)
+        self.assertLessEqual(server.max_running_cold, 3)
+
+    def test_caller_who_leaves_frees_the_share_only_when_the_engine_has_ended(self):
+        # Callers leave after 0.1 s and come again; the engine notices 1 s later. Counting the
+        # place as free at once would put a second request beside the first.
+        on_test_clock(self._leave)
+
+    async def _leave(self):
+        server = backends.Server("vm-0", bearable=1, first_token_s=5, unnoticed_s=1)
+        async with routers.running([server]) as site:
+            await trio.sleep(SETTLED_S)
+            for entry in list(site.entries.values()):
+                site.flood(entry, 2, leave_after_s=0.1, timeout_s=5)
+            await trio.sleep(60)
+        self.assertEqual(1, server.max_running_cold)
+        self.assertGreater(server.started, 3)
+
+    def test_cold_server_gets_nothing_once_slots_cannot_be_renewed(self):
+        # The key-value service is down for minutes. Nobody can tell whether another entry has
+        # taken over a slot, so cold servers get nothing after the lease; warm ones go on.
+        on_test_clock(self._outage)
+
+    async def _outage(self):
+        cold, warm = backends.Server("vm-0"), backends.Server("vm-1", warm=True)
+        async with routers.running([cold, warm]) as site:
+            await trio.sleep(SETTLED_S)
+            for entry in list(site.entries.values()):
+                site.flood(entry, 2)
+            await trio.sleep(5)
+            self.assertGreater(cold.started, 0)
+            site.platform.set_mode("down")
+            await trio.sleep(40)
+            started_cold, started_warm = cold.started, warm.started
+            await trio.sleep(60)
+            self.assertEqual(started_cold, cold.started)
+            self.assertGreater(warm.started, started_warm + 100)
+            site.platform.set_mode("up")
+            await trio.sleep(20)
+            self.assertGreater(cold.started, started_cold)
+        self.assertEqual(1, cold.max_running_cold)
+
+    def test_everything_at_once_never_exceeds_the_limit(self):
+        # Deaths, pauses, restarts, joiners, outages and callers who leave, in a seeded order.
+        for seed in range(2):
+            with self.subTest(seed=seed):
+                on_test_clock(self._chaos, seed)
+
+    async def _chaos(self, seed):
+        rng = random.Random(seed)
+        servers = [
+            backends.Server(f"vm-{n}", bearable=n + 1, report_lag_s=0.5, unnoticed_s=0.8)
+            for n in range(3)
+        ]
+        async with routers.running(servers, seed=seed) as site:
+            await trio.sleep(SETTLED_S)
+            for entry in list(site.entries.values()):
+                site.flood(entry, 2, leave_after_s=rng.uniform(0.05, 3), timeout_s=5)
+            for step in range(8):
+                await _misfortune(site, rng, step)
+                await trio.sleep(rng.uniform(0, 8))
+            self.assertGreater(site.outcomes["whole"], 100)
+        for server in servers:
+            self.assertLessEqual(server.max_running_cold, server.bearable, server.vm)
+
+
+async def _misfortune(site, rng, step):
+    name = rng.choice(sorted(site.entries))
+    kind = rng.choice(("kill", "restart", "warm", "outage", "pause"))
+    if kind == "kill":
+        site.kill(name)
+        site.flood(site.add_entry(f"entry-new-{step}"), 2, timeout_s=5)
+    elif kind == "restart":
+        rng.choice(site.servers).restart()
+    elif kind == "warm":
+        rng.choice(site.servers).warm = True
+    elif kind == "outage":
+        site.platform.set_mode("down")
+        await trio.sleep(rng.uniform(1, 60))
+        site.platform.set_mode("up")
+    else:
+        site.entries[name].pause()
+        site.platform.set_mode("silent", name)
+        await trio.sleep(rng.uniform(1, 60))
+        site.entries[name].wake()
+        site.platform.set_mode("up", name)
--- a/toucanhold/backends/client.py
+++ b/toucanhold/backends/client.py
@@ -109,6 +109,9 @@
     :ivar request_id: sent as ``x-request-id`` and expected back
     :ivar fresh_connection: never on a connection that was used before
     :ivar timeout_s: longest wait for the connection and between bytes
+    :ivar boot_id: the only boot that may get it; empty for any
+    :ivar warm_only: whether a new connection must first show the boot to be warm
+    :ivar guard: asked right before the first and the last byte leave; false stops the request
     """
 
     method: str
@@ -118,6 +121,9 @@
     request_id: str
     timeout_s: float
     fresh_connection: bool = False
+    boot_id: str = ""
+    warm_only: bool = False
+    guard: collections.abc.Callable[[], bool] | None = None
 
 
 @attrs.frozen
--- a/toucanhold/backends/http.py
+++ b/toucanhold/backends/http.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import functools
 import json
 
 import attrs
@@ -9,13 +10,11 @@
 import trio
 
 from toucanhold import codec
-from toucanhold.backends import client
+from toucanhold.backends import client, pool
 
 REPORT_PATH = "/v1/load"
 ORDERS_PATH = "/v1/orders"
 REPORT_LIMIT_BYTES = 64 * 1024
-KEEP_CONNECTION_S = 30.0
-MAX_CONNECTIONS_PER_SERVER = 256
 REQUEST_ID_HEADER = b"x-request-id"
 
 CONNECT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
@@ -24,26 +23,21 @@
 
 @attrs.define(eq=False)
 class HttpBackendClient(client.BackendClient):
-    """Keeps a connection pool for each backend server."""
+    """Keeps the idle connections of each backend server."""
 
-    _pools: dict[str, httpcore.AsyncConnectionPool] = attrs.field(factory=dict, init=False)
+    _pools: dict[str, pool.Pool] = attrs.field(factory=dict, init=False)
 
     async def close(self) -> None:
-        """Close all connections."""
+        """Close all idle connections."""
         pools = list(self._pools.values())
         self._pools.clear()
-        for pool in pools:
-            await pool.aclose()
+        for each in pools:
+            await _close_all(each.drain())
 
     async def read_report(self, address: str, timeout_s: float) -> client.Report:
         """See :class:`client.BackendClient`."""
         status, body = await self._exchange(address, "GET", REPORT_PATH, b"", timeout_s)
-        if status != 200:
-            raise client.BackendError(f"{address}: load report: HTTP status {status}")
-        try:
-            return codec.from_json(body, client.Report)
-        except codec.CodecError as error:
-            raise client.BackendError(f"{address}: load report: {error}") from error
+        return _parse_report(address, status, body)
 
     async def send_order(self, address: str, order: client.Order, timeout_s: float) -> None:
         """See :class:`client.BackendClient`."""
@@ -59,24 +53,75 @@
         self, address: str, request: client.ForwardedRequest
     ) -> collections.abc.AsyncIterator[client.ForwardedResponse]:
         """See :class:`client.BackendClient`."""
-        async with contextlib.AsyncExitStack() as stack:
-            pool = self._pool(address)
-            if request.fresh_connection:
-                # A server may close an idle connection while a request is being written to it.
-                # The caller would get "unknown" for an order that in truth never ran; a new
-                # connection has no such race.
-                pool = await stack.enter_async_context(_new_pool(1))
-            outgoing = _to_httpcore(address, request)
-            with _translated_errors(address):
-                response = await pool.handle_async_request(outgoing)
-            stack.push_async_callback(_close_shielded, response)
-            if _header(response.headers, REQUEST_ID_HEADER) not in (
-                None,
-                request.request_id.encode(),
-            ):
-                raise client.WrongAnswerError(f"{address}: an answer to another request")
-            chunks = _chunks(address, response)
-            yield client.ForwardedResponse(response.status, tuple(response.headers), chunks)
+        with _translated_errors(address, client.NotSentError):
+            connection = await self._connection(address, request)
+        try:
+            with _translated_errors(address, client.AnswerLostError):
+                response = await connection.http.handle_async_request(
+                    _to_httpcore(address, request)
+                )
+            try:
+                _check_request_id(address, request, response)
+                chunks = _chunks(address, response)
+                yield client.ForwardedResponse(response.status, tuple(response.headers), chunks)
+            finally:
+                await _close_shielded(response)
+        finally:
+            await self._put_away(address, connection)
+
+    async def _connection(self, address: str, request: client.ForwardedRequest) -> pool.Connection:
+        if not request.fresh_connection:
+            connection, stale = self._pool(address).take(request.boot_id)
+            await _close_all(stale)
+            if connection is not None and (connection.boot_id or not request.boot_id):
+                return connection
+        else:
+            # A server may close an idle connection while a request is being written to it. The
+            # caller would get "unknown" for an order that in truth never ran; a new connection
+            # has no such race.
+            connection = None
+        if connection is None:
+            connection = await pool.connect(_origin(address), request.timeout_s)
+        if request.boot_id:
+            await self._check_boot(address, connection, request)
+        return connection
+
+    async def _check_boot(
+        self, address: str, connection: pool.Connection, request: client.ForwardedRequest
+    ) -> None:
+        # The report that this request was placed by came over another connection. A server that
+        # restarted since is cold and would fall over under work meant for its warm predecessor.
+        # A connection ends with the process at its other end, so one report asked for over this
+        # connection holds for as long as it lives.
+        try:
+            report = await self._report_over(address, connection, request.timeout_s)
+            if report.boot_id != request.boot_id:
+                raise client.NotSentError(f"{address}: has booted again")
+            if request.warm_only and report.warmth is not client.Warmth.WARM:
+                raise client.NotSentError(f"{address}: has turned cold")
+        except BaseException:
+            await _close_all([connection])
+            raise
+        connection.boot_id = report.boot_id
+
+    async def _report_over(
+        self, address: str, connection: pool.Connection, timeout_s: float
+    ) -> client.Report:
+        asked = client.ForwardedRequest("GET", REPORT_PATH, (), b"", "control", timeout_s)
+        try:
+            with _translated_errors(address, client.NotSentError):
+                response = await connection.http.handle_async_request(_to_httpcore(address, asked))
+            try:
+                body = await _read_limited(address, _chunks(address, response))
+            finally:
+                await _close_shielded(response)
+            return _parse_report(address, response.status, body)
+        except client.BackendError as error:
+            raise client.NotSentError(f"{address}: no load report: {error}") from error
+
+    async def _put_away(self, address: str, connection: pool.Connection) -> None:
+        if not self._pool(address).give_back(connection):
+            await _close_all([connection])
 
     async def _exchange(
         self, address: str, method: str, path: str, body: bytes, timeout_s: float
@@ -84,21 +129,16 @@
         request = client.ForwardedRequest(
             method, path, ((b"content-type", b"application/json"),), body, "control", timeout_s
         )
-        content = bytearray()
         try:
             with trio.fail_after(timeout_s):
                 async with self.forward(address, request) as response:
-                    async for chunk in response.chunks:
-                        content += chunk
-                        if len(content) > REPORT_LIMIT_BYTES:
-                            raise client.BackendError(f"{address}: oversized answer")
-                    return response.status, bytes(content)
+                    return response.status, await _read_limited(address, response.chunks)
         except trio.TooSlowError as error:
             raise client.AnswerLostError(f"{address}: no answer in {timeout_s} s") from error
 
-    def _pool(self, address: str) -> httpcore.AsyncConnectionPool:
+    def _pool(self, address: str) -> pool.Pool:
         if address not in self._pools:
-            self._pools[address] = _new_pool(MAX_CONNECTIONS_PER_SERVER)
+            self._pools[address] = pool.Pool(address)
         return self._pools[address]
 
 
@@ -110,10 +150,32 @@
         return ""
 
 
-def _new_pool(max_connections: int) -> httpcore.AsyncConnectionPool:
-    return httpcore.AsyncConnectionPool(
-        max_connections=max_connections, keepalive_expiry=KEEP_CONNECTION_S, retries=0
-    )
+def _parse_report(address: str, status: int, body: bytes) -> client.Report:
+    if status != 200:
+        raise client.BackendError(f"{address}: load report: HTTP status {status}")
+    try:
+        return codec.from_json(body, client.Report)
+    except codec.CodecError as error:
+        raise client.BackendError(f"{address}: load report: {error}") from error
+
+
+async def _read_limited(address: str, chunks: collections.abc.AsyncIterator[bytes]) -> bytes:
+    content = bytearray()
+    async for chunk in chunks:
+        content += chunk
+        if len(content) > REPORT_LIMIT_BYTES:
+            raise client.AnswerLostError(f"{address}: oversized answer")
+    return bytes(content)
+
+
+def _check_request_id(
+    address: str, request: client.ForwardedRequest, response: httpcore.Response
+) -> None:
+    # A plain service need not return the header: then the connection, which carries one request
+    # at a time and is closed after any irregular end, is what ties the answer to its request.
+    found = _header(response.headers, REQUEST_ID_HEADER)
+    if found not in (None, request.request_id.encode()):
+        raise client.WrongAnswerError(f"{address}: an answer to another request")
 
 
 def _to_httpcore(address: str, request: client.ForwardedRequest) -> httpcore.Request:
@@ -124,25 +186,53 @@
         *request.headers,
     ]
     timeouts = dict.fromkeys(("connect", "write", "read", "pool"), request.timeout_s)
+    extensions: dict = {"timeout": timeouts}
+    content: bytes | collections.abc.AsyncIterator[bytes] = request.body
+    if request.guard is not None:
+        extensions["trace"] = _guarded_head(address, request.guard)
+        content = _guarded_body(address, request.body, request.guard)
+    origin = _origin(address)
     return httpcore.Request(
         request.method,
-        httpcore.URL(scheme=b"http", host=_host(address), port=_port(address), target=request.path),
+        httpcore.URL(scheme=b"http", host=origin.host, port=origin.port, target=request.path),
         headers=headers,
-        content=request.body,
-        extensions={"timeout": timeouts},
+        content=content,
+        extensions=extensions,
     )
 
 
-def _host(address: str) -> bytes:
-    return address.rpartition(":")[0].strip("[]").encode()
+def _guarded_head(address: str, guard: collections.abc.Callable[[], bool]):
+    async def trace(name: str, info: dict) -> None:
+        if name == "http11.send_request_headers.started" and not guard():
+            raise client.NotSentError(f"{address}: no longer allowed")
+
+    return trace
+
 
+async def _guarded_body(
+    address: str, body: bytes, guard: collections.abc.Callable[[], bool]
+) -> collections.abc.AsyncIterator[bytes]:
+    # A process that is paused while it sends a long body wakes with its permission lapsed. The
+    # server starts nothing before the last byte, so that byte is held until the permission has
+    # been looked at once more.
+    if len(body) > 1:
+        yield body[:-1]
+    if body:
+        if not guard():
+            raise client.AnswerLostError(f"{address}: no longer allowed")
+        yield body[-1:]
 
-def _port(address: str) -> int:
-    return int(address.rpartition(":")[2])
+
+@functools.lru_cache(maxsize=4096)
+def _origin(address: str) -> httpcore.Origin:
+    host, _, port = address.rpartition(":")
+    return httpcore.Origin(b"http", host.strip("[]").encode(), int(port))
 
 
 @contextlib.contextmanager
-def _translated_errors(address: str) -> collections.abc.Iterator[None]:
+def _translated_errors(
+    address: str, kind: type[client.BackendError]
+) -> collections.abc.Iterator[None]:
     try:
         yield
     except CONNECT_ERRORS as error:
@@ -150,7 +240,7 @@
             raise client.RefusedError(f"{address}: nothing listens there") from error
         raise client.NotSentError(f"{address}: cannot connect: {error!r}") from error
     except TRANSFER_ERRORS as error:
-        raise client.AnswerLostError(f"{address}: connection lost: {error!r}") from error
+        raise kind(f"{address}: connection lost: {error!r}") from error
 
 
 def _is_refusal(error: BaseException | None) -> bool:
@@ -164,7 +254,7 @@
 
 
 async def _chunks(address: str, response: httpcore.Response) -> collections.abc.AsyncIterator:
-    with _translated_errors(address):
+    with _translated_errors(address, client.AnswerLostError):
         async for chunk in response.aiter_stream():
             yield chunk
 
@@ -176,5 +266,11 @@
         await response.aclose()
 
 
+async def _close_all(connections: collections.abc.Iterable[pool.Connection]) -> None:
+    with trio.CancelScope(shield=True):
+        for connection in connections:
+            await connection.http.aclose()
+
+
 def _header(headers: client.Headers, name: bytes) -> bytes | None:
     return next((value for key, value in headers if key.lower() == name), None)
--- a/toucanhold/entry.py
+++ b/toucanhold/entry.py
@@ -21,7 +21,7 @@
 from toucanhold.peers import exchange, handshake, holds, revisions, streams
 from toucanhold.planning import placement, plan, planner
 from toucanhold.platform import following, lease, vms
-from toucanhold.routing import candidates, choice, dispatch, gate
+from toucanhold.routing import router
 
 PLANNER_LEASE_TTL_S = 4
 VM_LIST_INTERVAL_S = 1.0
@@ -71,6 +71,7 @@
         nursery.start_soon(self.roster_follower.run)
         nursery.start_soon(self.entry_lease.run)
         nursery.start_soon(self.planner_lease.run)
+        nursery.start_soon(self.router.run)
         nursery.start_soon(self.poller.run)
         nursery.start_soon(self._watch_vm_list)
         nursery.start_soon(self.planner.run)
@@ -95,6 +96,7 @@
         await trio.sleep(self.settings.directory_keep_s)
         self._stop_serving.set()
         await self._all_served.wait()
+        await self.router.release()
         await self.planner_lease.release()
 
     async def clean_up(self) -> None:
@@ -177,15 +179,28 @@
         )
 
     def _build_routing(self) -> None:
-        self.in_flight = choice.InFlight()
-        self.finder = candidates.CandidateFinder(self.configuration, self.plans, self.view)
-        policy = choice.LeastLoaded(self.in_flight, self.rng)
-        self.admission = gate.PlainQueue(self.finder, policy, self.in_flight)
-        self.dispatcher = dispatch.Dispatcher(self.admission, self.backends)
+        self.router = router.chosen(
+            router.Surroundings(
+                entry=self.settings.entry,
+                availability_zone=self.settings.availability_zone,
+                configuration=self.configuration,
+                plans=self.plans,
+                view=self.view,
+                platform=self.platform,
+                backends=self.backends,
+                entries=self._serving_entries,
+                rng=self.rng,
+                max_in_flight=self.settings.max_requests_in_flight,
+            )
+        )
         self.orders = building.new_keeper(
-            self.roster, self.dispatcher, self.platform, self.settings.peer_key
+            self.roster, self.router.dispatcher, self.platform, self.settings.peer_key
         )
 
+    def _serving_entries(self) -> list[str]:
+        members = self.roster.members()
+        return [each.entry for each in members if each.state is roster.EntryState.SERVING]
+
     def _build_followers(self) -> None:
         follower = functools.partial(following.Follower, self.platform, rng=self.rng)
         self.configuration_follower = follower(store.PREFIX, self._refresh_configuration)
@@ -196,7 +211,7 @@
         own = self.settings
         self.callers = callers_app.CallersApp(
             self.configuration,
-            self.dispatcher,
+            self.router.dispatcher,
             self.orders,
             directory.Directory(self.roster, own.directory_keep_s),
             self.metrics,
@@ -210,7 +225,7 @@
             self.configuration,
             self.plans,
             self.view,
-            self.finder,
+            self.router.finder,
             self.planner,
             self.configuration_follower,
         )
--- a/toucanhold/observing/view.py
+++ b/toucanhold/observing/view.py
@@ -35,6 +35,11 @@
     _failing_since_s: dict[str, float] = attrs.field(factory=dict)
     _refusals: dict[str, int] = attrs.field(factory=dict)
     _ended: set[tuple[str, int]] = attrs.field(factory=set)
+    _listeners: list[collections.abc.Callable[[str], None]] = attrs.field(factory=list)
+
+    def subscribe(self, listener: collections.abc.Callable[[str], None]) -> None:
+        """Call ``listener`` with the VM's name after each report and each loss."""
+        self._listeners.append(listener)
 
     def record(self, vm: str, report: client.Report, asked_at_s: float) -> None:
         """Take in a report unless a later one is known."""
@@ -57,12 +62,14 @@
                 generation=report.generation,
                 leaving=report.leaving,
             )
+        self._tell(vm)
 
     def record_failure(self, vm: str, now_s: float, reason: str) -> None:
         """Note that a backend server did not answer."""
         if vm not in self._failing_since_s:
             self._failing_since_s[vm] = now_s
             events.log(LOGGER, events.Event.BACKEND_LOST, vm=vm, reason=reason)
+            self._tell(vm)
 
     def record_refusal(self, vm: str, now_s: float, reason: str) -> None:
         """Note that nothing listens at a backend server's address."""
@@ -74,6 +81,7 @@
         self._observations.pop(vm, None)
         self._failing_since_s.pop(vm, None)
         self._refusals.pop(vm, None)
+        self._tell(vm)
 
     def end_generation(self, group: str, generation: int) -> None:
         """Note that a group lost a member: this generation never serves again."""
@@ -133,6 +141,10 @@
         if place != (now.group, now.generation) or before.boot_id != now.boot_id:
             self.end_generation(*place)
 
+    def _tell(self, vm: str) -> None:
+        for listener in self._listeners:
+            listener(vm)
+
 
 def _identity(report: client.Report) -> tuple:
     return (report.boot_id, report.warmth, report.group, report.generation, report.leaving)
--- a/toucanhold/planning/plan.py
+++ b/toucanhold/planning/plan.py
@@ -81,8 +81,12 @@
 
 @attrs.define(eq=False)
 class PlanHolder:
-    """The plan as this entry knows it."""
+    """The plan as this entry knows it.
 
+    :ivar changes: counts the changes taken in
+    """
+
+    changes: int = attrs.field(default=0, init=False)
     _domains: dict[str, VersionedDomainPlan] = attrs.field(factory=dict)
     _former: dict[tuple[str, int], Group] = attrs.field(factory=dict)
     _changed: trio.Event = attrs.field(factory=trio.Event)
@@ -117,6 +121,7 @@
             return False
         self._domains[versioned.plan.domain] = versioned
         self._remember_former(old.plan, versioned.plan)
+        self.changes += 1
         self._changed.set()
         self._changed = trio.Event()
         return True
--- a/toucanhold/routing/candidates.py
+++ b/toucanhold/routing/candidates.py
@@ -1,11 +1,12 @@
 """Which backend servers may get work now."""
 
 import collections.abc
+import math
 
 import attrs
 
 from toucanhold.backends import client
-from toucanhold.configuration import holder, inventory, rules
+from toucanhold.configuration import holder, inventory, rules, snapshot
 from toucanhold.observing import view
 from toucanhold.planning import plan
 
@@ -15,71 +16,154 @@
     """A backend server that may serve a request.
 
     :ivar vm: the VM that takes the request: rank 0 of a group, or a plain service's VM
-    :ivar group: the whole group; None for a plain service
     :ivar report: the latest report of ``vm``
+    :ivar group: the whole group; None for a plain service
+    :ivar fresh_until_s: when the oldest report that it rests on ceases to count
     """
 
     vm: inventory.Vm
     report: client.Report
     group: plan.Group | None = None
+    fresh_until_s: float = math.inf
+
+
+@attrs.frozen
+class _Place:
+    """A group of the plan or a plain service's VM, whatever its reports say."""
+
+    head: inventory.Vm
+    members: tuple[inventory.Vm, ...]
+    group: plan.Group | None
+
+
+@attrs.define(eq=False)
+class _ServicePlaces:
+    """The places of one service and what was found there last.
+
+    :ivar changed: names of heads whose reports have changed since
+    :ivar recheck_s: when the first report ceases to count
+    """
+
+    service: rules.Service
+    places: dict[str, _Place] = attrs.field(factory=dict)
+    changed: set[str] = attrs.field(factory=set)
+    found: dict[str, Candidate] = attrs.field(factory=dict)
+    options: tuple[Candidate, ...] = ()
+    recheck_s: float = -math.inf
+
+
+@attrs.frozen(eq=False)
+class _Basis:
+    """What all places were derived from."""
+
+    configuration: snapshot.Configuration
+    plan_changes: int
+    platform_leaving: frozenset[str]
+
+    def is_same(self, other: "_Basis | None") -> bool:
+        """Tell without comparing configurations, which would cost more than it saves."""
+        return (
+            other is not None
+            and self.configuration is other.configuration
+            and self.plan_changes == other.plan_changes
+            and self.platform_leaving == other.platform_leaving
+        )
 
 
 @attrs.define(eq=False)
 class CandidateFinder:
-    """Filters the plan by what the members themselves report."""
+    """Filters the plan by what the members themselves report.
+
+    What was found is kept, and only places with a new or aged report are looked at again.
+    """
 
     configuration: holder.ConfigurationHolder
     plans: plan.PlanHolder
     view: view.View
+    _basis: _Basis | None = attrs.field(default=None, init=False)
+    _services: dict[str, _ServicePlaces] = attrs.field(factory=dict, init=False)
+    _places_of_vm: dict[str, list[tuple[_ServicePlaces, str]]] = attrs.field(
+        factory=dict, init=False
+    )
+    _distrusted_at_s: dict[str, float] = attrs.field(factory=dict, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Follow the reports."""
+        self.view.subscribe(self._mark_changed)
 
-    def find(self, service: rules.Service, now_s: float) -> list[Candidate]:
+    def find(self, service: rules.Service, now_s: float) -> collections.abc.Sequence[Candidate]:
         """Return all candidates of a service."""
-        vms = self.configuration.current.inventory.by_name()
-        if service.kind is rules.ServiceKind.PLAIN:
-            return list(self._plain(service, vms, now_s))
-        return list(self._groups(service, vms, now_s))
-
-    def _plain(
-        self,
-        service: rules.Service,
-        vms: collections.abc.Mapping[str, inventory.Vm],
-        now_s: float,
-    ) -> collections.abc.Iterator[Candidate]:
+        self._follow_basis()
+        known = self._services.get(service.name)
+        if known is None:
+            return ()
+        if now_s > known.recheck_s:
+            known.recheck_s = math.inf
+            known.changed.update(known.places)
+        if known.changed:
+            for head in known.changed:
+                self._look_again(known, known.places[head], now_s)
+            known.changed.clear()
+            known.options = tuple(known.found.values())
+        return known.options
+
+    def distrust(self, vm: str, now_s: float) -> None:
+        """Hold a VM back until a report that is asked for after ``now_s``."""
+        # Its connection broke: it may have restarted and be cold, and the last report cannot tell.
+        self._distrusted_at_s[vm] = now_s
+        self._mark_changed(vm)
+
+    def _mark_changed(self, vm: str) -> None:
+        for known, head in self._places_of_vm.get(vm, ()):
+            known.changed.add(head)
+
+    def _follow_basis(self) -> None:
+        current = self.configuration.current
+        basis = _Basis(current, self.plans.changes, self.view.platform_leaving)
+        if basis.is_same(self._basis):
+            return
+        self._basis = basis
+        self._services = {each.name: _ServicePlaces(each) for each in current.rules.services}
+        self._places_of_vm = {}
+        vms = current.inventory.by_name()
         for vm in vms.values():
-            if vm.service == service.name and self._may_work(vm):
-                report = self.view.fresh_report(vm.vm, now_s)
-                if report is not None:
-                    yield Candidate(vm, report)
-
-    def _groups(
-        self,
-        service: rules.Service,
-        vms: collections.abc.Mapping[str, inventory.Vm],
-        now_s: float,
-    ) -> collections.abc.Iterator[Candidate]:
+            if vm.service in self._services:
+                self._add_place(vm.service, _Place(vm, (vm,), None))
         for group in self.plans.groups():
-            if group.service != service.name or not self._is_whole(group, service, vms, now_s):
-                continue
-            head = vms[group.members[0]]
-            report = self.view.fresh_report(head.vm, now_s)
-            if report is not None:
-                yield Candidate(head, report, group)
-
-    def _is_whole(
-        self,
-        group: plan.Group,
-        service: rules.Service,
-        vms: collections.abc.Mapping[str, inventory.Vm],
-        now_s: float,
-    ) -> bool:
+            if group.service in self._services and all(name in vms for name in group.members):
+                members = tuple(vms[name] for name in group.members)
+                self._add_place(group.service, _Place(members[0], members, group))
+
+    def _add_place(self, service: str, place: _Place) -> None:
+        known = self._services[service]
+        known.places[place.head.vm] = place
+        for member in place.members:
+            self._places_of_vm.setdefault(member.vm, []).append((known, place.head.vm))
+
+    def _look_again(self, known: _ServicePlaces, place: _Place, now_s: float) -> None:
+        candidate = self._candidate(known.service, place, now_s)
+        if candidate is None:
+            known.found.pop(place.head.vm, None)
+        else:
+            known.found[place.head.vm] = candidate
+            known.recheck_s = min(known.recheck_s, candidate.fresh_until_s)
+
+    def _candidate(self, service: rules.Service, place: _Place, now_s: float) -> Candidate | None:
+        if place.group is not None and not self._is_whole(place.group, service, now_s):
+            return None
+        if not all(self._may_work(member, now_s) for member in place.members):
+            return None
+        asked_at_s = min(self.view.observation(vm.vm).asked_at_s for vm in place.members)
+        report = self.view.observation(place.head.vm).report
+        return Candidate(place.head, report, place.group, asked_at_s + view.FRESH_S)
+
+    def _is_whole(self, group: plan.Group, service: rules.Service, now_s: float) -> bool:
         # The plan says who should serve, an order that was sent says nothing: only the members'
         # own fresh and equal reports show that the group exists. Without this a group that lost a
         # member, or that an old planner's order took apart, would get requests it cannot serve.
         if self.view.is_ended(*group.place):
             return False
         for member in group.members:
-            if member not in vms or not self._may_work(vms[member]):
-                return False
             report = self.view.fresh_report(member, now_s)
             if report is None or report.loading:
                 return False
@@ -92,6 +176,11 @@
                 return False
         return True
 
-    def _may_work(self, vm: inventory.Vm) -> bool:
+    def _may_work(self, vm: inventory.Vm, now_s: float) -> bool:
         zones_out = self.configuration.current.zones_out
-        return vm.availability_zone not in zones_out and not self.view.is_leaving(vm.vm)
+        if vm.availability_zone in zones_out or self.view.is_leaving(vm.vm):
+            return False
+        if self.view.fresh_report(vm.vm, now_s) is None:
+            return False
+        distrusted_at_s = self._distrusted_at_s.get(vm.vm, -math.inf)
+        return self.view.observation(vm.vm).asked_at_s > distrusted_at_s
--- a/toucanhold/routing/dispatch.py
+++ b/toucanhold/routing/dispatch.py
@@ -49,6 +49,7 @@
     """Serves requests of all kinds."""
 
     admission: gate.AdmissionPolicy
+    finder: candidates.CandidateFinder
     backends: client.BackendClient
 
     @contextlib.asynccontextmanager
@@ -93,30 +94,40 @@
         avoid: frozenset[str],
         stack: contextlib.AsyncExitStack,
     ) -> Answer:
-        chosen = await stack.enter_async_context(self.admission.place(request, avoid))
+        placement = await stack.enter_async_context(self.admission.place(request, avoid))
+        chosen = placement.candidate
         _log_routed(request, chosen)
-        forwarded = _forwarded(request, chosen)
+        forwarded = _forwarded(request, placement)
         try:
             response = await stack.enter_async_context(
                 self.backends.forward(chosen.vm.address, forwarded)
             )
             if response.status == 409 and chosen.group is not None:
                 # The engine's group or generation is not the planned one: it did not run.
+                placement.finished = True
                 raise _RetryableError(chosen.vm.vm, _did_not_run("the group has changed"))
             if request.stream and response.status == 200:
-                return Answer(200, _passed_on(response.headers), _stream(request, response))
+                return Answer(
+                    200, _passed_on(response.headers), _stream(request, response, placement)
+                )
             body = await _read_whole(response)
         except client.NotSentError as error:
+            placement.finished = True
+            self.finder.distrust(chosen.vm.vm, trio.current_time())
             raise _RetryableError(chosen.vm.vm, _did_not_run(str(error))) from error
         except client.BackendError as error:
+            self.finder.distrust(chosen.vm.vm, trio.current_time())
             lost = _lost(request, str(error))
             raise (_RetryableError(chosen.vm.vm, lost) if request.may_repeat else lost) from error
+        placement.finished = True
         _log_finished(request, chosen, response.status)
         return Answer(response.status, _passed_on(response.headers), _once(body))
 
 
 async def _stream(
-    request: requests.CallerRequest, response: client.ForwardedResponse
+    request: requests.CallerRequest,
+    response: client.ForwardedResponse,
+    placement: gate.Placement,
 ) -> collections.abc.AsyncIterator[bytes]:
     splitter = sse.EventSplitter()
     try:
@@ -124,6 +135,7 @@
             for event in splitter.feed(chunk):
                 yield event.raw
                 if event.is_end:
+                    placement.finished = True
                     return
     except (client.BackendError, sse.FramingError) as error:
         raise _lost(request, str(error)) from error
@@ -145,8 +157,10 @@
 
 
 def _forwarded(
-    request: requests.CallerRequest, chosen: candidates.Candidate
+    request: requests.CallerRequest, placement: gate.Placement
 ) -> client.ForwardedRequest:
+    chosen = placement.candidate
+    warm = chosen.report.warmth is client.Warmth.WARM
     headers = list(request.headers)
     if chosen.group is not None:
         headers += [
@@ -163,6 +177,9 @@
         request.request_id,
         max(0.001, request.deadline_s - trio.current_time()),
         fresh_connection=not request.may_repeat,
+        boot_id=chosen.report.boot_id,
+        warm_only=warm,
+        guard=None if warm else placement.may_send,
     )
 
 
--- a/toucanhold/routing/gate.py
+++ b/toucanhold/routing/gate.py
@@ -6,20 +6,37 @@
 import attrs
 import trio
 
-from toucanhold.routing import candidates, choice, requests
+from toucanhold.routing import candidates, choice, cold, requests, room
 
 MAX_WAITING = 64
 RECHECK_INTERVAL_S = 0.02
 FULL_RETRY_AFTER_S = 1.0
 
 
+@attrs.define(eq=False)
+class Placement:
+    """Room for one request on a backend server.
+
+    :ivar finished: whether the backend server has certainly ended its work on the request
+    """
+
+    candidate: candidates.Candidate
+    _request: requests.CallerRequest
+    _room: room.RoomPolicy
+    finished: bool = False
+
+    def may_send(self) -> bool:
+        """Tell whether the request may still be sent there."""
+        return self._room.may_send(self._request.service, self.candidate)
+
+
 class AdmissionPolicy(abc.ABC):
     """Gives each admitted request one backend server."""
 
     @abc.abstractmethod
     def place(
         self, request: requests.CallerRequest, avoid: frozenset[str]
-    ) -> contextlib.AbstractAsyncContextManager[candidates.Candidate]:
+    ) -> contextlib.AbstractAsyncContextManager[Placement]:
         """Hold room on a backend server while the context is open.
 
         :param avoid: VMs that this request has failed on
@@ -33,17 +50,22 @@
 
     finder: candidates.CandidateFinder
     policy: choice.ChoicePolicy
-    in_flight: choice.InFlight
+    in_flight: room.InFlight
+    room: room.RoomPolicy
+    cold: cold.ColdPolicy
     _waiting: int = attrs.field(default=0, init=False)
 
     @contextlib.asynccontextmanager
     async def place(self, request: requests.CallerRequest, avoid: frozenset[str]):
         """See :class:`AdmissionPolicy`."""
         chosen = await self._wait_for_room(request, avoid)
+        placement = Placement(chosen, request, self.room)
         try:
-            yield chosen
+            yield placement
         finally:
             self.in_flight.remove(chosen.vm.vm)
+            if not placement.finished:
+                self.cold.note_unclean_end(chosen.vm.vm, chosen.report.boot_id)
 
     async def _wait_for_room(
         self, request: requests.CallerRequest, avoid: frozenset[str]
@@ -69,7 +91,7 @@
         if not options:
             raise _refusal(f"no backend server serves {request.service.name!r} now")
         preferred = [option for option in options if option.vm.vm not in avoid]
-        return self.policy.choose(request.service, preferred or options)
+        return self.policy.choose(request, preferred or options)
 
 
 def _refusal(detail: str) -> requests.RequestError:
--- /dev/null
+++ b/toucanhold/routing/router.py
@@ -0,0 +1,89 @@
+"""An entry's routing: its components, built to fit each other."""
+
+import collections.abc
+import random
+
+import attrs
+import trio
+
+from toucanhold.backends import client
+from toucanhold.configuration import holder
+from toucanhold.observing import view
+from toucanhold.planning import plan
+from toucanhold.platform import keyvalue
+from toucanhold.routing import candidates, choice, cold, dispatch, gate, room, slots
+
+
+@attrs.frozen
+class Surroundings:
+    """What routing rests on.
+
+    :ivar entry: this entry's name
+    :ivar availability_zone: where this entry runs
+    :ivar entries: returns the names of all entries that serve
+    :ivar max_in_flight: most requests that this entry has in flight
+    """
+
+    entry: str
+    availability_zone: str
+    configuration: holder.ConfigurationHolder
+    plans: plan.PlanHolder
+    view: view.View
+    platform: keyvalue.KeyValueClient
+    backends: client.BackendClient
+    entries: collections.abc.Callable[[], collections.abc.Sequence[str]]
+    rng: random.Random
+    max_in_flight: int = 2000
+
+
+@attrs.frozen
+class Router:
+    """The components of routing."""
+
+    slots: slots.LeasedSlots
+    in_flight: room.InFlight
+    finder: candidates.CandidateFinder
+    cold: cold.ColdPolicy
+    room: room.RoomPolicy
+    choice: choice.ChoicePolicy
+    admission: gate.AdmissionPolicy
+    dispatcher: dispatch.Dispatcher
+
+    async def run(self) -> None:
+        """Do the background work until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.slots.run)
+
+    async def release(self) -> None:
+        """Give back what this entry holds; nothing may be in flight any more."""
+        await self.slots.release()
+
+
+def chosen(around: Surroundings) -> Router:
+    """Return routing with the chosen policies."""
+    leased = _leased_slots(around)
+    in_flight = room.InFlight()
+    finder = candidates.CandidateFinder(around.configuration, around.plans, around.view)
+    shares = cold.SlotShares(leased, around.view)
+    limits = room.EstimatedRoom(in_flight, shares, around.view, lambda: len(around.entries()))
+    policy = choice.LeastLoaded(limits, around.rng)
+    admission = gate.PlainQueue(finder, policy, in_flight, limits, shares)
+    dispatcher = dispatch.Dispatcher(admission, finder, around.backends)
+    return Router(leased, in_flight, finder, shares, limits, policy, admission, dispatcher)
+
+
+def baseline(around: Surroundings) -> Router:
+    """Return routing with the baseline of each policy, for measurements side by side."""
+    leased = _leased_slots(around)
+    in_flight = room.InFlight()
+    finder = candidates.CandidateFinder(around.configuration, around.plans, around.view)
+    whole = cold.WholeLimit()
+    limits = room.ReportedRoom(in_flight, whole)
+    policy = choice.RoundRobin(limits)
+    admission = gate.PlainQueue(finder, policy, in_flight, limits, whole)
+    dispatcher = dispatch.Dispatcher(admission, finder, around.backends)
+    return Router(leased, in_flight, finder, whole, limits, policy, admission, dispatcher)
+
+
+def _leased_slots(around: Surroundings) -> slots.LeasedSlots:
+    return slots.LeasedSlots(around.platform, around.entry, around.entries, around.rng)
