Let a stopping entry go from the directory first and cut nothing

A planned stop released the entry's own key, and the renewal task wrote it again a second later; a second SIGTERM was raised anew at the end and turned exit status 0 into death by signal; a keep-alive connection held callers to a listener that was about to close. Now a released key stays released, signals are taken until the end, answers during a stop carry "connection: close", the planner lease is let go at the start of the stop, and outcomes of orders are stored before its end.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -69,6 +69,10 @@
         process.kill()
         await process.wait()
 
+    def terminate(self, name: str) -> None:
+        """Ask a process to stop; see :meth:`stop`, which may ask once more."""
+        self._running[name].terminate()
+
     async def stop(self, name: str) -> int:
         """Ask a process to stop and return its exit status."""
         process = self._running.pop(name)
--- a/toucanhold/application.py
+++ b/toucanhold/application.py
@@ -17,8 +17,12 @@
 
     async def run(self) -> None:
         """Run until a stop signal, or until the application itself wants to stop."""
+        asked_to_stop = trio.Event()
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            await self.run_until(functools.partial(self._wait_for_stop, signals))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_take_signals, signals, asked_to_stop)
+                await self.run_until(functools.partial(self._wait_for_stop, asked_to_stop))
+                nursery.cancel_scope.cancel()
 
     async def run_until(
         self, wait_for_stop: collections.abc.Callable[[], collections.abc.Awaitable[None]]
@@ -51,14 +55,21 @@
     async def wait_stop_requested(self) -> None:
         """Return when the application itself wants to stop."""
 
-    async def _wait_for_stop(self, signals) -> None:
+    async def _wait_for_stop(self, asked_to_stop: trio.Event) -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._cancel_on_request, nursery.cancel_scope)
-            async for number in signals:
-                LOGGER.debug("signal %s", number)
-                nursery.cancel_scope.cancel()
-                return
+            await asked_to_stop.wait()
+            nursery.cancel_scope.cancel()
 
     async def _cancel_on_request(self, scope: trio.CancelScope) -> None:
         await self.wait_stop_requested()
         scope.cancel()
+
+
+async def _take_signals(signals, asked_to_stop: trio.Event) -> None:
+    # All signals are taken, until the end. One that is left over when the receiver is closed would
+    # be raised again with its default effect: a graceful stop that was asked for twice would end
+    # the process by the signal and not with exit status 0.
+    async for number in signals:
+        LOGGER.debug("signal %s", number)
+        asked_to_stop.set()
--- a/toucanhold/callers/app.py
+++ b/toucanhold/callers/app.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+import urllib.parse
 import uuid
 
 import attrs
@@ -45,6 +46,7 @@
     default_timeout_s: float
     max_timeout_s: float
     order_keys: order_keys.OrderKeys = attrs.field(init=False)
+    stopping: bool = attrs.field(default=False, init=False)
     in_flight: int = attrs.field(default=0, init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -61,16 +63,18 @@
             )
             self.in_flight += 1
             try:
-                await self._handle(scope, receive, timed)
+                answering = _closing(timed) if self.stopping else timed
+                await self._handle(scope, receive, answering)
             finally:
                 self.in_flight -= 1
                 timed.finish()
 
+    def begin_stop(self) -> None:
+        """Go on serving, but have callers leave: a planned stop has begun."""
+        self.stopping = self.order_keys.closed = True
+
     async def _handle(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
-        path = scope["path"]
-        if path == ADDRESSES_PATH and scope["method"] == "GET":
-            await asgi.respond_json(send, 200, self.directory.answer())
-        elif path == MODELS_PATH and scope["method"] == "GET":
+        if (scope["path"], scope["method"]) == (MODELS_PATH, "GET"):
             await asgi.respond_json(send, 200, self._models())
         else:
             await self._serve(scope, receive, send)
@@ -78,7 +82,10 @@
     async def _serve(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         request_id = uuid.uuid4().hex
         try:
-            if scope["path"] == ORDER_KEYS_PATH and scope["method"] == "POST":
+            if (scope["path"], scope["method"]) == (ADDRESSES_PATH, "GET"):
+                await asgi.respond_json(send, 200, self._addresses(scope))
+                return
+            if (scope["path"], scope["method"]) == (ORDER_KEYS_PATH, "POST"):
                 answer = await self.order_keys.answer(receive, _workspace(scope))
                 await asgi.respond_json(send, 201, answer)
                 return
@@ -223,6 +230,17 @@
                 return service
         raise _refused(requests.Problem.UNKNOWN_SERVICE, f"no {kind.value} service {name!r}")
 
+    def _addresses(self, scope: asgi.Scope) -> dict:
+        query = dict(urllib.parse.parse_qsl(scope["query_string"].decode("latin-1")))
+        host, port = scope.get("client") or ("", 0)
+        caller = query.get("caller") or f"{host}:{port}"
+        answer = self.directory.answer(caller, query.get("availability_zone", ""))
+        if not answer["addresses"]:
+            # An empty answer would leave its caller with nobody to ask for as long as it is kept.
+            detail = "no entry is known that takes requests; ask another"
+            raise _refused(requests.Problem.NOT_READY, detail, NOT_READY_RETRY_AFTER_S)
+        return answer
+
     def _models(self) -> dict:
         services = self.configuration.current.rules.services
         models = [
@@ -242,6 +260,16 @@
     return SERVICES_PREFIX if path.startswith(SERVICES_PREFIX) else ""
 
 
+def _closing(send: asgi.Send) -> asgi.Send:
+    # A kept connection would hold its caller to an entry that is about to close its listener.
+    async def send_closing(message: dict) -> None:
+        if message["type"] == "http.response.start":
+            message = message | {"headers": [*message["headers"], (b"connection", b"close")]}
+        await send(message)
+
+    return send_closing
+
+
 def _workspace(scope: asgi.Scope) -> str:
     return asgi.header(scope, "toucanhold-workspace") or DEFAULT_WORKSPACE
 
--- a/toucanhold/entry.py
+++ b/toucanhold/entry.py
@@ -25,6 +25,9 @@
 
 PLANNER_LEASE_TTL_S = 4
 VM_LIST_INTERVAL_S = 1.0
+STORE_OUTCOMES_LIMIT_S = 30.0
+# Callers count the time from when an answer reached them.
+LATE_CALLERS_S = 0.5
 
 LOGGER = logging.getLogger(__name__)
 
@@ -90,14 +93,20 @@
         """See :class:`application.Application`."""
         events.log(LOGGER, events.Event.ENTRY_STOPPING, in_flight=self.callers.in_flight)
         self.roster.set_own_state(roster.EntryState.STOPPING)
+        self.callers.begin_stop()
         self.revisions.announce()
-        await self.entry_lease.release()
-        # Callers keep old answers of the directory and go on coming for that long.
-        await trio.sleep(self.settings.directory_keep_s)
+        async with trio.open_nursery() as nursery:
+            # Another entry takes over planning at once, not after the last stream has ended.
+            nursery.start_soon(self.planner_lease.release)
+            nursery.start_soon(self.entry_lease.release)
+            # Callers keep old answers of the directory and go on coming for that long.
+            nursery.start_soon(trio.sleep, self.settings.directory_keep_s + LATE_CALLERS_S)
         self._stop_serving.set()
         await self._all_served.wait()
+        unstored = await self.orders.finish(STORE_OUTCOMES_LIMIT_S)
+        if unstored:
+            events.log(LOGGER, events.Event.OUTCOMES_LOST, count=unstored)
         await self.router.release()
-        await self.planner_lease.release()
 
     async def clean_up(self) -> None:
         """See :class:`application.Application`."""
@@ -213,7 +222,7 @@
             self.configuration,
             self.router.dispatcher,
             self.orders,
-            directory.Directory(self.roster, own.directory_keep_s),
+            self._new_directory(),
             self.metrics,
             own.body_limit_bytes,
             own.default_timeout_s,
@@ -245,6 +254,16 @@
             own.operator_token,
         )
 
+    def _new_directory(self) -> directory.Directory:
+        return directory.Directory(
+            self.roster,
+            self.facts,
+            self.settings.directory_keep_s,
+            self.exchange.connected,
+            lambda: self.configuration.current.number > 0,
+            self.rng,
+        )
+
     async def _serve(self, nursery: trio.Nursery, app, address: str) -> None:
         self._servers_left += 1
         await nursery.start(self._serve_until_stop, app, address)
--- a/toucanhold/events.py
+++ b/toucanhold/events.py
@@ -45,6 +45,7 @@
     PEER_CUT = (7004, logging.WARNING, "a peer that reads too slowly was cut off")
     PEER_MESSAGE_FAILED = (7005, logging.ERROR, "a message from a peer could not be handled")
     OUTCOME_STORED = (8001, logging.INFO, "an order's outcome was stored or its claim released")
+    OUTCOMES_LOST = (8004, logging.ERROR, "a planned stop could not store some orders' outcomes")
     ISSUED_KEY_USED = (8003, logging.INFO, "an order under a key of this entry has ended")
     CLAIM_RELEASED = (8002, logging.INFO, "a claim that nobody sent under was released")
 
--- a/toucanhold/platform/lease.py
+++ b/toucanhold/platform/lease.py
@@ -28,6 +28,7 @@
     fencing: int = 0
     _lease: int = attrs.field(default=0, init=False)
     _valid_until_s: float = attrs.field(default=float("-inf"), init=False)
+    _released: bool = attrs.field(default=False, init=False)
 
     def is_held(self) -> bool:
         """Tell whether the lease certainly still runs."""
@@ -40,8 +41,8 @@
         return self._valid_until_s - trio.current_time() if self.fencing else float("-inf")
 
     async def run(self) -> None:
-        """Acquire, renew and acquire again until cancelled."""
-        while True:
+        """Acquire, renew and acquire again until cancelled or released."""
+        while not self._released:
             try:
                 if self.is_held():
                     await self._renew()
@@ -49,10 +50,16 @@
                     await self._acquire()
             except keyvalue.KeyValueError as error:
                 LOGGER.debug("lease on %s: %s", self.key, error)
+            if self._released:
+                # A key that was acquired while it was being released would stand until its time
+                # runs out: callers would be sent to an entry that stops, and no planner elected.
+                await self.release()
+                return
             await trio.sleep(self.ttl_s / 4 * self.rng.uniform(0.8, 1.2))
 
     async def release(self) -> None:
-        """Let the key go, best effort."""
+        """Let the key go for good, best effort."""
+        self._released = True
         lease, self._lease, self.fencing = self._lease, 0, 0
         if lease:
             try:
