--- a/toucanhold/backends/http.py
+++ b/toucanhold/backends/http.py
@@ -154,6 +154,8 @@
     if status != 200:
         raise client.BackendError(f"{address}: load report: HTTP status {status}")
     try:
+        # A newer server reports more than is known here; to refuse its report would take a healthy
+        # server out of service.
         return codec.from_json(body, client.Report)
     except codec.CodecError as error:
         raise client.BackendError(f"{address}: load report: {error}") from error
--- a/toucanhold/codec.py
+++ b/toucanhold/codec.py
@@ -24,14 +24,22 @@
 
 
 def from_json(data: bytes, kind: type[T]) -> T:
-    """Decode JSON into ``kind``.
+    """Decode what a program wrote; fields that ``kind`` does not have are passed over.
+
+    While entries are replaced one after another, older ones read what newer ones write. To refuse
+    a record for a field too many would stop the older ones.
 
     :raises CodecError: on malformed JSON or a wrong shape
     """
-    try:
-        return from_plain(json.loads(data), kind)
-    except (ValueError, RecursionError) as error:
-        raise CodecError(f"not valid JSON: {error}") from error
+    return from_plain_tolerant(_load(data), kind)
+
+
+def from_json_strict(data: bytes, kind: type[T]) -> T:
+    """Decode what a person wrote: an unknown field is a mistake, such as a misspelt one.
+
+    :raises CodecError: on malformed JSON or a wrong shape
+    """
+    return from_plain(_load(data), kind)
 
 
 def from_plain(value: object, kind: type[T]) -> T:
@@ -75,6 +83,13 @@
     return tag, plain
 
 
+def _load(data: bytes) -> object:
+    try:
+        return json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise CodecError(f"not valid JSON: {error}") from error
+
+
 def _describe(error: Exception) -> list[str]:
     if isinstance(error, cattrs.BaseValidationError):
         return cattrs.transform_error(error)
--- a/toucanhold/operators/app.py
+++ b/toucanhold/operators/app.py
@@ -127,7 +127,7 @@
 
 async def _read(receive: asgi.Receive, kind: type):
     try:
-        return codec.from_json(await asgi.read_body(receive, BODY_LIMIT_BYTES), kind)
+        return codec.from_json_strict(await asgi.read_body(receive, BODY_LIMIT_BYTES), kind)
     except asgi.BodyTooLargeError as error:
         raise _error(413, "too-large", f"the body exceeds {BODY_LIMIT_BYTES} bytes") from error
     except codec.CodecError as error:
