--- a/standins/processes.py
+++ b/standins/processes.py
@@ -80,6 +80,10 @@
         with trio.fail_after(STOP_TIMEOUT_S):
             return await process.wait()
 
+    def pid(self, name: str) -> int:
+        """Return a process's id."""
+        return self._running[name].pid
+
     def is_running(self, name: str) -> bool:
         """Tell whether a process is there."""
         return name in self._running and self._running[name].poll() is None
--- a/standins/site.py
+++ b/standins/site.py
@@ -60,6 +60,7 @@
     :ivar engine_options: further words for the engine stand-ins
     :ivar service_options: further words for the service stand-ins
     :ivar entry_variables: further environment variables of entries
+    :ivar one_process: run all engines in one process; such a site has no plain services
     """
 
     group: processes.ProcessGroup
@@ -69,12 +70,16 @@
     engine_options: tuple[str, ...] = ()
     service_options: tuple[str, ...] = ()
     entry_variables: dict[str, str] = attrs.field(factory=dict)
+    one_process: bool = False
 
     async def start(self) -> None:
         """Start everything and wait until it listens."""
         await self.start_keyvalue()
-        for vm in self.vms:
-            await self.start_vm(vm.vm)
+        if self.one_process:
+            await self._start_engines_together()
+        else:
+            for vm in self.vms:
+                await self.start_vm(vm.vm)
         for each in self.entries:
             await self.start_entry(each.entry)
         for vm in self.vms:
@@ -97,6 +102,12 @@
         words = ["standins", kind, "--vm", vm.vm, "--address", vm.address, *options]
         await self.group.start(vm.vm, words)
 
+    async def _start_engines_together(self) -> None:
+        words = ["standins", "engine", *self.engine_options]
+        for vm in self.vms:
+            words += ["--server", f"{vm.vm}={vm.address}"]
+        await self.group.start("engines", words)
+
     async def start_entry(self, name: str) -> None:
         """Start an entry."""
         await self.group.start(name, ["toucanhold", "entry"], self.variables_of(name))
--- a/tests/test_snapshot.py
+++ b/tests/test_snapshot.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from tools import capacity
+from tools.capacity import state
 from toucanhold import codec
 from toucanhold.configuration import snapshot
 
@@ -14,7 +14,7 @@
 
 class MergeTest(unittest.TestCase):
     def setUp(self):
-        self.configuration = capacity.sample_configuration(50)
+        self.configuration = state.sample_configuration(50)
 
     def test_a_change_leaves_the_other_parts_as_they_are(self):
         merged = self.configuration.merged(snapshot.Delta(1, 2, (_out(2, "zone-1"),)))
--- a/tools/capacity.py
+++ b/tools/capacity/state.py
@@ -1,20 +1,15 @@
-"""Measures slopes on one machine and works out the two-year size: ``python -m tools.capacity``.
-
-Each slope is a least-squares line through four sizes; its fit (R²) shows whether it is a line.
-"""
+"""What an entry's state costs, by the number of VMs."""
 
 import collections.abc
 import gc
 import random
-import statistics
-import sys
 import time
 import tracemalloc
 import typing
 
 import attrs
 
-from tools.measure import table
+from tools.capacity import slopes
 from toucanhold import codec
 from toucanhold.backends import client
 from toucanhold.configuration import document, inventory, rules, snapshot
@@ -23,61 +18,11 @@
 from toucanhold.planning import plan
 
 SIZES = (500, 1000, 2000, 4000)
-REPEATS = 5
 ZONES = 11
 VMS_PER_DOMAIN = 64
 VMS_PER_REPLICA = 8
 SERVICES = 20
 
-TWO_YEAR_VMS = 12_000
-TWO_YEAR_ENTRIES = 390
-TWO_YEAR_CHANGES_PER_S = 47_000 / 86_400
-# 3,200 VMs are restarted or replaced and 71 fail in a day; each shows as several new reports.
-TWO_YEAR_RESTARTS_PER_S = (3_200 + 71) / 86_400
-
-
-@attrs.frozen
-class Slope:
-    """A line through measured points.
-
-    :ivar fit: coefficient of determination; 1 for points on a line
-    """
-
-    name: str
-    unit: str
-    per_item: float
-    offset: float
-    fit: float
-
-    def at(self, size: float) -> float:
-        """Return the value that the line gives at ``size``."""
-        return self.offset + self.per_item * size
-
-
-Measured = collections.abc.Callable[[int], float]
-
-
-def main() -> int:
-    """Measure, and print slopes and what they give at the two-year size."""
-    slopes = [fit(name, unit, measured) for name, unit, measured in MEASUREMENTS]
-    rows = [
-        (each.name, each.unit, each.per_item, each.offset, each.fit, each.at(TWO_YEAR_VMS))
-        for each in slopes
-    ]
-    titles = ("what", "unit", "per VM", "offset", "R2", f"at {TWO_YEAR_VMS} VMs")
-    note = f"Sizes {SIZES}; median of {REPEATS} runs each."
-    print(table.to_markdown(table.Table("Slopes", titles, tuple(rows), note)))
-    return 0
-
-
-def fit(name: str, unit: str, measured: Measured) -> Slope:
-    """Measure at all sizes and return the line."""
-    points = [(size, statistics.median(measured(size) for _ in range(REPEATS))) for size in SIZES]
-    sizes, values = zip(*points, strict=True)
-    line = statistics.linear_regression(sizes, values)
-    correlation = statistics.correlation(sizes, values) if len(set(values)) > 1 else 1.0
-    return Slope(name, unit, line.slope, line.intercept, correlation**2)
-
 
 def sample_document(vms: int) -> document.Document:
     """Return inventory and rules of a fleet with ``vms`` VMs."""
@@ -196,7 +141,7 @@
     return _cpu_ms(lambda: [codec.from_json(body, roster.Member) for body in bodies])
 
 
-MEASUREMENTS: tuple[tuple[str, str, Measured], ...] = (
+MEASUREMENTS: tuple[tuple[str, str, slopes.Measured], ...] = (
     ("configuration in the key-value service", "bytes", configuration_bytes),
     ("largest value", "bytes", largest_part_bytes),
     ("configuration, decoded", "KB", configuration_memory_kb),
@@ -263,7 +208,3 @@
     started_s = time.process_time()
     action()
     return (time.process_time() - started_s) * 1e3
-
-
-if __name__ == "__main__":
-    sys.exit(main())
