Spread replicas over availability zones and preview what a change would bring

FirstFit gave VMs out in name order: a service's replicas could all stand in one availability zone, an important service stayed down while lesser ones served, and a version change ended every group at once. Spreading keeps healthy groups and fills by importance; a more important service may take a lesser one's place, never an equal one's. A lost member is replaced where fewest models must be loaded. Groups of an availability zone that is out are kept, so its return loads nothing; the groups that replaced them go only when the returned ones are warm. Moves for the sake of spread begin when VMs have been settled for 60 s, and a new version serves before the old one leaves where there is room.

GET /operators/v1/preview?without=ZONE and POST /operators/v1/preview with a document are dry runs.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -22,11 +22,33 @@
     SILENT = "silent"
 
 
+@attrs.define(eq=False)
+class WeightStore:
+    """Gives weights to all engines together at a fixed rate.
+
+    :ivar full_rate_loads: loads at once that each get their full rate
+    """
+
+    full_rate_loads: int = 1_000_000
+    _ends_s: list[float] = attrs.field(factory=list)
+    loads: int = 0
+
+    def load(self, load_s: float) -> float:
+        """Begin a load and return when it ends."""
+        now_s = trio.current_time()
+        self._ends_s = [end_s for end_s in self._ends_s if end_s > now_s]
+        self.loads += 1
+        slowdown = max(1.0, (len(self._ends_s) + 1) / self.full_rate_loads)
+        self._ends_s.append(now_s + load_s * slowdown)
+        return self._ends_s[-1]
+
+
 @attrs.define(eq=False)
 class MemoryEngine:
     """One engine.
 
     :ivar load_s: time to load a model's weights
+    :ivar store: where it loads them from
     :ivar running: requests that it claims to run
     :ivar lost_answers: number of coming orders that it obeys without an answer
     :ivar order_delay_s: time that an order spends on its way, longer than its sender waits
@@ -35,6 +57,7 @@
 
     vm: inventory.Vm
     load_s: float = 1.0
+    store: WeightStore = attrs.field(factory=WeightStore)
     mode: Mode = Mode.UP
     running: int = 0
     leaving: bool = False
@@ -81,7 +104,7 @@
             return
         wanted = (order.model, order.version)
         if wanted != self.weights:
-            self._loaded_at_s = trio.current_time() + self.load_s
+            self._loaded_at_s = self.store.load(self.load_s)
         self.place, self.weights = order, wanted
 
     def restart(self) -> None:
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -24,6 +24,8 @@
             answer = await site.operate("entry-1", "PUT", "document", body)
             self.assertEqual(200, answer.status, answer.body)
             await site.wait_status("entry-0", lambda seen: _serving(seen, SERVICE) == 2)
+            seen = await site.operate("entry-0", "GET", "preview?without=zone-a")
+            self.assertTrue(seen.json()["falls_short"], seen.body)
             answer = await self._chat(site.entries[0].callers)
             self.assertEqual(200, answer.status, answer.body)
             self.assertTrue(answer.body.endswith(b"data: [DONE]\n\n"), answer.body)
--- a/tools/measure/__main__.py
+++ b/tools/measure/__main__.py
@@ -13,7 +13,7 @@
 import tools.measure
 from tools.measure import table
 
-NOT_MEASUREMENTS = ("__main__", "table")
+NOT_MEASUREMENTS = ("__main__", "sites", "table")
 
 
 class MeasureCommand(cleo.commands.command.Command):
--- /dev/null
+++ b/tools/measure/planning.py
@@ -0,0 +1,292 @@
+"""Group downtime, stranded accelerators and moves, chosen placement beside first fit."""
+
+import collections
+import logging
+import random
+import statistics
+import time
+import tracemalloc
+
+import attrs
+import trio
+import trio.testing
+
+from standins import fleet, memory, planners
+from tools.measure import sites, table
+from toucanhold.backends import client
+from toucanhold.configuration import holder, rules
+from toucanhold.observing import view
+from toucanhold.planning import facts, placement, plan, spreading
+
+SEEDS = 3
+DURATION_S = 2400.0
+SAMPLE_S = 0.5
+LOAD_S = 20.0
+FULL_RATE_LOADS = 8
+WARM_UP_S = 120.0
+FAILURE_INTERVAL_S = 75.0
+ZONE_OUT_S = (600.0, 1200.0)
+DARK_S = (1700.0, 1940.0)
+DECISION_SIZES = (100, 1_000, 12_000)
+POLICIES: dict[str, type[placement.PlacementPolicy]] = {
+    "first fit": placement.FirstFit,
+    "spreading": spreading.Spreading,
+}
+
+
+@attrs.define(eq=False)
+class Tally:
+    """What one run adds up to.
+
+    :ivar down_s: group-seconds not serving against wanted, by service
+    :ivar stranded_s: accelerator-seconds on healthy VMs outside any serving group
+    :ivar unavoidable_s: the part of it that no wanted group could use
+    """
+
+    down_s: collections.Counter = attrs.field(factory=collections.Counter)
+    zone_down_s: float = 0.0
+    stranded_s: float = 0.0
+    unavoidable_s: float = 0.0
+    failures: int = 0
+    joins: int = 0
+    loads: int = 0
+
+
+@attrs.define(eq=False)
+class Run:
+    """One site under failures, the zone's absence and the dark fabric domain."""
+
+    site: sites.Site
+    policy: placement.PlacementPolicy
+    rng: random.Random
+    tally: Tally = attrs.field(factory=Tally)
+    zone_out: str = ""
+
+    async def run(self) -> Tally:
+        """Run on the test clock."""
+        async with trio.open_nursery() as nursery:
+            store = fleet.WeightStore(FULL_RATE_LOADS)
+            configuration = self.site.configuration(max_loading_vms=FULL_RATE_LOADS)
+            engines = fleet.new_fleet(self.site.vms(), nursery, load_s=LOAD_S, store=store)
+            node = planners.new_node(
+                "entry-0", memory.MemoryPlatform(), engines, configuration, self.policy
+            )
+            nursery.start_soon(node.run)
+            await trio.sleep(WARM_UP_S)
+            before = self._joins(engines), store.loads
+            nursery.start_soon(self._fail_vms, list(engines.engines.values()))
+            nursery.start_soon(self._take_zone_out, node)
+            nursery.start_soon(self._darken, list(engines.engines.values()))
+            await self._sample(node, list(engines.engines.values()))
+            self.tally.joins = self._joins(engines) - before[0]
+            self.tally.loads = store.loads - before[1]
+            nursery.cancel_scope.cancel()
+        return self.tally
+
+    async def _sample(self, node: planners.Node, engines: list) -> None:
+        until_s = trio.current_time() + DURATION_S
+        while trio.current_time() < until_s:
+            await trio.sleep(SAMPLE_S)
+            serving = node.whole_groups()
+            self._count_downtime(serving)
+            self._count_stranded(serving, engines)
+
+    def _count_downtime(self, serving: list[plan.Group]) -> None:
+        counts = collections.Counter(group.service for group in serving)
+        for service in self.site.services:
+            missing = max(0, service.replicas - counts[service.name])
+            self.tally.down_s[service.name] += missing * SAMPLE_S
+            if self.zone_out:
+                self.tally.zone_down_s += missing * SAMPLE_S
+
+    def _count_stranded(self, serving: list[plan.Group], engines: list) -> None:
+        used = {member for group in serving for member in group.members}
+        healthy = [
+            engine
+            for engine in engines
+            if engine.mode is fleet.Mode.UP and engine.vm.availability_zone != self.zone_out
+        ]
+        idle = sum(each.vm.accelerators for each in healthy if each.vm.vm not in used)
+        wanted = sum(each.replicas * each.vms_per_replica for each in self.site.services)
+        sizes = sorted((each.vm.accelerators for each in healthy), reverse=True)
+        self.tally.stranded_s += idle * SAMPLE_S
+        self.tally.unavoidable_s += sum(sizes[wanted:]) * SAMPLE_S
+
+    async def _fail_vms(self, engines: list[fleet.MemoryEngine]) -> None:
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(self.rng.expovariate(1 / FAILURE_INTERVAL_S))
+                up = [engine for engine in engines if engine.mode is fleet.Mode.UP]
+                self.tally.failures += 1
+                nursery.start_soon(self._fail, self.rng.choice(up))
+
+    async def _fail(self, engine: fleet.MemoryEngine) -> None:
+        kind = self.rng.random()
+        if kind < 0.5:
+            engine.mode = fleet.Mode.REFUSING
+            await trio.sleep(self.rng.uniform(10, 60))
+            engine.restart()
+        elif kind < 0.75:
+            engine.mode = fleet.Mode.SILENT
+            await trio.sleep(self.rng.uniform(0.5, 12))
+            engine.mode = fleet.Mode.UP
+        else:
+            engine.mode = fleet.Mode.SILENT
+            await trio.sleep(self.rng.uniform(120, 600))
+            engine.restart()
+
+    async def _take_zone_out(self, node: planners.Node) -> None:
+        await trio.sleep(ZONE_OUT_S[0])
+        self.zone_out = "zone-1"
+        _set_zones_out(node, {self.zone_out})
+        await trio.sleep(ZONE_OUT_S[1] - ZONE_OUT_S[0])
+        self.zone_out = ""
+        _set_zones_out(node, set())
+
+    async def _darken(self, engines: list[fleet.MemoryEngine]) -> None:
+        await trio.sleep(DARK_S[0])
+        dark = [engine for engine in engines if engine.vm.fabric_domain == "domain-2-0"]
+        for engine in dark:
+            engine.mode = fleet.Mode.SILENT
+        await trio.sleep(DARK_S[1] - DARK_S[0])
+        for engine in dark:
+            engine.restart()
+
+    def _joins(self, engines: fleet.MemoryFleet) -> int:
+        return sum(
+            isinstance(order, client.JoinOrder)
+            for engine in engines.engines.values()
+            for _, order in engine.history
+        )
+
+
+def run(seed: int) -> list[table.Table]:
+    """Return the tables of both sites and of the decision's cost."""
+    logging.disable(logging.CRITICAL)
+    tables = [_site_table(site, seed) for site in sites.ALL]
+    return [*tables, _decision_table()]
+
+
+def tally(site: sites.Site, policy: placement.PlacementPolicy, seed: int) -> Tally:
+    """Return what one run of a site adds up to."""
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(Run(site, policy, random.Random(seed)).run, clock=clock)
+
+
+def _site_table(site: sites.Site, seed: int) -> table.Table:
+    names = [service.name for service in sorted(site.services, key=lambda each: -each.importance)]
+    rows = []
+    for label, policy in POLICIES.items():
+        tallies = [tally(site, policy(), each) for each in range(seed, seed + SEEDS)]
+        rows.append((label, *_row(tallies, names)))
+    columns = (
+        "policy",
+        *(f"{name}_down_s" for name in names),
+        "all_down_s",
+        "zone_out_down_s",
+        "stranded_s",
+        "unavoidable_s",
+        "joins_per_failure",
+        "loads_per_failure",
+    )
+    note = (
+        f"Seeds {seed} to {seed + SEEDS - 1}, mean (least to most). {DURATION_S:.0f} s each: a VM"
+        f" fails every {FAILURE_INTERVAL_S:.0f} s on average, one availability zone is out for"
+        f" {ZONE_OUT_S[1] - ZONE_OUT_S[0]:.0f} s, one fabric domain dark for"
+        f" {DARK_S[1] - DARK_S[0]:.0f} s; a load takes {LOAD_S:.0f} s or more."
+    )
+    return table.Table(f"Placement at {site.name}", columns, tuple(rows), note)
+
+
+def _row(tallies: list[Tally], names: list[str]) -> list[str]:
+    figures = [[each.down_s[name] for each in tallies] for name in names]
+    figures.append([sum(each.down_s.values()) for each in tallies])
+    figures.append([each.zone_down_s for each in tallies])
+    figures.append([each.stranded_s for each in tallies])
+    figures.append([each.unavoidable_s for each in tallies])
+    figures.append([each.joins / each.failures for each in tallies])
+    figures.append([each.loads / each.failures for each in tallies])
+    return [_spread(values) for values in figures]
+
+
+def _spread(values: list[float]) -> str:
+    return f"{statistics.mean(values):.4g} ({min(values):.4g} to {max(values):.4g})"
+
+
+def _decision_table() -> table.Table:
+    rows = []
+    for size in DECISION_SIZES:
+        for label, policy in POLICIES.items():
+            rows.append((size, label, *_decision(size, policy())))
+    columns = ("vms", "policy", "first_ms", "steady_ms", "after_failure_ms", "peak_kb", "facts_ms")
+    note = (
+        "Time of one placement: from nothing, with nothing to do, and after one VM's loss; the"
+        " memory that the first takes at its peak; time to gather the facts. Groups of 8 VMs,"
+        " fabric domains of 16, 11 availability zones."
+    )
+    return table.Table("Cost of a placement decision", columns, tuple(rows), note)
+
+
+def _decision(size: int, policy: placement.PlacementPolicy) -> tuple[float, ...]:
+    vms = planners.new_vms(11, max(1, round(size / 11 / 16)), 16)
+    groups = len(vms) // 8
+    services = [
+        rules.Service(
+            f"s{index}",
+            model="m",
+            version="1",
+            replicas=max(1, int(groups * 0.95) // 10),
+            vms_per_replica=8,
+            importance=index,
+        )
+        for index in range(10)
+    ]
+    configuration = planners.new_configuration(vms, services)
+    seen = {vm.vm: client.Report(vm.vm, "1") for vm in vms}
+    given = placement.PlacementInput(configuration, {}, frozenset(seen), reports=seen)
+    first_s, placed = _timed(policy, given)
+    peak_kb = _peak_kb(policy, given)
+    plans = {each.domain: each for each in placed.changed}
+    steady = attrs.evolve(given, plans=plans)
+    steady_s, _ = _timed(policy, steady)
+    lost = next(iter(plans.values())).groups[0].members[0]
+    failed = attrs.evolve(steady, usable=given.usable - {lost}, lost=frozenset({lost}))
+    failure_s, _ = _timed(policy, failed)
+    facts_s = _facts_s(configuration, placed)
+    return (first_s * 1e3, steady_s * 1e3, failure_s * 1e3, peak_kb, facts_s * 1e3)
+
+
+def _timed(policy: placement.PlacementPolicy, given: placement.PlacementInput):
+    started_s = time.perf_counter()
+    placed = policy.place(given)
+    return time.perf_counter() - started_s, placed
+
+
+def _peak_kb(policy: placement.PlacementPolicy, given: placement.PlacementInput) -> float:
+    tracemalloc.start()
+    policy.place(given)
+    peak_bytes = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    return peak_bytes / 1024
+
+
+def _facts_s(configuration, placed: placement.Placement) -> float:
+    async def gather() -> float:
+        plans, seen = plan.PlanHolder(), view.View()
+        for revision, each in enumerate(placed.changed, 1):
+            plans.apply(plan.VersionedDomainPlan(each, revision))
+        for vm in configuration.inventory.vms:
+            seen.record(vm.vm, client.Report(vm.vm, "1"), trio.current_time())
+        composer = facts.FactsComposer(holder.ConfigurationHolder(configuration), plans, seen)
+        started_s = time.perf_counter()
+        composer.compose(1)
+        return time.perf_counter() - started_s
+
+    return trio.run(gather)
+
+
+def _set_zones_out(node: planners.Node, zones: set[str]) -> None:
+    current = node.configuration.current
+    node.configuration.current = attrs.evolve(
+        current, number=current.number + 1, zones_out=frozenset(zones)
+    )
--- a/toucanhold/entry.py
+++ b/toucanhold/entry.py
@@ -19,7 +19,7 @@
 from toucanhold.operators import changes, status
 from toucanhold.orders import building
 from toucanhold.peers import exchange, handshake, holds, revisions, streams
-from toucanhold.planning import placement, plan, planner
+from toucanhold.planning import plan, planner, preview, spreading
 from toucanhold.platform import following, lease, vms
 from toucanhold.routing import router
 
@@ -179,7 +179,7 @@
             self.configuration,
             self.plans,
             self.view,
-            placement.FirstFit(),
+            spreading.Spreading(),
             self.platform,
             self.backends,
             self.planner_lease,
@@ -250,6 +250,7 @@
             operators_changes,
             self.configuration,
             self.status_composer,
+            preview.Previewer(self.planner.policy, self.planner.composer),
             self.metrics,
             own.operator_token,
         )
--- a/toucanhold/observing/view.py
+++ b/toucanhold/observing/view.py
@@ -34,6 +34,7 @@
     _observations: dict[str, Observation] = attrs.field(factory=dict)
     _failing_since_s: dict[str, float] = attrs.field(factory=dict)
     _refusals: dict[str, int] = attrs.field(factory=dict)
+    _restarted_at_s: dict[str, float] = attrs.field(factory=dict)
     _ended: set[tuple[str, int]] = attrs.field(factory=set)
     _listeners: list[collections.abc.Callable[[str], None]] = attrs.field(factory=list)
 
@@ -51,6 +52,8 @@
         self._observations[vm] = Observation(report, asked_at_s)
         if known is not None:
             self._note_departure(known.report, report)
+            if known.report.boot_id != report.boot_id:
+                self._restarted_at_s[vm] = asked_at_s
         if known is None or _identity(known.report) != _identity(report):
             events.log(
                 LOGGER,
@@ -81,6 +84,7 @@
         self._observations.pop(vm, None)
         self._failing_since_s.pop(vm, None)
         self._refusals.pop(vm, None)
+        self._restarted_at_s.pop(vm, None)
         self._tell(vm)
 
     def end_generation(self, group: str, generation: int) -> None:
@@ -95,6 +99,10 @@
         """Tell whether a member was seen to leave this generation."""
         return (group, generation) in self._ended
 
+    def restarted_at_s(self, vm: str) -> float:
+        """Return when a VM was first seen after its last restart; minus infinity if never."""
+        return self._restarted_at_s.get(vm, float("-inf"))
+
     def observation(self, vm: str) -> Observation | None:
         """Return the latest report, however old, with its time."""
         return self._observations.get(vm)
--- a/toucanhold/operators/app.py
+++ b/toucanhold/operators/app.py
@@ -4,15 +4,18 @@
 
 import hmac
 import logging
+import urllib.parse
 
 import attrs
 
 from toucanhold import asgi, codec, events, metrics
 from toucanhold.configuration import document, holder, store
 from toucanhold.operators import changes, messages, status
+from toucanhold.planning import preview
 
 DOCUMENT_PATH = "/operators/v1/document"
 STATUS_PATH = "/operators/v1/status"
+PREVIEW_PATH = "/operators/v1/preview"
 ZONES_PREFIX = "/operators/v1/availability-zones/"
 HEALTH_PATH = "/health"
 METRICS_PATH = "/metrics"
@@ -40,6 +43,7 @@
     changes: changes.Changes
     configuration: holder.ConfigurationHolder
     status: status.StatusComposer
+    previewer: preview.Previewer
     metrics: metrics.Metrics
     token: str = attrs.field(repr=False)
 
@@ -80,6 +84,10 @@
             return self.status.compose()
         if (method, path) == ("GET", DOCUMENT_PATH):
             return self.configuration.current.to_document()
+        if (method, path) == ("GET", PREVIEW_PATH):
+            return self._preview_zones(scope)
+        if (method, path) == ("POST", PREVIEW_PATH):
+            return self._preview_document(await _read(receive, document.Document))
         if (method, path) == ("PUT", DOCUMENT_PATH):
             return await self._apply(await _read(receive, messages.ApplyRequest))
         if method == "PUT" and path.startswith(ZONES_PREFIX):
@@ -87,13 +95,22 @@
             return await self._set_zone(zone, await _read(receive, messages.ZoneRequest))
         raise _error(404, "unknown", f"nothing at {method} {path}")
 
+    def _preview_zones(self, scope: asgi.Scope) -> preview.Preview:
+        query = urllib.parse.parse_qs(scope["query_string"].decode("latin-1"))
+        zones = query.get("without", [])
+        known = {each.name for each in self.configuration.current.rules.availability_zones}
+        if not zones:
+            raise _error(422, "invalid", "name availability zones: ?without=NAME")
+        if unknown := sorted(set(zones) - known):
+            raise _error(404, "unknown-availability-zone", f"no availability zone {unknown[0]!r}")
+        return self.previewer.without(zones)
+
+    def _preview_document(self, wanted: document.Document) -> preview.Preview:
+        _check(wanted)
+        return self.previewer.with_document(wanted)
+
     async def _apply(self, request: messages.ApplyRequest) -> messages.ChangeAnswer:
-        try:
-            document.check(request.document)
-        except document.InvalidDocumentError as error:
-            mistakes = tuple(str(mistake) for mistake in error.exceptions)
-            answer = messages.ErrorAnswer("invalid", error.message, mistakes)
-            raise _OperatorError(422, answer) from error
+        _check(request.document)
         change = self.changes.apply(request.document, request.expected, request.author)
         return await _translated(change)
 
@@ -109,6 +126,15 @@
         return await _translated(self.changes.take_out(zone, request.author))
 
 
+def _check(wanted: document.Document) -> None:
+    try:
+        document.check(wanted)
+    except document.InvalidDocumentError as error:
+        mistakes = tuple(str(mistake) for mistake in error.exceptions)
+        answer = messages.ErrorAnswer("invalid", error.message, mistakes)
+        raise _OperatorError(422, answer) from error
+
+
 def _status_of(answer: object) -> int:
     held = isinstance(answer, messages.ChangeAnswer) and not answer.durable
     return ACCEPTED if held else OK
--- a/toucanhold/planning/facts.py
+++ b/toucanhold/planning/facts.py
@@ -8,15 +8,18 @@
 from toucanhold.planning import placement, plan
 
 GENERATIONS_PER_TERM = 1 << 16
+UNSTABLE_S = 60.0
 
 
 @attrs.define(eq=False)
 class FactsComposer:
-    """Reads configuration, plan and view; changes none."""
+    """Reads configuration, plan and view; remembers since when the same VMs are usable."""
 
     configuration: holder.ConfigurationHolder
     plans: plan.PlanHolder
     view: view.View
+    _usable: frozenset[str] = attrs.field(default=frozenset(), init=False)
+    _usable_since_s: float = attrs.field(default=float("-inf"), init=False)
 
     def compose(self, fencing: int) -> placement.PlacementInput:
         """Return the facts now.
@@ -28,10 +31,13 @@
         plans = {each.plan.domain: each.plan for each in self.plans.domains()}
         seen = {vm.vm: self.view.observation(vm.vm) for vm in vms}
         reports = {name: each.report for name, each in seen.items() if each is not None}
+        usable = frozenset(vm.vm for vm in vms if self._is_usable(vm, now_s))
+        if usable != self._usable:
+            self._usable, self._usable_since_s = usable, now_s
         return placement.PlacementInput(
             configuration=self.configuration.current,
             plans=plans,
-            usable=frozenset(vm.vm for vm in vms if self._is_usable(vm, now_s)),
+            usable=usable,
             lost=frozenset(vm.vm for vm in vms if self._is_lost(vm, now_s)),
             reports=reports,
             ended=frozenset(
@@ -41,6 +47,10 @@
                 group.place for group in self.plans.groups() if self.is_whole(group, now_s)
             ),
             generation_floor=generation_floor(fencing, reports.values()),
+            unstable=frozenset(
+                vm.vm for vm in vms if now_s - self.view.restarted_at_s(vm.vm) < UNSTABLE_S
+            ),
+            settled_s=now_s - self._usable_since_s,
         )
 
     def is_whole(self, group: plan.Group, now_s: float) -> bool:
--- a/toucanhold/planning/placement.py
+++ b/toucanhold/planning/placement.py
@@ -4,6 +4,7 @@
 import collections
 import collections.abc
 import functools
+import math
 
 import attrs
 
@@ -22,6 +23,8 @@
     :ivar ended: group and generation of groups that lost a member
     :ivar whole: group and generation of groups all of whose members say that they have joined
     :ivar generation_floor: no generation number up to here is given out again
+    :ivar unstable: VMs that restarted lately
+    :ivar settled_s: time since VMs last became usable or ceased to be
     """
 
     configuration: snapshot.Configuration
@@ -32,6 +35,8 @@
     ended: frozenset[tuple[str, int]] = frozenset()
     whole: frozenset[tuple[str, int]] = frozenset()
     generation_floor: int = 0
+    unstable: frozenset[str] = frozenset()
+    settled_s: float = math.inf
 
     @functools.cached_property
     def vms(self) -> dict[str, inventory.Vm]:
@@ -44,6 +49,22 @@
             return True
         return any(self._has_left(member, group) for member in group.members)
 
+    def reason_to_end(self, group: plan.Group) -> str:
+        """Return why a group ends, for the log."""
+        for member in group.members:
+            if member in self.lost:
+                return f"{member} is gone or leaves"
+            if self._has_left(member, group):
+                return f"{member} restarted or left the group"
+            if is_out(member, self):
+                return f"the availability zone of {member} is out"
+        if group.place in self.ended:
+            return "a member was seen to leave"
+        service = self.configuration.rules.service(group.service)
+        if service is None or not is_current(group, service):
+            return "the service is gone or has another version"
+        return "more replicas than wanted, or its VMs serve a more important service"
+
     def _has_left(self, member: str, group: plan.Group) -> bool:
         report = self.reports.get(member)
         if report is None:
--- a/toucanhold/planning/planner.py
+++ b/toucanhold/planning/planner.py
@@ -84,10 +84,13 @@
         fencing = self.leadership.fencing
         await self.term_log.begin()
         await self.writer.settle()
-        decided = self.policy.place(self.facts())
+        known = self.facts()
+        decided = self.policy.place(known)
         self._note_shortfalls(decided.shortfalls)
         for domain_plan in decided.changed:
-            await self.writer.write(domain_plan)
+            old = self.plans.domain(domain_plan.domain).plan
+            reasons = {group.place: known.reason_to_end(group) for group in old.groups}
+            await self.writer.write(domain_plan, reasons)
         await self._note_formed()
         if not self.term_log.has_begun:
             return
--- a/toucanhold/planning/writing.py
+++ b/toucanhold/planning/writing.py
@@ -1,5 +1,6 @@
 """Writes plan records, and finds out what became of a write whose answer was lost."""
 
+import collections.abc
 import logging
 
 import attrs
@@ -21,6 +22,7 @@
     store: keyvalue.KeyValueClient
     leadership: lease.LeasedKey
     _unclear: set[str] = attrs.field(factory=set, init=False)
+    _reasons: collections.abc.Mapping = attrs.field(factory=dict, init=False)
 
     def is_clear(self, domain: str) -> bool:
         """Tell whether the stored record of a domain is known."""
@@ -34,9 +36,12 @@
         for domain in sorted(self._unclear):
             await self._read_back(domain)
 
-    async def write(self, domain_plan: plan.DomainPlan) -> bool:
+    async def write(
+        self, domain_plan: plan.DomainPlan, reasons: collections.abc.Mapping | None = None
+    ) -> bool:
         """Write one domain's plan; false where it does not stand.
 
+        :param reasons: why groups end, by group and generation, for the log
         :raises keyvalue.KeyValueError: when that is not known; the domain is then unclear
         """
         fencing = self.leadership.fencing
@@ -56,6 +61,7 @@
         # Orders follow the plan as this entry knows it. While it is not known whether a write
         # took effect, an order by the old plan could undo the new one, so the domain gets none.
         self._unclear.add(new.domain)
+        self._reasons = reasons or {}
         try:
             result = await self.store.commit(conditions, [record])
         except keyvalue.UnavailableError:
@@ -106,16 +112,24 @@
     def _take(self, versioned: plan.VersionedDomainPlan) -> None:
         old = self.plans.domain(versioned.plan.domain).plan
         if self.plans.apply(versioned):
-            _log_changes(old, versioned.plan)
+            _log_changes(old, versioned.plan, self._reasons)
         self._unclear.discard(versioned.plan.domain)
 
 
-def _log_changes(old: plan.DomainPlan, new: plan.DomainPlan) -> None:
+def _log_changes(
+    old: plan.DomainPlan, new: plan.DomainPlan, reasons: collections.abc.Mapping
+) -> None:
     planned = {group.place for group in new.groups}
     known = {group.place for group in old.groups}
     for group in old.groups:
         if group.place not in planned:
-            events.log(LOGGER, events.Event.GROUP_ENDED, group=group.group, service=group.service)
+            events.log(
+                LOGGER,
+                events.Event.GROUP_ENDED,
+                group=group.group,
+                service=group.service,
+                reason=reasons.get(group.place, "another planner's decision"),
+            )
     for group in new.groups:
         if group.place not in known:
             events.log(
