Show the demo through the operators' own commands, with a repeated order and a lost VM

Cause: the demo called the interfaces behind the command line and left out what the system is for. Change: check, apply, zone out, zone in and status are run as an operator would; an order is repeated at another entry and seen once by the servers; a VM of a group is killed and another group takes its place.

--- a/tools/demo.py
+++ b/tools/demo.py
@@ -1,5 +1,7 @@
 """The demo: a whole site on this machine, shown step by step."""
 
+import json
+import os
 import sys
 
 import trio
@@ -42,19 +44,21 @@
         await _apply(site)
         address = await _ask_directory(site)
         await _chat(address)
-        await _lookup_and_order(address)
+        await _lookup_and_order(site, address)
+        await _lose_a_vm(site, address)
         await _drain_and_return(site, address)
         for each in site.entries:
             _expect(await site.group.stop(each.entry) == 0, f"{each.entry} stopped, exit status 0")
 
 
 async def _apply(site: sites.Site) -> None:
-    document = sites.document_for(site, SERVICES)
-    answer = await site.operate("entry-0", "PUT", "document", {"document": document, "expected": 0})
-    _expect(answer.status == 200, f"inventory and rules accepted: {answer.body.decode()}")
+    file = site.group.log_folder / "site.json"
+    file.write_text(json.dumps(sites.document_for(site, SERVICES)))
+    await _operate(site, "check", str(file))
+    await _operate(site, "apply", str(file))
     for each in site.entries:
         await site.wait_status(each.entry, _all_serving)
-    _step("in force on every entry; 3 groups of 2 VMs serve")
+    _step("3 groups of 2 VMs serve")
 
 
 def _all_serving(status: dict) -> bool:
@@ -65,9 +69,10 @@
 
 async def _ask_directory(site: sites.Site) -> str:
     url = f"http://{site.entries[1].callers}/toucanhold/v1/addresses"
-    answer = (await sites.call("GET", url)).json()
-    _expect(len(answer["addresses"]) == 3, f"the directory names {answer['addresses']}")
-    return answer["addresses"][0]["address"]
+    addresses = (await sites.call("GET", url)).json()["addresses"]
+    names = ", ".join(each["address"] for each in addresses)
+    _expect(len(addresses) == 3, f"a caller asks one entry which to use: {names}")
+    return addresses[0]["address"]
 
 
 async def _chat(address: str) -> None:
@@ -77,33 +82,69 @@
         "messages": [{"role": "user", "content": "Summarise table 3 for the county."}],
     }
     answer = await sites.call("POST", f"http://{address}/v1/chat/completions", body)
-    tokens = answer.body.count(b"chat.completion.chunk")
+    events = answer.body.count(b"chat.completion.chunk")
     whole = answer.status == 200 and answer.body.rstrip().endswith(b"data: [DONE]")
-    _expect(whole, f"a streamed chat request was answered whole, {tokens} events")
+    _expect(whole, f"a streamed chat request was answered whole, {events} events")
 
 
-async def _lookup_and_order(address: str) -> None:
+async def _lookup_and_order(site: sites.Site, address: str) -> None:
     url = f"http://{address}/services/{PLAIN}"
     found = await sites.call("GET", f"{url}/records/7")
     _expect(found.status == 200, f"a lookup was answered: {found.body.decode()}")
     key = {"idempotency-key": "demo-1"}
     first = await sites.call("POST", f"{url}/publish", {"release": 7}, key)
     _expect(first.status == 200, f"an order ran: {first.body.decode()}")
+    other = f"http://{site.entries[2].callers}/services/{PLAIN}"
+    again = await sites.call("POST", f"{other}/publish", {"release": 7}, key)
+    same = again.status == 200 and again.body == first.body
+    _expect(same, f"its repeat at another entry got the same answer: {again.body.decode()}")
+    runs = 0
+    for vm in site.vms:
+        if vm.service:
+            history = await sites.call("GET", f"http://{vm.address}/standin/history")
+            runs += len(history.json()["orders"])
+    _expect(runs == 1, "the servers saw it once")
+
+
+async def _lose_a_vm(site: sites.Site, address: str) -> None:
+    status = await site.status("entry-0")
+    group = status["groups"][0]
+    await site.group.kill(group["members"][1])
+    _step(f"{group['members'][1]} of group {group['group']} was killed")
+    for each in site.entries:
+        await site.wait_status(
+            each.entry,
+            lambda seen: _all_serving(seen) and group not in seen["groups"],
+        )
+    _step("another group has taken its place")
+    await _chat(address)
 
 
 async def _drain_and_return(site: sites.Site, address: str) -> None:
-    zone = f"availability-zones/{ZONES[0]}"
-    answer = await site.operate("entry-1", "PUT", zone, {"out": True})
-    _expect(answer.status == 200, f"{ZONES[0]} is taken out")
-    for each in site.entries:
-        await site.wait_status(each.entry, lambda status: status["zones"][0]["out"], 3)
-    _step(f"no entry gives {ZONES[0]} new work")
+    await _operate(site, "zone", "out", ZONES[1], "--yes")
     await _chat(address)
-    answer = await site.operate("entry-2", "PUT", zone, {"out": False})
-    _expect(answer.status == 200, f"{ZONES[0]} is returned")
+    await _operate(site, "zone", "in", ZONES[1])
     for each in site.entries:
         await site.wait_status(each.entry, _all_serving)
-    _step("all groups serve again")
+    await _operate(site, "status")
+
+
+async def _operate(site: sites.Site, *words: str) -> None:
+    print(f"demo: $ toucanhold {' '.join(words)}", flush=True)
+    ran = await trio.run_process(
+        [sys.executable, "-m", "toucanhold", *words],
+        capture_stdout=True,
+        stderr=None,
+        check=False,
+        env={
+            **os.environ,
+            "TOUCANHOLD_ENTRY_URL": f"http://{site.entries[1].operators}",
+            "TOUCANHOLD_OPERATOR_TOKEN": sites.OPERATOR_TOKEN,
+        },
+    )
+    print(ran.stdout.decode(), end="", flush=True)
+    if ran.returncode:
+        raise SystemExit(f"demo: FAILED: exit status {ran.returncode}")
 
 
 def _step(text: str) -> None:
