Show operators what would fall short before a change

Cause: the preview of a placement had no command, and explain used the baseline policy. Change: zone out and apply print the preview before they ask or apply; explain uses the chosen policy; two ways of telling a take-out that is not durable, made at the same time in two places, are one.

--- a/toucanhold/cli/documents.py
+++ b/toucanhold/cli/documents.py
@@ -9,7 +9,7 @@
 from toucanhold.configuration import document, snapshot
 from toucanhold.operators import client, messages
 from toucanhold.output import text
-from toucanhold.planning import placement
+from toucanhold.planning import placement, spreading
 
 
 class CheckCommand(command.Command):
@@ -37,6 +37,8 @@
             expected = (await entry.status()).configuration
         else:
             expected = self.number_option("expected", int)
+        for line in text.preview(await entry.preview_document(wanted)):
+            self.progress(line)
         request = messages.ApplyRequest(wanted, expected, self.option("author"))
         answer = await entry.apply(request)
         self.progress(f"accepted as configuration {answer.configuration}")
@@ -67,7 +69,7 @@
         unknown = without - {zone.name for zone in checked.rules.availability_zones}
         if unknown:
             raise command.UsageError(f"unknown availability zone: {', '.join(sorted(unknown))}")
-        decided = placement.FirstFit().place(_facts(checked, without))
+        decided = spreading.Spreading().place(_facts(checked, without))
         self.show(decided, text.explanation(decided))
         return exitstatus.ExitStatus.OK
 
@@ -99,12 +101,12 @@
 
 
 def _show_held(asked: command.Command, answer: messages.ChangeAnswer) -> exitstatus.ExitStatus:
-    asked.progress("the platform has not accepted it yet; entries hold it until it does")
-    lines = [f"in force on {', '.join(answer.in_force)}"]
+    asked.progress(f"in force on {', '.join(answer.in_force)}")
     if answer.not_in_force:
-        lines.append(f"not known to be in force on {', '.join(answer.not_in_force)}")
-    asked.show(answer, lines)
-    return exitstatus.ExitStatus.TIMEOUT if answer.not_in_force else exitstatus.ExitStatus.OK
+        asked.progress(f"not acknowledged by {', '.join(answer.not_in_force)}")
+    asked.progress("not durable yet: the key-value service does not answer")
+    asked.show(answer, ["held, not durable"])
+    return exitstatus.ExitStatus.NOT_DURABLE
 
 
 def _facts(checked: document.Document, without: frozenset[str]) -> placement.PlacementInput:
--- a/toucanhold/cli/zones.py
+++ b/toucanhold/cli/zones.py
@@ -3,6 +3,7 @@
 from toucanhold import exitstatus
 from toucanhold.cli import command, definitions, documents, waiting
 from toucanhold.operators import client, messages
+from toucanhold.output import text
 
 
 class ZoneOutCommand(command.OperatorCommand):
@@ -14,28 +15,19 @@
         """See :class:`command.OperatorCommand`."""
         zone = self.argument("zone")
         wait_s = self.number_option("wait-s", float)
+        for line in text.preview(await entry.preview_zones([zone])):
+            self.progress(line)
         if not self.option("yes") and not self.confirm(f"Take {zone} out?", False):
             self.progress("nothing was changed")
             return exitstatus.ExitStatus.ERROR
         force = bool(self.option("force"))
         request = messages.ZoneRequest(True, self.option("author"), force)
         answer = await entry.set_zone(zone, request)
-        if answer.durable:
-            status = await documents.show_in_force(self, entry, answer, wait_s)
-        else:
-            status = self._show_held(zone, answer)
+        status = await documents.show_in_force(self, entry, answer, wait_s)
         if wait_s and not await self._wait_drained(entry, zone, wait_s):
             status = exitstatus.ExitStatus.TIMEOUT
         return status
 
-    def _show_held(self, zone: str, answer: messages.ChangeAnswer) -> exitstatus.ExitStatus:
-        self.progress(f"{zone} gets no new work from {', '.join(answer.in_force)}")
-        if answer.not_in_force:
-            self.progress(f"not acknowledged by {', '.join(answer.not_in_force)}")
-        self.progress("not durable yet: the key-value service does not answer")
-        self.show(answer, [f"{zone} is held, not durable"])
-        return exitstatus.ExitStatus.NOT_DURABLE
-
     async def _wait_drained(self, entry: client.OperatorsClient, zone: str, wait_s: float) -> bool:
         done = await waiting.wait_until(
             self,
--- a/toucanhold/operators/client.py
+++ b/toucanhold/operators/client.py
@@ -1,7 +1,11 @@
 """The operators' side of the wire, used by the command line."""
 
+from __future__ import annotations
+
+import collections.abc
 import ssl
 import typing
+import urllib.parse
 
 import attrs
 import httpcore
@@ -9,6 +13,7 @@
 from toucanhold import codec
 from toucanhold.configuration import document
 from toucanhold.operators import app, messages
+from toucanhold.planning import preview
 
 CALL_TIMEOUT_S = 15.0
 
@@ -54,9 +59,18 @@
 
     async def set_zone(self, zone: str, request: messages.ZoneRequest) -> messages.ChangeAnswer:
         """Take an availability zone out, or return it."""
-        path = app.ZONES_PREFIX + zone
+        path = app.ZONES_PREFIX + urllib.parse.quote(zone, safe="")
         return await self._call("PUT", path, request, messages.ChangeAnswer)
 
+    async def preview_zones(self, zones: collections.abc.Iterable[str]) -> preview.Preview:
+        """Return what taking availability zones out would bring."""
+        query = urllib.parse.urlencode([("without", zone) for zone in zones])
+        return await self._call("GET", f"{app.PREVIEW_PATH}?{query}", None, preview.Preview)
+
+    async def preview_document(self, wanted: document.Document) -> preview.Preview:
+        """Return what applying a document would bring."""
+        return await self._call("POST", app.PREVIEW_PATH, wanted, preview.Preview)
+
     async def _call(self, method: str, path: str, request: object, kind: type[T]) -> T:
         body = codec.to_json(request) if request is not None else b""
         headers = {"authorization": f"Bearer {self.token}", "content-type": "application/json"}
@@ -75,7 +89,7 @@
             raise OperatorsClientError("unreachable", f"{self.base_url}: {error!r}") from error
         except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
             # A change whose answer was lost may have been accepted: "unreachable" would lie.
-            kind = "unreachable" if method == "GET" else "unknown-outcome"
+            kind = "unknown-outcome" if method == "PUT" else "unreachable"
             raise OperatorsClientError(kind, f"{self.base_url}: {error!r}") from error
         return _decode(response, kind)
 
--- a/toucanhold/output/text.py
+++ b/toucanhold/output/text.py
@@ -5,6 +5,7 @@
 from toucanhold.configuration import document
 from toucanhold.operators import messages
 from toucanhold.planning import placement
+from toucanhold.planning import preview as previews
 
 Lines = collections.abc.Iterator[str]
 Row = collections.abc.Sequence[object]
@@ -52,6 +53,21 @@
     )
 
 
+def preview(seen: previews.Preview) -> Lines:
+    """Yield what a change would bring."""
+    for each in seen.services:
+        if each.placed_after < each.wanted_after:
+            yield (
+                f"would fall short: {each.service} gets {each.placed_after} of "
+                f"{each.wanted_after} replicas (now {each.placed_now})"
+            )
+    if seen.groups_ended:
+        yield (
+            f"would end {len(seen.groups_ended)} groups with {seen.running} requests in flight, "
+            "which finish"
+        )
+
+
 def explanation(decided: placement.Placement) -> Lines:
     """Yield the groups that a planner would form, and what falls short."""
     rows = (
