Admit requests in fair shares and refuse at once what cannot be served in time

Cause: the plain queue looked for room every 20 ms per waiting request, first come first served: a workspace that floods took nearly everything, and a request that could not be served in time was told so at its deadline.

Change: start-time fair queueing among workspaces with their weights and limits, O(log n) in the number of workspaces. A finished request and each new report offer the one server whose room has changed; nothing is looked at at an interval. The wait is computed from the queue and the measured rate; what would wait longer than its deadline allows, or than 5 s, is refused at once with that time to come back. A full queue displaces the newest request of the workspace with the most.

Ruled out: deficit round robin (equal shares too, but a newcomer waits for a whole round of all workspaces; start tags let it go next).

--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,156 @@
+"""Admission: fair shares, deadlines, and refusals that come at once."""
+
+import unittest
+
+import trio
+import trio.testing
+
+from standins import backends, routers
+from toucanhold.configuration import rules
+from toucanhold.routing import fairness, requests
+
+
+def on_test_clock(check, *arguments):
+    """Run an async check on trio's test clock."""
+    return trio.run(check, *arguments, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def rules_with(*workspaces, **fields):
+    """Return rules with one plain service and some workspaces."""
+    plain = routers.plain_rules(**fields)
+    return rules.Rules(plain.services, plain.availability_zones, workspaces)
+
+
+def warm_server(**fields):
+    """Return a warm server that runs two requests at once, each for half a second."""
+    return backends.Server("vm-0", warm=True, slots=2, first_token_s=0.43, **fields)
+
+
+class FairOrderTest(unittest.TestCase):
+    def test_turns_follow_the_weights(self):
+        order = fairness.FairOrder()
+        for number in range(60):
+            order.push("heavy", 1.0, number)
+            order.push("light", 2.0, number)
+        taken = []
+        for _ in range(30):
+            workspace, _ = order.pop()
+            order.make_ready(workspace)
+            taken.append(workspace)
+        self.assertEqual(20, taken.count("light"))
+
+    def test_workspace_that_waited_for_nothing_earns_no_credit(self):
+        # One workspace works alone for long; another comes. The newcomer is next, but does not
+        # hold the first up until it has caught up with all that the first has had.
+        order = fairness.FairOrder()
+        for _ in range(100):
+            order.charge("old", 1.0)
+        for number in range(10):
+            order.push("old", 1.0, number)
+            order.push("new", 1.0, number)
+        taken = []
+        for _ in range(6):
+            workspace, _ = order.pop()
+            order.make_ready(workspace)
+            taken.append(workspace)
+        self.assertEqual(3, taken.count("new"))
+        self.assertEqual("new", taken[0])
+
+
+class FairQueueTest(unittest.TestCase):
+    def test_small_workspace_is_served_while_a_large_one_floods(self):
+        # 40 callers of one workspace and one of another share two places. First come, first
+        # served would give the small one a fortieth; its fair share is half of the places.
+        on_test_clock(self._flood)
+
+    async def _flood(self):
+        async with routers.running([warm_server()], entries=1) as site:
+            entry = site.entries["entry-0"]
+            await trio.sleep(2)
+            site.flood(entry, 40, workspace="large")
+            await trio.sleep(5)
+            began_s = trio.current_time()
+            for _ in range(20):
+                self.assertEqual("whole", await site.ask(entry, workspace="small"))
+            self.assertLess(trio.current_time() - began_s, 20 * 1.1)
+
+    def test_workspace_keeps_to_its_limit_in_flight(self):
+        on_test_clock(self._limit)
+
+    async def _limit(self):
+        server = backends.Server("vm-0", warm=True, slots=8, first_token_s=0.43)
+        limited = rules_with(rules.Workspace("capped", max_in_flight=2))
+        async with routers.running([server], entries=1, rules=limited) as site:
+            await trio.sleep(2)
+            site.flood(site.entries["entry-0"], 6, workspace="capped")
+            await trio.sleep(5)
+            self.assertEqual(2, server.max_running)
+            site.flood(site.entries["entry-0"], 3, workspace="other")
+            await trio.sleep(5)
+        self.assertEqual(5, server.max_running)
+
+    def test_request_that_cannot_be_served_in_time_is_refused_at_once(self):
+        # Two places, half a second each, and a queue that takes seconds. A caller with one second
+        # left is told at once, and when to come back; held back, it could ask nobody else.
+        on_test_clock(self._refuse)
+
+    async def _refuse(self):
+        async with routers.running([warm_server()], entries=1) as site:
+            entry = site.entries["entry-0"]
+            await trio.sleep(2)
+            site.flood(entry, 20, workspace="large")
+            await trio.sleep(5)
+            began_s = trio.current_time()
+            with self.assertRaises(requests.RequestError) as raised:
+                request = site.request(workspace="large", timeout_s=1)
+                async with entry.router.dispatcher.serve(request):
+                    pass
+            self.assertEqual(began_s, trio.current_time())
+            self.assertIs(requests.Outcome.DID_NOT_RUN, raised.exception.outcome)
+            self.assertTrue(0.5 < raised.exception.retry_after_s < 10)
+
+    def test_deadline_that_passes_while_waiting_ends_the_wait(self):
+        # Nothing has finished yet, so no wait can be computed; the request's own time ends it.
+        on_test_clock(self._deadline)
+
+    async def _deadline(self):
+        server = backends.Server("vm-0", warm=True, slots=1, first_token_s=100)
+        async with routers.running([server], entries=1) as site:
+            entry = site.entries["entry-0"]
+            await trio.sleep(2)
+            site.flood(entry, 1, timeout_s=300)
+            await trio.sleep(1)
+            began_s = trio.current_time()
+            self.assertEqual("deadline", await site.ask(entry, timeout_s=3))
+            self.assertAlmostEqual(3, trio.current_time() - began_s, delta=0.1)
+            self.assertEqual(0, entry.router.admission.waiting())
+
+    def test_caller_who_leaves_is_out_of_the_queue_at_once(self):
+        on_test_clock(self._leave)
+
+    async def _leave(self):
+        server = backends.Server("vm-0", warm=True, slots=1, first_token_s=100)
+        async with routers.running([server], entries=1) as site:
+            entry = site.entries["entry-0"]
+            await trio.sleep(2)
+            site.flood(entry, 1, timeout_s=300)
+            await trio.sleep(1)
+            self.assertEqual("left", await site.ask(entry, leave_after_s=1, timeout_s=60))
+            self.assertEqual(0, entry.router.admission.waiting())
+            self.assertEqual(1, entry.router.in_flight.total())
+
+    def test_waiting_requests_are_refused_when_the_last_server_is_lost(self):
+        # All that wait get their final answer with the loss, not at their deadlines.
+        on_test_clock(self._lose)
+
+    async def _lose(self):
+        server = backends.Server("vm-0", warm=True, slots=1, first_token_s=100)
+        async with routers.running([server], entries=1) as site:
+            entry = site.entries["entry-0"]
+            await trio.sleep(2)
+            site.flood(entry, 1, timeout_s=300)
+            await trio.sleep(1)
+            server.is_up = False
+            began_s = trio.current_time()
+            self.assertEqual("no-capacity", await site.ask(entry, timeout_s=60))
+            self.assertLess(trio.current_time() - began_s, 2)
--- a/toucanhold/configuration/rules.py
+++ b/toucanhold/configuration/rules.py
@@ -98,3 +98,7 @@
     def service(self, name: str) -> Service | None:
         """Return a service by name."""
         return next((service for service in self.services if service.name == name), None)
+
+    def workspace(self, name: str) -> Workspace:
+        """Return a workspace by name; one that is not listed has the defaults."""
+        return next((each for each in self.workspaces if each.name == name), Workspace(name))
--- a/toucanhold/routing/candidates.py
+++ b/toucanhold/routing/candidates.py
@@ -107,6 +107,14 @@
             known.options = tuple(known.found.values())
         return known.options
 
+    def candidate_of(self, service: rules.Service, vm: str, now_s: float) -> Candidate | None:
+        """Return the candidate whose requests go to ``vm`` or to the group that it is in."""
+        self.find(service, now_s)
+        for known, head in self._places_of_vm.get(vm, ()):
+            if known.service.name == service.name:
+                return known.found.get(head)
+        return None
+
     def distrust(self, vm: str, now_s: float) -> None:
         """Hold a VM back until a report that is asked for after ``now_s``."""
         # Its connection broke: it may have restarted and be cold, and the last report cannot tell.
--- a/toucanhold/routing/requests.py
+++ b/toucanhold/routing/requests.py
@@ -78,6 +78,8 @@
     :ivar deadline_s: monotonic time after which the answer is of no use to the caller
     :ivar may_repeat: whether the request is idempotent
     :ivar stream: whether the answer is a stream of server-sent events
+    :ivar adapter: the adapter that it needs; empty for none
+    :ivar availability_zone: the caller's, where it said so
     """
 
     request_id: str
@@ -91,3 +93,5 @@
     may_repeat: bool
     stream: bool = False
     idempotency_key: str = ""
+    adapter: str = ""
+    availability_zone: str = ""
--- a/toucanhold/routing/router.py
+++ b/toucanhold/routing/router.py
@@ -11,7 +11,7 @@
 from toucanhold.observing import view
 from toucanhold.planning import plan
 from toucanhold.platform import keyvalue
-from toucanhold.routing import candidates, choice, cold, dispatch, gate, room, slots
+from toucanhold.routing import candidates, choice, cold, dispatch, fairqueue, gate, room, slots
 
 
 @attrs.frozen
@@ -67,7 +67,16 @@
     shares = cold.SlotShares(leased, around.view)
     limits = room.EstimatedRoom(in_flight, shares, around.view, lambda: len(around.entries()))
     policy = choice.LeastLoaded(limits, around.rng)
-    admission = gate.PlainQueue(finder, policy, in_flight, limits, shares)
+    admission = fairqueue.FairQueue(
+        around.configuration,
+        finder,
+        around.view,
+        policy,
+        in_flight,
+        limits,
+        shares,
+        around.max_in_flight,
+    )
     dispatcher = dispatch.Dispatcher(admission, finder, around.backends)
     return Router(leased, in_flight, finder, shares, limits, policy, admission, dispatcher)
 
