Resume cut streams, bound the whole request, and keep retries within a budget

Cause: the deadline bounded only single reads; a cut stream was an error although another replica could go on; a failed second attempt could say "did not run" of a request whose first attempt perhaps ran; retries had no bound over all requests.

A cut, stalled, gapped or unfinished stream is resumed from the last numbered event on another replica of the same model version. A watchdog with one task ends attempts whose server is lost, has booted again, has left its group or sends nothing for 10 s. An answer without a length or chunks is not accepted as whole.

--- a/standins/backends.py
+++ b/standins/backends.py
@@ -5,6 +5,7 @@
 import collections.abc
 import contextlib
 import itertools
+import json
 
 import attrs
 import trio
@@ -14,6 +15,25 @@
 NETWORK_S = 0.0015
 
 
+@attrs.define
+class StreamFaults:
+    """Faults of the coming streams; each strikes once.
+
+    :ivar cut_after: events after which the connection breaks
+    :ivar stall_after: events after which nothing comes any more
+    :ivar skip_at: number of an event that is left out
+    :ivar end_after: events after which the stream ends cleanly, but without its end marker
+    :ivar status: HTTP status of a refusal, with ``error_type``
+    """
+
+    cut_after: int | None = None
+    stall_after: int | None = None
+    skip_at: int | None = None
+    end_after: int | None = None
+    status: int = 200
+    error_type: str = ""
+
+
 @attrs.define(eq=False)
 class Server:
     """One plain server or rank 0 of a model's group.
@@ -35,6 +55,7 @@
     warm_after_requests: int = 0
     adapters: tuple[str, ...] = ()
     template: client.Report | None = None
+    faults: list[StreamFaults] = attrs.field(factory=list)
     running: int = attrs.field(default=0, init=False)
     waiting: int = attrs.field(default=0, init=False)
     completed: int = attrs.field(default=0, init=False)
@@ -164,7 +185,7 @@
                 await run.began.wait()
             if run.cut:
                 raise client.AnswerLostError("cut")
-            yield client.ForwardedResponse(200, run.headers(), run.chunks())
+            yield client.ForwardedResponse(run.faults.status, run.headers(), run.chunks())
         except trio.TooSlowError as error:
             raise client.AnswerLostError("no answer in time") from error
         finally:
@@ -183,9 +204,12 @@
         self.tokens = tokens
         self.request = request
         self.began = trio.Event()
+        self.faults = server.faults.pop(0) if server.faults else StreamFaults()
+        resumed = dict(request.headers).get(b"last-event-id")
+        self.first = int(resumed) + 1 if resumed else 0
         self.cut = self.left = False
         self._scope = trio.CancelScope()
-        self._send, self._receive = trio.open_memory_channel[bytes](tokens + 2)
+        self._send, self._receive = trio.open_memory_channel[bytes](tokens + 3)
 
     def headers(self) -> client.Headers:
         return (
@@ -201,7 +225,7 @@
         self.server.scopes.add(self._scope)
         finished = False
         try:
-            with self._scope:
+            with self._scope, contextlib.suppress(ConnectionError):
                 await trio.sleep(NETWORK_S)
                 async with self.server.running_one():
                     await self._emit_all()
@@ -213,11 +237,23 @@
             self._send.close()
 
     async def _emit_all(self) -> None:
-        for index in range(self.tokens):
-            first = index == 0
+        if self.faults.status != 200:
+            body = json.dumps({"error": {"type": self.faults.error_type}})
+            self._send.send_nowait(body.encode())
+            return
+        for index in range(self.first, self.tokens):
+            first = index == self.first
             await trio.sleep(self.server.first_token_s if first else self.server.token_s)
-            self._send.send_nowait(b"id: %d\ndata: t%d\n\n" % (index, index))
+            if index == self.faults.cut_after:
+                raise ConnectionError
+            if index == self.faults.stall_after:
+                await trio.sleep_forever()
+            if index == self.faults.end_after:
+                return
+            if index != self.faults.skip_at:
+                self._send.send_nowait(b"id: %d\ndata: t%d\n\n" % (index, index))
             self.began.set()
+        self._send.send_nowait(b'data: {"finish_reason": "stop"}\n\n')
         self._send.send_nowait(b"data: [DONE]\n\n")
 
     async def chunks(self) -> collections.abc.AsyncIterator[bytes]:
--- a/standins/routers.py
+++ b/standins/routers.py
@@ -12,6 +12,7 @@
 
 from standins import backends, memory
 from toucanhold import codec
+from toucanhold.backends import client
 from toucanhold.configuration import holder, inventory, rules, snapshot
 from toucanhold.observing import poller, view
 from toucanhold.planning import plan
@@ -65,6 +66,7 @@
     entries: dict[str, Entry] = attrs.field(factory=dict)
     outcomes: collections.Counter[str] = attrs.field(factory=collections.Counter)
     tokens: collections.abc.Callable = lambda request: 8
+    as_groups: bool = False
 
     def add_entry(self, name: str) -> Entry:
         """Start an entry."""
@@ -78,7 +80,7 @@
             entry=name,
             availability_zone="zone-a",
             configuration=configuration,
-            plans=plan.PlanHolder(),
+            plans=self._plans(),
             view=seen,
             platform=self.platform.client(name),
             backends=clients,
@@ -138,14 +140,28 @@
         for _ in range(callers):
             self.nursery.start_soon(lambda: self.keep_asking(entry, **fields))
 
+    def _plans(self) -> plan.PlanHolder:
+        """Return a plan in which each server is a group of its own, if they are groups."""
+        plans = plan.PlanHolder()
+        if self.as_groups:
+            groups = tuple(
+                plan.Group(f"g-{server.vm}", 1, SERVICE, (server.vm,)) for server in self.servers
+            )
+            for server, group in zip(self.servers, groups, strict=True):
+                server.template = client.Report(
+                    server.vm, "", group=group.group, generation=1, model="", version=""
+                )
+            plans.apply(plan.VersionedDomainPlan(plan.DomainPlan("d", groups=groups), 1))
+        return plans
+
     def _configuration(self) -> snapshot.Configuration:
         vms = tuple(
             inventory.Vm(
                 server.vm,
                 server.vm + ":1",
                 "zone-a",
-                kind=inventory.VmKind.SERVICE,
-                service=SERVICE,
+                kind=inventory.VmKind.ENGINE if self.as_groups else inventory.VmKind.SERVICE,
+                service="" if self.as_groups else SERVICE,
             )
             for server in self.servers
         )
@@ -176,9 +192,16 @@
 ) -> collections.abc.AsyncIterator[Fleet]:
     """Run a fleet, and end all of it afterwards."""
     fields.setdefault("rules", plain_rules())
+    failure: Exception | None = None
     async with trio.open_nursery() as nursery:
         fleet = Fleet(nursery, servers, **fields)
         for number in range(entries):
             fleet.add_entry(f"entry-{number}")
-        yield fleet
+        try:
+            yield fleet
+        except Exception as error:
+            # Raised in here, the nursery would wrap it in a group.
+            failure = error
         nursery.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
--- a/toucanhold/backends/http.py
+++ b/toucanhold/backends/http.py
@@ -16,6 +16,8 @@
 ORDERS_PATH = "/v1/orders"
 REPORT_LIMIT_BYTES = 64 * 1024
 REQUEST_ID_HEADER = b"x-request-id"
+FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
+BODILESS_STATUSES = (204, 304)
 
 CONNECT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 TRANSFER_ERRORS = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
@@ -62,6 +64,7 @@
                 )
             try:
                 _check_request_id(address, request, response)
+                _check_framing(address, request, response)
                 chunks = _chunks(address, response)
                 yield client.ForwardedResponse(response.status, tuple(response.headers), chunks)
             finally:
@@ -180,6 +183,17 @@
         raise client.WrongAnswerError(f"{address}: an answer to another request")
 
 
+def _check_framing(
+    address: str, request: client.ForwardedRequest, response: httpcore.Response
+) -> None:
+    # A body that ends with its connection looks the same whole or cut short.
+    if request.method == "HEAD" or response.status in BODILESS_STATUSES:
+        return
+    names = {key.lower() for key, _ in response.headers}
+    if not names & FRAMING_HEADERS:
+        raise client.AnswerLostError(f"{address}: an answer without a length")
+
+
 def _to_httpcore(address: str, request: client.ForwardedRequest) -> httpcore.Request:
     headers = [
         (b"host", address.encode()),
--- a/toucanhold/events.py
+++ b/toucanhold/events.py
@@ -15,6 +15,7 @@
     REQUEST_FAILED = (2003, logging.WARNING, "a request failed after it was sent")
     REQUEST_FINISHED = (2004, logging.INFO, "a request was answered whole")
     REQUEST_RETRIED = (2005, logging.INFO, "an idempotent request is tried again")
+    RETRY_DENIED = (2007, logging.INFO, "a failed attempt is not tried again")
     COLD_SLOTS_RELEASED = (2006, logging.INFO, "this entry gave cold slots back to others")
     GROUP_PLANNED = (3001, logging.INFO, "the planner formed a group")
     GROUP_ENDED = (3002, logging.INFO, "the planner ended a generation of a group")
--- a/toucanhold/routing/fairqueue.py
+++ b/toucanhold/routing/fairqueue.py
@@ -95,6 +95,10 @@
                 self.cold.note_unclean_end(chosen.vm.vm, chosen.report.boot_id)
             self._release(chosen, request)
 
+    def expected_duration_s(self, request: requests.CallerRequest) -> float:
+        """See :class:`gate.AdmissionPolicy`."""
+        return self._queue(request).rate.duration_s
+
     def _queue(self, request: requests.CallerRequest) -> _Queue:
         key = (request.service.name, request.adapter)
         queue = self._queues.get(key)
--- a/toucanhold/routing/gate.py
+++ b/toucanhold/routing/gate.py
@@ -43,6 +43,10 @@
         :raises requests.RequestError: at once, when there will be no room in time
         """
 
+    def expected_duration_s(self, request: requests.CallerRequest) -> float:
+        """Return how long such a request takes once it is placed; 0 if unknown."""
+        return 0.0
+
 
 @attrs.define(eq=False)
 class PlainQueue(AdmissionPolicy):
--- a/toucanhold/routing/router.py
+++ b/toucanhold/routing/router.py
@@ -11,7 +11,17 @@
 from toucanhold.observing import view
 from toucanhold.planning import plan
 from toucanhold.platform import keyvalue
-from toucanhold.routing import candidates, choice, cold, dispatch, fairqueue, gate, room, slots
+from toucanhold.routing import (
+    candidates,
+    choice,
+    cold,
+    dispatch,
+    fairqueue,
+    gate,
+    room,
+    slots,
+    watchdog,
+)
 
 
 @attrs.frozen
@@ -53,6 +63,7 @@
         """Do the background work until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.slots.run)
+            nursery.start_soon(self.dispatcher.watchdog.run)
 
     async def release(self) -> None:
         """Give back what this entry holds; nothing may be in flight any more."""
@@ -77,7 +88,9 @@
         shares,
         around.max_in_flight,
     )
-    dispatcher = dispatch.Dispatcher(admission, finder, around.backends)
+    dispatcher = dispatch.Dispatcher(
+        admission, finder, around.backends, watchdog.Watchdog(around.view)
+    )
     return Router(leased, in_flight, finder, shares, limits, policy, admission, dispatcher)
 
 
@@ -90,7 +103,9 @@
     limits = room.ReportedRoom(in_flight, whole)
     policy = choice.RoundRobin(limits)
     admission = gate.PlainQueue(finder, policy, in_flight, limits, whole)
-    dispatcher = dispatch.Dispatcher(admission, finder, around.backends)
+    dispatcher = dispatch.Dispatcher(
+        admission, finder, around.backends, watchdog.Watchdog(around.view)
+    )
     return Router(leased, in_flight, finder, whole, limits, policy, admission, dispatcher)
 
 
--- /dev/null
+++ b/toucanhold/routing/watchdog.py
@@ -0,0 +1,67 @@
+"""Ends attempts whose backend server has gone, restarted, left its group or stalled."""
+
+import attrs
+import trio
+
+from toucanhold.observing import view
+from toucanhold.routing import candidates
+
+CHECK_INTERVAL_S = 0.25
+STALL_TIMEOUT_S = 10.0
+
+
+@attrs.define(eq=False)
+class WatchedAttempt:
+    """An attempt that may be ended so that another one takes over.
+
+    :ivar last_event_s: time of the last event; infinite before the first
+    :ivar reason: why it was ended; empty while it goes on
+    """
+
+    candidate: candidates.Candidate
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    last_event_s: float = float("inf")
+    reason: str = ""
+
+
+@attrs.define(eq=False)
+class Watchdog:
+    """Looks after all attempts of idempotent requests with one task."""
+
+    view: view.View
+    stall_timeout_s: float = STALL_TIMEOUT_S
+    _attempts: set[WatchedAttempt] = attrs.field(factory=set)
+
+    def add(self, attempt: WatchedAttempt) -> None:
+        """Watch an attempt."""
+        self._attempts.add(attempt)
+
+    def remove(self, attempt: WatchedAttempt) -> None:
+        """Watch it no longer."""
+        self._attempts.discard(attempt)
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            await trio.sleep(CHECK_INTERVAL_S)
+            now_s = trio.current_time()
+            for attempt in self._attempts:
+                attempt.reason = attempt.reason or self._why_over(attempt, now_s)
+                if attempt.reason:
+                    attempt.scope.cancel()
+
+    def _why_over(self, attempt: WatchedAttempt, now_s: float) -> str:
+        # A paused or dark backend server sends nothing, not even the end of its connection: the
+        # caller would wait for the rest of its stream until the deadline.
+        candidate = attempt.candidate
+        if now_s - attempt.last_event_s > self.stall_timeout_s:
+            return f"no event for {self.stall_timeout_s:.0f} s"
+        if self.view.is_lost(candidate.vm.vm, now_s):
+            return "the backend server no longer answers"
+        group = candidate.group
+        if group is not None and self.view.is_ended(*group.place):
+            return "the group has lost a member"
+        observation = self.view.observation(candidate.vm.vm)
+        if observation is not None and observation.report.boot_id != candidate.report.boot_id:
+            return "the backend server has booted again"
+        return ""
