Choose between two random draws, by prefix, zone, adapter and corrected load

Cause: seven entries that see the same eight free places in the same lagging report send up to 56 requests; requests with a common prompt went anywhere.

Change: the reported load is corrected by what this entry sent since, counted once, and by what others sent, judged by this entry's part of all reported load; a floor of its even part keeps an entry from being starved by those who see their own ends first. A prompt's leading 1024 characters choose a server by consistent hashing, taken unless it is fuller by a quarter than the better of two draws. Adapters ("service:adapter") are part of the match; the caller's zone breaks near ties.

--- a/toucanhold/callers/app.py
+++ b/toucanhold/callers/app.py
@@ -14,7 +14,7 @@
 from toucanhold.callers import directory, measuring, order_keys, problems
 from toucanhold.configuration import holder, rules
 from toucanhold.orders import keeper
-from toucanhold.routing import dispatch, requests
+from toucanhold.routing import affinity, dispatch, requests
 
 CHAT_PATHS = ("/v1/chat/completions", "/v1/completions")
 SERVICES_PREFIX = "/services/"
@@ -167,12 +167,15 @@
         except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
             detail = "the body must be a JSON object with a model"
             raise _refused(requests.Problem.MALFORMED, detail) from error
+        # An adapter is named as "service:adapter".
+        name, _, adapter = name.partition(":") if isinstance(name, str) else (name, "", "")
         service = self._service(name, rules.ServiceKind.MODEL)
-        # Callers name the service; engines know only the model that they loaded.
-        body = json.dumps(fields | {"model": service.model}).encode()
-        return self._request(
+        # Callers name the service; engines know only the model or adapter that they loaded.
+        body = json.dumps(fields | {"model": adapter or service.model}).encode()
+        request = self._request(
             scope, body, request_id, service, scope["path"], may_repeat=True, stream=stream is True
         )
+        return attrs.evolve(request, adapter=adapter, prefix=affinity.prefix_key(fields))
 
     def _plain_request(
         self, scope: asgi.Scope, body: bytes, request_id: str
@@ -209,6 +212,7 @@
             may_repeat=may_repeat,
             stream=stream,
             idempotency_key=asgi.header(scope, "idempotency-key"),
+            availability_zone=asgi.header(scope, "toucanhold-availability-zone"),
         )
 
     def _timeout_s(self, scope: asgi.Scope) -> float:
--- a/toucanhold/routing/candidates.py
+++ b/toucanhold/routing/candidates.py
@@ -27,6 +27,28 @@
     fresh_until_s: float = math.inf
 
 
+@attrs.frozen(eq=False)
+class CandidateSet(collections.abc.Sequence):
+    """The candidates of one service; good until the next await.
+
+    :ivar by_vm: the candidates by the names of their VMs
+    :ivar members: changes whenever a VM joins or leaves the set
+    """
+
+    options: tuple[Candidate, ...] = ()
+    by_vm: collections.abc.Mapping[str, Candidate] = attrs.field(factory=dict)
+    members: int = 0
+
+    def __len__(self) -> int:
+        return len(self.options)
+
+    def __getitem__(self, index):
+        return self.options[index]
+
+
+NO_CANDIDATES = CandidateSet()
+
+
 @attrs.frozen
 class _Place:
     """A group of the plan or a plain service's VM, whatever its reports say."""
@@ -48,7 +70,7 @@
     places: dict[str, _Place] = attrs.field(factory=dict)
     changed: set[str] = attrs.field(factory=set)
     found: dict[str, Candidate] = attrs.field(factory=dict)
-    options: tuple[Candidate, ...] = ()
+    options: CandidateSet = NO_CANDIDATES
     recheck_s: float = -math.inf
 
 
@@ -85,18 +107,19 @@
     _places_of_vm: dict[str, list[tuple[_ServicePlaces, str]]] = attrs.field(
         factory=dict, init=False
     )
+    _members: int = attrs.field(default=0, init=False)
     _distrusted_at_s: dict[str, float] = attrs.field(factory=dict, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Follow the reports."""
         self.view.subscribe(self._mark_changed)
 
-    def find(self, service: rules.Service, now_s: float) -> collections.abc.Sequence[Candidate]:
+    def find(self, service: rules.Service, now_s: float) -> CandidateSet:
         """Return all candidates of a service."""
         self._follow_basis()
         known = self._services.get(service.name)
         if known is None:
-            return ()
+            return NO_CANDIDATES
         if now_s > known.recheck_s:
             known.recheck_s = math.inf
             known.changed.update(known.places)
@@ -104,7 +127,7 @@
             for head in known.changed:
                 self._look_again(known, known.places[head], now_s)
             known.changed.clear()
-            known.options = tuple(known.found.values())
+            known.options = CandidateSet(tuple(known.found.values()), known.found, self._members)
         return known.options
 
     def candidate_of(self, service: rules.Service, vm: str, now_s: float) -> Candidate | None:
@@ -131,6 +154,7 @@
         if basis.is_same(self._basis):
             return
         self._basis = basis
+        self._members += 1
         self._services = {each.name: _ServicePlaces(each) for each in current.rules.services}
         self._places_of_vm = {}
         vms = current.inventory.by_name()
@@ -150,6 +174,8 @@
 
     def _look_again(self, known: _ServicePlaces, place: _Place, now_s: float) -> None:
         candidate = self._candidate(known.service, place, now_s)
+        if (candidate is None) == (place.head.vm in known.found):
+            self._members += 1
         if candidate is None:
             known.found.pop(place.head.vm, None)
         else:
--- a/toucanhold/routing/requests.py
+++ b/toucanhold/routing/requests.py
@@ -80,6 +80,7 @@
     :ivar stream: whether the answer is a stream of server-sent events
     :ivar adapter: the adapter that it needs; empty for none
     :ivar availability_zone: the caller's, where it said so
+    :ivar prefix: hash of the leading part of its prompt; 0 for none
     """
 
     request_id: str
@@ -95,3 +96,4 @@
     idempotency_key: str = ""
     adapter: str = ""
     availability_zone: str = ""
+    prefix: int = 0
--- a/toucanhold/routing/room.py
+++ b/toucanhold/routing/room.py
@@ -1,5 +1,7 @@
 """How much more work a candidate may get from this entry."""
 
+from __future__ import annotations
+
 import abc
 import collections
 import collections.abc
@@ -11,6 +13,8 @@
 from toucanhold.observing import view
 from toucanhold.routing import candidates, cold
 
+REPORT_LAG_S = 1.0
+
 
 @attrs.define(eq=False)
 class InFlight:
@@ -82,7 +86,7 @@
     cold: cold.ColdPolicy
     view: view.View
     entries: collections.abc.Callable[[], int]
-    _seen: dict[str, "_Seen"] = attrs.field(factory=dict, init=False)
+    _seen: dict[str, _Seen] = attrs.field(factory=dict, init=False)
     _own_total: int = attrs.field(default=0, init=False)
     _reported_total: int = attrs.field(default=0, init=False)
 
@@ -126,19 +130,33 @@
         last = self._seen.pop(vm, _Seen())
         now = _Seen()
         if observation is not None:
-            report = observation.report
-            now = _Seen(self.in_flight.count(vm), report.running + report.waiting)
+            now = self._new_seen(observation, last)
             self._seen[vm] = now
         self._own_total += now.own - last.own
         self._reported_total += now.reported - last.reported
 
+    def _new_seen(self, observation: view.Observation, last: _Seen) -> _Seen:
+        # An engine may report the load of a moment ago, when requests that this entry has sent
+        # since were not there; taking them as included would let as many again be sent.
+        report, asked_at_s = observation.report, observation.asked_at_s
+        counts = [each for each in last.counts if each[0] >= asked_at_s - REPORT_LAG_S]
+        counts.append((asked_at_s, self.in_flight.count(report.vm)))
+        own = min(own for _, own in counts)
+        return _Seen(own, report.running + report.waiting, tuple(counts))
+
 
 @attrs.frozen
 class _Seen:
-    """Own requests in flight when a report came, and the load that it told."""
+    """A report and what this entry had in flight then.
+
+    :ivar own: fewest own requests in flight that the report may rest on
+    :ivar reported: the load that it told
+    :ivar counts: times and own requests in flight at the latest reports
+    """
 
     own: int = 0
     reported: int = 0
+    counts: tuple[tuple[float, int], ...] = ()
 
 
 def _limit(
--- a/toucanhold/routing/router.py
+++ b/toucanhold/routing/router.py
@@ -77,7 +77,7 @@
     finder = candidates.CandidateFinder(around.configuration, around.plans, around.view)
     shares = cold.SlotShares(leased, around.view)
     limits = room.EstimatedRoom(in_flight, shares, around.view, lambda: len(around.entries()))
-    policy = choice.LeastLoaded(limits, around.rng)
+    policy = choice.TwoChoices(limits, around.rng, around.availability_zone)
     admission = fairqueue.FairQueue(
         around.configuration,
         finder,
