Let shared secrets be exchanged while the system runs

Cause: the peers' key and the operators' token were single values; to exchange one, all entries had to be replaced at once, and entries of the two values would have parted. Change: both are lists, the first is used, all are accepted; a secret is exchanged in three rounds over the entries. Order keys issued under the round before stay readable.

--- a/standins/entries.py
+++ b/standins/entries.py
@@ -13,7 +13,7 @@
 import trio
 
 from standins import memory
-from toucanhold import entry, outside, serving, settings
+from toucanhold import entry, keyring, outside, serving, settings
 from toucanhold.backends import client
 from toucanhold.platform import vms
 
@@ -148,8 +148,8 @@
             operators_address=f"{name}:2",
             peers_address=f"{name}:3",
             platform_url="http://memory",
-            operator_token=TOKEN,
-            peer_key=PEER_KEY,
+            operator_token=keyring.from_text(TOKEN),
+            peer_key=keyring.from_text(PEER_KEY),
             peers=tuple(f"{each}:3" for each in self.peers if each != name),
             **({"seed": 1, "directory_keep_s": 1.0} | self.options),
         )
--- a/tests/order_fakes.py
+++ b/tests/order_fakes.py
@@ -7,6 +7,7 @@
 import attrs
 import trio
 
+from toucanhold import keyring
 from toucanhold.configuration import rules
 from toucanhold.membership import roster
 from toucanhold.orders import building, keeper
@@ -188,7 +189,14 @@
     own = roster.Member(name, "zone-a", address, "", "", boot=boot)
     entries = roster.Roster(own)
     return FakeEntry(
-        building.new_keeper(entries, sender, store, "peer-key", trio.current_time, calls_per_s)
+        building.new_keeper(
+            entries,
+            sender,
+            store,
+            keyring.from_text("peer-key"),
+            trio.current_time,
+            calls_per_s,
+        )
     )
 
 
--- a/tests/proof/site.py
+++ b/tests/proof/site.py
@@ -14,7 +14,7 @@
 
 from standins import memory
 from tests.proof import history, network, platform, servers
-from toucanhold import entry, outside, serving, settings
+from toucanhold import entry, keyring, outside, serving, settings
 from toucanhold.peers import transport
 from toucanhold.platform import vms
 
@@ -194,8 +194,8 @@
             operators_address=f"10.1.0.{number}:7001",
             peers_address=f"10.1.0.{number}:7002",
             platform_url="http://memory",
-            operator_token=TOKEN,
-            peer_key="bench-peer-key-0000",
+            operator_token=keyring.from_text(TOKEN),
+            peer_key=keyring.from_text("bench-peer-key-0000"),
             peers=tuple(f"10.1.0.{each[6:]}:7002" for each in self.names() if each != name),
             directory_keep_s=0.5,
             seed=self.plan.seed,
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -114,7 +114,7 @@
             "--entry (TOUCANHOLD_ENTRY): missing",
             "--callers-address (TOUCANHOLD_CALLERS_ADDRESS): must be IP:port",
             "--default-timeout-s",
-            "--operator-token (TOUCANHOLD_OPERATOR_TOKEN): must have 16 characters",
+            "--operator-token (TOUCANHOLD_OPERATOR_TOKEN): each must have 16 characters",
             "--tls-certificate and --tls-key go together",
         ):
             self.assertIn(part, err)
--- a/tests/test_order_keys.py
+++ b/tests/test_order_keys.py
@@ -5,6 +5,7 @@
 import trio
 
 from tests import order_fakes, test_orders
+from toucanhold import keyring
 from toucanhold.orders import issued, keys
 
 
@@ -134,7 +135,9 @@
         async def body(store, sender, a, b):
             key = a.issue()
             body_part, _, mac = key.removeprefix(keys.PREFIX).partition(".")
-            forged = keys.KeySigner(b"another secret").issue("a", "boot", "growers", 1e9)
+            forged = keys.KeySigner(keyring.from_text("another secret")).issue(
+                "a", "boot", "growers", 1e9
+            )
             for bad in ("thk1.", "thk1.x", f"thk1.{body_part}.AAAA", key[:-4], key + "A", forged):
                 answer = await a.order(order_fakes.new_request(bad))
                 self.assertEqual(("malformed", "did-not-run"), answer[:2], bad)
@@ -156,6 +159,6 @@
         self.with_known(body)
 
     def test_key_fits_a_header(self):
-        signer = keys.KeySigner(b"secret")
+        signer = keys.KeySigner(keyring.from_text("secret"))
         key = signer.issue("entry-name-of-30-characters-ok", "b" * 32, "w" * 60, 1e9)
         self.assertLessEqual(len(key), 255)
--- a/tests/test_peer_streams.py
+++ b/tests/test_peer_streams.py
@@ -8,9 +8,10 @@
 import trio.testing
 
 from standins import memory
+from toucanhold import keyring
 from toucanhold.peers import exchange, frames, handshake, messages, streams
 
-KEY = b"a-key-of-sixteen"
+KEY = keyring.from_text("a-key-of-sixteen")
 
 
 def run(test, *args):
@@ -143,7 +144,7 @@
         network = memory.MemoryNetwork()
         async with trio.open_nursery() as nursery:
             good = new_host(network, "a", ["b"])
-            bad = new_host(network, "b", ["a"], key=b"another-key-here")
+            bad = new_host(network, "b", ["a"], key=keyring.from_text("another-key-here"))
             await nursery.start(good.streams.run)
             await nursery.start(bad.streams.run)
             with self.assertLogs("toucanhold.peers.streams", "WARNING"):
--- a/toucanhold/entry.py
+++ b/toucanhold/entry.py
@@ -155,7 +155,7 @@
         self.peers = streams.PeerStreams(
             handshake.Identity(own.entry, self.roster.own.boot),
             own.peers_address,
-            own.peer_key.encode(),
+            own.peer_key,
             self.outside.peers,
             self.exchange,
             self._peer_addresses,
--- a/toucanhold/operators/app.py
+++ b/toucanhold/operators/app.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import hmac
 import logging
 import urllib.parse
 
 import attrs
 
-from toucanhold import asgi, codec, events, metrics
+from toucanhold import asgi, codec, events, keyring, metrics
 from toucanhold.configuration import document, holder, store
 from toucanhold.operators import changes, messages, status
 from toucanhold.planning import preview
@@ -37,7 +36,7 @@
 class OperatorsApp:
     """Checks the token, then queries or changes.
 
-    :ivar token: what operators must present; compared in constant time
+    :ivar tokens: what operators must present one of; compared in constant time
     """
 
     changes: changes.Changes
@@ -45,7 +44,7 @@
     status: status.StatusComposer
     previewer: preview.Previewer
     metrics: metrics.Metrics
-    token: str = attrs.field(repr=False)
+    tokens: keyring.KeyRing
 
     async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         """Serve one connection event of the ASGI server."""
@@ -75,7 +74,7 @@
 
     def _authenticate(self, scope: asgi.Scope) -> None:
         presented = asgi.header(scope, "authorization").removeprefix("Bearer ")
-        if not hmac.compare_digest(presented.encode(), self.token.encode()):
+        if self.tokens.find(presented.encode(), _itself) is None:
             raise _error(401, "unauthorized", "a valid operator token is needed")
 
     async def _route(self, scope: asgi.Scope, receive: asgi.Receive) -> object:
@@ -135,6 +134,10 @@
         raise _OperatorError(422, answer) from error
 
 
+def _itself(token: bytes) -> bytes:
+    return token
+
+
 def _status_of(answer: object) -> int:
     held = isinstance(answer, messages.ChangeAnswer) and not answer.durable
     return ACCEPTED if held else OK
--- a/toucanhold/orders/building.py
+++ b/toucanhold/orders/building.py
@@ -3,6 +3,7 @@
 import collections.abc
 import time
 
+from toucanhold import keyring
 from toucanhold.membership import roster
 from toucanhold.orders import (
     claimed,
@@ -26,13 +27,13 @@
     entries: roster.Roster,
     sender: running.Sender,
     platform: keyvalue.KeyValueClient,
-    peer_key: str,
+    peer_keys: keyring.KeyRing,
     wall_clock: collections.abc.Callable[[], float] = time.time,
     calls_per_s: float = CLAIM_CALLS_PER_S,
 ) -> keeper.OrderKeeper:
     """Return a keeper whose calls are this entry's share of what all entries may use.
 
-    :param peer_key: the secret that entries share
+    :param peer_keys: the secrets that entries share
     :param calls_per_s: what all entries together may send to the platform
     """
 
@@ -46,6 +47,6 @@
     runner = running.OrderRunner(sender)
     own = entries.own
     by_claim = claimed.ClaimedOrders(own.entry, own.boot, runner, store, wall_clock)
-    signer = keys.KeySigner(peer_key.encode())
+    signer = keys.KeySigner(peer_keys)
     by_issue = issued.IssuedOrders(entries, runner, store, signer, wall_clock)
     return keeper.OrderKeeper(runner, by_claim, by_issue)
--- a/toucanhold/orders/keys.py
+++ b/toucanhold/orders/keys.py
@@ -8,6 +8,8 @@
 import attrs
 import msgpack
 
+from toucanhold import keyring
+
 PREFIX = "thk1."
 VALID_S = 3600.0
 NONCE_BYTES = 12
@@ -39,16 +41,16 @@
 class KeySigner:
     """Writes and reads order keys.
 
-    :ivar secret: known to the entries alone
+    :ivar secrets: known to the entries alone; keys under any of them are read
     """
 
-    secret: bytes = attrs.field(converter=lambda key: hmac.digest(key, DERIVATION, hashlib.sha256))
+    secrets: keyring.KeyRing = attrs.field(converter=lambda keys: keys.derived(_derive))
 
     def issue(self, entry: str, boot: str, workspace: str, expires_at_s: float) -> str:
         """Return a new key."""
         key = IssuedKey(entry, boot, workspace, expires_at_s, os.urandom(NONCE_BYTES))
         body = msgpack.packb(attrs.astuple(key))
-        return _text(body, self._mac(body))
+        return _text(body, _mac(self.secrets.primary, body))
 
     def read(self, text: str, workspace: str) -> IssuedKey:
         """Return what a key says.
@@ -62,7 +64,7 @@
             if text != _text(body, mac):
                 # Unused bits of base64 may differ: two spellings of one key would be two orders.
                 raise InvalidKeyError("it was changed")
-            if not hmac.compare_digest(mac, self._mac(body)):
+            if self.secrets.find(mac, lambda secret: _mac(secret, body)) is None:
                 raise InvalidKeyError("its signature is wrong")
             key = IssuedKey(*msgpack.unpackb(body))
         except (ValueError, TypeError, msgpack.UnpackException) as error:
@@ -71,15 +73,20 @@
             raise InvalidKeyError("it was issued to another workspace")
         return key
 
-    def _mac(self, body: bytes) -> bytes:
-        return hmac.digest(self.secret, body, hashlib.sha256)[:MAC_BYTES]
-
 
 def is_issued(text: str) -> bool:
     """Tell whether a key claims to be one that an entry issued."""
     return text.startswith(PREFIX)
 
 
+def _derive(key: bytes) -> bytes:
+    return hmac.digest(key, DERIVATION, hashlib.sha256)
+
+
+def _mac(secret: bytes, body: bytes) -> bytes:
+    return hmac.digest(secret, body, hashlib.sha256)[:MAC_BYTES]
+
+
 def _text(body: bytes, mac: bytes) -> str:
     return f"{PREFIX}{_encode(body)}.{_encode(mac)}"
 
--- a/toucanhold/peers/handshake.py
+++ b/toucanhold/peers/handshake.py
@@ -1,5 +1,6 @@
 """Mutual authentication at the start of a stream between entries."""
 
+import functools
 import hashlib
 import hmac
 import secrets
@@ -7,6 +8,7 @@
 import attrs
 import msgpack
 
+from toucanhold import keyring
 from toucanhold.peers import frames, messages
 
 CHALLENGE_BYTES = 32
@@ -30,7 +32,7 @@
     boot: str
 
 
-async def as_dialler(stream: frames.FrameStream, own: Identity, key: bytes) -> Identity:
+async def as_dialler(stream: frames.FrameStream, own: Identity, keys: keyring.KeyRing) -> Identity:
     """Authenticate with the entry that was dialled; return who it is.
 
     :raises HandshakeError: when it does not prove that it has the key
@@ -39,12 +41,15 @@
     mine = _hello(own)
     await _send(stream, mine)
     theirs = await _receive_hello(stream)
-    await _send(stream, messages.Proof(_mac(key, DIALLER, mine, theirs)))
-    await _check(stream, _mac(key, LISTENER, mine, theirs))
+    await _send(stream, messages.Proof(_mac(keys.primary, DIALLER, mine, theirs)))
+    used = keyring.KeyRing((keys.primary,))
+    await _check(
+        stream, used, functools.partial(_mac, role=LISTENER, dialler=mine, listener=theirs)
+    )
     return Identity(theirs.entry, theirs.boot)
 
 
-async def as_listener(stream: frames.FrameStream, own: Identity, key: bytes) -> Identity:
+async def as_listener(stream: frames.FrameStream, own: Identity, keys: keyring.KeyRing) -> Identity:
     """Authenticate with the entry that dialled; return who it is.
 
     :raises HandshakeError: when it does not prove that it has the key
@@ -54,7 +59,8 @@
     mine = _hello(own)
     await _send(stream, mine)
     # The dialler proves itself first, so a stranger gets no proof out of this entry.
-    await _check(stream, _mac(key, DIALLER, theirs, mine))
+    proof = functools.partial(_mac, role=DIALLER, dialler=theirs, listener=mine)
+    key = await _check(stream, keys, proof)
     await _send(stream, messages.Proof(_mac(key, LISTENER, theirs, mine)))
     return Identity(theirs.entry, theirs.boot)
 
@@ -80,10 +86,14 @@
     return hello
 
 
-async def _check(stream: frames.FrameStream, expected: bytes) -> None:
+async def _check(
+    stream: frames.FrameStream, keys: keyring.KeyRing, expected: keyring.Derive
+) -> bytes:
     proof = await _receive(stream, messages.Proof)
-    if not hmac.compare_digest(proof.mac, expected):
+    key = keys.find(proof.mac, expected)
+    if key is None:
         raise HandshakeError("the proof does not fit: another key, or a replayed handshake")
+    return key
 
 
 async def _send(stream: frames.FrameStream, message: messages.Message) -> None:
--- a/toucanhold/peers/streams.py
+++ b/toucanhold/peers/streams.py
@@ -7,7 +7,7 @@
 import attrs
 import trio
 
-from toucanhold import events
+from toucanhold import events, keyring
 from toucanhold.peers import exchange, frames, handshake, messages, transport
 
 FRAME_LIMIT_BYTES = 64 * 1024 * 1024
@@ -46,14 +46,14 @@
 
     :ivar own: this entry and this process
     :ivar address: ``IP:port`` to listen on
-    :ivar key: what peers must prove that they have
+    :ivar keys: what peers must prove that they have one of
     :ivar addresses: returns where peers may be dialled now
     :ivar heartbeat: composes what this entry tells a peer at an interval
     """
 
     own: handshake.Identity
     address: str
-    key: bytes = attrs.field(repr=False)
+    keys: keyring.KeyRing
     transport: transport.PeerTransport
     exchange: exchange.Exchange
     addresses: Addresses
@@ -126,7 +126,7 @@
         framed = frames.FrameStream(stream, handshake.HANDSHAKE_FRAME_LIMIT_BYTES)
         try:
             with trio.fail_after(HANDSHAKE_TIMEOUT_S):
-                peer = await side(framed, self.own, self.key)
+                peer = await side(framed, self.own, self.keys)
         except handshake.HandshakeError as error:
             events.log(LOGGER, events.Event.PEER_REFUSED, reason=str(error), dialled=dialled)
             return None
--- a/toucanhold/settings.py
+++ b/toucanhold/settings.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from toucanhold import logs
+from toucanhold import keyring, logs
 
 ENVIRONMENT_PREFIX = "TOUCANHOLD_"
 SECRET_MIN_LENGTH = 16
@@ -61,10 +61,11 @@
     return text.rstrip("/")
 
 
-def _secret(text: str) -> str:
-    if len(text) < SECRET_MIN_LENGTH:
-        raise ValueError(f"must have {SECRET_MIN_LENGTH} characters or more")
-    return text
+def _secrets(text: str) -> keyring.KeyRing:
+    found = keyring.from_text(text)
+    if any(len(key) < SECRET_MIN_LENGTH for key in found.keys):
+        raise ValueError(f"each must have {SECRET_MIN_LENGTH} characters or more")
+    return found
 
 
 def _number(low: float, high: float) -> Parser:
@@ -110,8 +111,14 @@
     peers_address: str = _setting("IP:port for other entries", _address)
     platform_url: str = _setting("URL of the platform's key-value service", _url)
     vm_list_url: str = _setting("URL of the platform's list of VMs; empty for none", str, "")
-    operator_token: str = _setting("token of operators", _secret, secret=True)
-    peer_key: str = _setting("key that entries share to know each other", _secret, secret=True)
+    operator_token: keyring.KeyRing = _setting(
+        "tokens of operators, separated by commas", _secrets, secret=True
+    )
+    peer_key: keyring.KeyRing = _setting(
+        "keys that entries share, separated by commas; the first is used, all are accepted",
+        _secrets,
+        secret=True,
+    )
     peers: tuple[str, ...] = _setting(
         "peers' IP:port, separated by commas; used while the platform is silent", _addresses, ()
     )
