--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,9 @@
 STAMP = $(VENV)/.installed
 SOURCES = $(wildcard toucanhold standins tests tools .ci/closing_line.py)
 
+# Sets of names are ordered by hash: the same order in each run gives the same verdicts.
+export PYTHONHASHSEED = 0
+
 .PHONY: venv test lint format demo binary measure capacity matrix
 
 venv: $(STAMP)
--- a/tests/proof/history.py
+++ b/tests/proof/history.py
@@ -131,6 +131,7 @@
 
     :ivar zone: the availability zone taken out or returned; empty for a document
     :ivar began_s: when the operator asked
+    :ivar everywhere: whether the answer says that each entry has it in force
     """
 
     entry: str
@@ -139,6 +140,7 @@
     configuration: int = 0
     zone: str = ""
     out: bool = False
+    everywhere: bool = False
 
 
 @attrs.frozen
