End a generation whose member took its order and left again

A member that accepted its order and shows no trace of it in a later report has left: its generation ends and the next one is planned. Ruled out: the entries' polling, which worked as meant.

--- a/toucanhold/planning/ordering.py
+++ b/toucanhold/planning/ordering.py
@@ -28,12 +28,14 @@
     """An order that was sent.
 
     :ivar done_at_s: when its answer came or was given up
-    :ivar clear: whether the engine answered it
+    :ivar clear: whether its outcome is known
+    :ivar taken: whether the engine accepted it
     """
 
     order: client.Order
     done_at_s: float
     clear: bool
+    taken: bool = False
 
 
 @attrs.frozen
@@ -61,9 +63,9 @@
     _sent: dict[str, SentOrder] = attrs.field(factory=dict, init=False)
     _unplanned_since_s: dict[tuple[str, int], float] = attrs.field(factory=dict, init=False)
 
-    def note_sent(self, due: DueOrder, clear: bool) -> None:
+    def note_sent(self, due: DueOrder, clear: bool, taken: bool = False) -> None:
         """Note that an order went out."""
-        self._sent[due.vm.vm] = SentOrder(due.order, trio.current_time(), clear)
+        self._sent[due.vm.vm] = SentOrder(due.order, trio.current_time(), clear, taken)
 
     def due(self, fencing: int) -> list[DueOrder]:
         """Return the orders to send now, those of the most important services first.
@@ -78,7 +80,9 @@
             if report is None:
                 continue
             wanted = self.plans.domain(vm.fabric_domain).plan.group_of(vm.vm)
-            if self._must_leave(vm, report, wanted, now_s):
+            if wanted is not None and self._has_left(vm, report, wanted):
+                self.view.end_generation(*wanted.place)
+            elif self._must_leave(vm, report, wanted, now_s):
                 leaves.append(DueOrder(vm, client.LeaveOrder(self._number(vm, fencing))))
             elif wanted and report.group is None and self._may_join(vm, report, wanted):
                 joins.append(Join(wanted, vm, report))
@@ -180,6 +184,17 @@
         report = self.view.fresh_report(vm, now_s)
         return report is not None and report.running + report.waiting == 0
 
+    def _has_left(self, vm: inventory.Vm, report: client.Report, wanted: plan.Group) -> bool:
+        # It took the order, and a report asked for later shows no trace of it: it has joined and
+        # left between two reports, as a first member does that looks for another one too early.
+        # Some entry may have seen it there and will never again trust this generation; ordered
+        # back into it, the group would look whole to the planner and serve nothing elsewhere.
+        sent = self._sent.get(vm.vm)
+        if sent is None or not sent.taken or not isinstance(sent.order, client.JoinOrder):
+            return False
+        same = (sent.order.group, sent.order.generation) == wanted.place
+        return same and report.group is None and not report.loading
+
     def _may_join(self, vm: inventory.Vm, report: client.Report, wanted: plan.Group) -> bool:
         # A member that has left never comes back into its old generation: what it held is gone,
         # though the group would look whole again.
--- a/toucanhold/planning/planner.py
+++ b/toucanhold/planning/planner.py
@@ -117,17 +117,18 @@
         if remaining_s < LEASE_MARGIN_S or self.leadership.fencing != fencing:
             return
         vm, order = due.vm, due.order
-        clear = True
+        clear, taken = True, False
         self._sending += 1
         try:
             await self.backends.send_order(vm.address, order, min(ORDER_TIMEOUT_S, remaining_s))
+            taken = True
         except client.BackendError as error:
             clear = isinstance(error, client.NotSentError | client.OrderRefusedError)
             events.log(LOGGER, events.Event.ORDER_FAILED, vm=vm.vm, reason=str(error))
             return
         finally:
             self._sending -= 1
-            self.orders.note_sent(due, clear)
+            self.orders.note_sent(due, clear, taken)
         events.log(
             LOGGER, events.Event.ORDER_SENT, vm=vm.vm, order=order.order, fencing=order.fencing
         )
