Start new work only while the configuration is known to be late enough

An entry that was cut off from the platform and from all peers went on giving work to availability zones that had been taken out, without an end; so did a process that was paused through a take-out and woke with requests waiting.

New work now needs a read of the configuration of the last 2 s or a majority of the known entries on streams. A cut-off entry stops within 3 s, refuses with did-not-run and Retry-After, and finishes what is in flight; an outage of the platform for everyone stops nobody. A gap of more than 1.5 s between two ticks, suspension of the VM counted, voids both until there is a new read or new handshakes with a majority. Without a majority the configuration is read every half second, since a watch can die unnoticed.

A malformed stored configuration ended every entry at once, since the error of the codec was not expected; it is logged and changes nothing now, and an operator's change gets a typed answer.

tests/test_orders_path.py runs three entries in place of two: it kills one and the platform half a second later, and of two entries the other one then has to stop, since it cannot tell death from a partition. All its checks stay.

--- a/standins/entries.py
+++ b/standins/entries.py
@@ -35,10 +35,12 @@
     """Backend servers that are warm, take every order and answer every request at once.
 
     :ivar reports: the load report by address; whoever is not listed does not answer
+    :ivar delay_s: time that a request takes
     """
 
     reports: dict[str, client.Report] = attrs.field(factory=dict)
     forwarded: list[Forwarded] = attrs.field(factory=list)
+    delay_s: float = 0.0
 
     async def close(self) -> None:
         """See :class:`client.BackendClient`."""
@@ -66,6 +68,7 @@
         """See :class:`client.BackendClient`."""
         await trio.lowlevel.checkpoint()
         self.forwarded.append(Forwarded(trio.current_time(), address, request))
+        await trio.sleep(self.delay_s)
         headers = [(b"content-type", b"application/json")]
         yield client.ForwardedResponse(200, headers, _one_chunk(b'{"ok":true}'))
 
--- a/toucanhold/callers/app.py
+++ b/toucanhold/callers/app.py
@@ -13,6 +13,7 @@
 from toucanhold import asgi, events, metrics
 from toucanhold.callers import directory, measuring, order_keys, problems
 from toucanhold.configuration import holder, rules
+from toucanhold.membership import permit
 from toucanhold.orders import keeper
 from toucanhold.routing import affinity, dispatch, requests
 
@@ -38,6 +39,7 @@
     """
 
     configuration: holder.ConfigurationHolder
+    permit: permit.WorkPermit
     dispatcher: dispatch.Dispatcher
     orders: keeper.OrderKeeper
     directory: directory.Directory
@@ -142,10 +144,9 @@
     async def _understand(
         self, scope: asgi.Scope, receive: asgi.Receive, request_id: str
     ) -> requests.CallerRequest:
-        if not self.configuration.current.number:
-            raise _refused(
-                requests.Problem.NOT_READY, "no configuration yet", NOT_READY_RETRY_AFTER_S
-            )
+        refusal = self.permit.refusal()
+        if refusal is not None:
+            raise _refused(requests.Problem.NOT_READY, refusal, NOT_READY_RETRY_AFTER_S)
         try:
             body = await asgi.read_body(receive, self.body_limit_bytes)
         except asgi.BodyTooLargeError as error:
--- a/toucanhold/configuration/snapshot.py
+++ b/toucanhold/configuration/snapshot.py
@@ -20,7 +20,14 @@
 
 
 class SnapshotError(Exception):
-    """Parts that do not make a configuration."""
+    """Parts that do not make a configuration.
+
+    :ivar number: number of that configuration; 0 where it is not known
+    """
+
+    def __init__(self, problem: str, number: int = 0) -> None:
+        super().__init__(problem)
+        self.number = number
 
 
 @attrs.frozen
@@ -50,7 +57,7 @@
         try:
             return codec.from_json(self.body, kind)
         except codec.CodecError as error:
-            raise SnapshotError(f"part {self.name}: {error}") from error
+            raise SnapshotError(f"part {self.name}: {error}", self.number) from error
 
 
 @attrs.frozen
--- a/toucanhold/configuration/store.py
+++ b/toucanhold/configuration/store.py
@@ -5,6 +5,7 @@
 import collections.abc
 import logging
 import time
+import typing
 import uuid
 
 import attrs
@@ -26,6 +27,8 @@
 
 LOGGER = logging.getLogger(__name__)
 
+T = typing.TypeVar("T")
+
 
 class StoreError(Exception):
     """A change of the configuration was not accepted."""
@@ -39,6 +42,10 @@
     """The key-value service could not be asked; nothing took effect."""
 
 
+class UnreadableError(StoreError):
+    """What is stored is malformed; nothing took effect."""
+
+
 class UnknownOutcomeError(StoreError):
     """It could not be learnt whether the change took effect."""
 
@@ -84,12 +91,13 @@
         :param known: number of the configuration that the caller has
         :param known_revision: the store's revision at which it was read; 0 for none
         :raises keyvalue.KeyValueError: when the service does not answer
+        :raises snapshot.SnapshotError: when what is stored is malformed
         """
         result = await self.client.read(PREFIX, known_revision + 1 if known_revision else 0)
         number, parts = known, []
         for item in result.items:
             if item.key == HEAD_KEY:
-                number = codec.from_json(item.value, Head).number
+                number = _head(item).number
             else:
                 parts.append(_part(item))
         base = known if known_revision else 0
@@ -181,15 +189,10 @@
             result = await self.client.read(PREFIX)
         except keyvalue.KeyValueError as error:
             raise NotAcceptedError(f"nothing was changed: {error}") from error
-        head, parts = _StoredHead(), {}
-        for item in result.items:
-            if item.key == HEAD_KEY:
-                found = codec.from_json(item.value, Head)
-                head = _StoredHead(found.number, found.attempt, item.mod_revision)
-            else:
-                part = _part(item)
-                parts[part.name] = part
-        return snapshot.from_parts(head.number, parts), head
+        try:
+            return _current(result)
+        except snapshot.SnapshotError as error:
+            raise UnreadableError(f"nothing was changed: {error}") from error
 
     async def _commit(self, head: Head, head_revision: int, bodies: dict[str, bytes]) -> bool:
         writes = [keyvalue.Write(HEAD_KEY, codec.to_json(head))]
@@ -213,15 +216,15 @@
             await trio.sleep(READ_BACK_INTERVAL_S)
             try:
                 result = await self.client.read(PREFIX)
-            except keyvalue.KeyValueError:
-                continue
-            return self._judge(result, head, head_revision)
+                return self._judge(result, head, head_revision)
+            except (keyvalue.KeyValueError, snapshot.SnapshotError) as error:
+                LOGGER.debug("reading back: %s", error)
         raise UnknownOutcomeError("the key-value service does not tell whether it took effect")
 
     def _judge(self, result: keyvalue.RangeResult, head: Head, head_revision: int) -> bool:
         stored = {item.key: item for item in result.items}
         found = stored.get(HEAD_KEY)
-        if found is not None and codec.from_json(found.value, Head).attempt == head.attempt:
+        if found is not None and _head(found).attempt == head.attempt:
             return True
         if (found.mod_revision if found else 0) == head_revision:
             # The write can still be on its way. Its condition names the old head, as that of the
@@ -230,11 +233,34 @@
         raise UnknownOutcomeError("another change followed; see status for what is in force")
 
 
+def _current(result: keyvalue.RangeResult) -> tuple[snapshot.Configuration, _StoredHead]:
+    head, parts = _StoredHead(), {}
+    for item in result.items:
+        if item.key == HEAD_KEY:
+            found = _head(item)
+            head = _StoredHead(found.number, found.attempt, item.mod_revision)
+        else:
+            part = _part(item)
+            parts[part.name] = part
+    return snapshot.from_parts(head.number, parts), head
+
+
+def _head(item: keyvalue.Item) -> Head:
+    return _decoded(item, Head)
+
+
 def _part(item: keyvalue.Item) -> snapshot.Part:
-    stored = codec.from_json(item.value, StoredPart)
+    stored = _decoded(item, StoredPart)
     return snapshot.Part(item.key.removeprefix(PART_PREFIX), stored.number, stored.body.encode())
 
 
+def _decoded(item: keyvalue.Item, kind: type[T]) -> T:
+    try:
+        return codec.from_json(item.value, kind)
+    except codec.CodecError as error:
+        raise snapshot.SnapshotError(f"{item.key}: {error}") from error
+
+
 def _zones_body(
     current: snapshot.Configuration,
     zones: frozenset[str],
--- a/toucanhold/entry.py
+++ b/toucanhold/entry.py
@@ -12,8 +12,8 @@
 from toucanhold import application, codec, events, gauges, metrics, outside, settings
 from toucanhold.callers import app as callers_app
 from toucanhold.callers import directory
-from toucanhold.configuration import holder, snapshot, store
-from toucanhold.membership import facts, roster
+from toucanhold.configuration import holder, reading, store
+from toucanhold.membership import facts, permit, roster
 from toucanhold.observing import poller, view
 from toucanhold.operators import app as operators_app
 from toucanhold.operators import changes, status
@@ -42,7 +42,6 @@
     _servers_left: int = attrs.field(default=0, init=False)
     _all_served: trio.Event = attrs.field(factory=trio.Event, init=False)
     _stop_requested: trio.Event = attrs.field(factory=trio.Event, init=False)
-    _known_revision: int = attrs.field(default=0, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Build the components; none does anything before :meth:`start`."""
@@ -53,6 +52,7 @@
         self.backends = self.outside.backends
         self.configuration = holder.ConfigurationHolder()
         self.store = store.ConfigurationStore(self.platform)
+        self.reader = reading.ConfigurationReader(self.store, self.configuration)
         self.plans = plan.PlanHolder()
         self.view = view.View()
         self.poller = poller.Poller(self.configuration, self.backends, self.view, self.rng)
@@ -67,6 +67,7 @@
     async def start(self, nursery: trio.Nursery) -> None:
         """See :class:`application.Application`."""
         await nursery.start(self.peers.run)
+        nursery.start_soon(self.permit.run)
         nursery.start_soon(self.revisions.run)
         nursery.start_soon(self.holds.run)
         nursery.start_soon(self.configuration_follower.run)
@@ -142,14 +143,19 @@
         self.exchange = exchange.Exchange()
         self.facts = facts.FactTable(facts.EntryFact(self.roster.own, facts.new_incarnation()))
         self.revisions = revisions.RevisionExchange(
-            self.exchange, self.configuration, self.plans, self.roster, self.facts
+            self.exchange,
+            self.configuration,
+            self.reader,
+            self.plans,
+            self.roster,
+            self.facts,
         )
         self.holds = holds.HoldSpreader(
             own.entry,
             self.exchange,
             self.configuration,
             self.store,
-            self._refresh_configuration,
+            self.reader.refresh,
             self.rng,
         )
         self.peers = streams.PeerStreams(
@@ -163,6 +169,15 @@
             self.rng,
         )
 
+        self.permit = permit.WorkPermit(
+            self.configuration,
+            self.reader,
+            self.roster,
+            self.revisions.heard_numbers,
+            self.peers.drop_all,
+            self.rng,
+        )
+
     def _peer_addresses(self) -> set[str]:
         known = {member.peers_address for member in self.roster.members()}
         return (known | set(self.settings.peers)) - {self.settings.peers_address}
@@ -198,6 +213,7 @@
                 platform=self.platform,
                 backends=self.backends,
                 entries=self._serving_entries,
+                may_start=self.permit.may_start,
                 rng=self.rng,
                 max_in_flight=self.settings.max_requests_in_flight,
             )
@@ -212,7 +228,7 @@
 
     def _build_followers(self) -> None:
         follower = functools.partial(following.Follower, self.platform, rng=self.rng)
-        self.configuration_follower = follower(store.PREFIX, self._refresh_configuration)
+        self.configuration_follower = follower(store.PREFIX, self.reader.refresh)
         self.plan_follower = follower(plan.PLAN_PREFIX, self._refresh_plan)
         self.roster_follower = follower(roster.ENTRIES_PREFIX, self._refresh_roster)
 
@@ -220,6 +236,7 @@
         own = self.settings
         self.callers = callers_app.CallersApp(
             self.configuration,
+            self.permit,
             self.router.dispatcher,
             self.orders,
             self._new_directory(),
@@ -244,7 +261,7 @@
             self.holds,
             self.roster,
             self.facts,
-            self._refresh_configuration,
+            self.reader.refresh,
         )
         self.operators = operators_app.OperatorsApp(
             operators_changes,
@@ -283,23 +300,6 @@
                 LOGGER.debug("the list of VMs: %s", error)
             await trio.sleep(VM_LIST_INTERVAL_S * self.rng.uniform(0.8, 1.2))
 
-    async def _refresh_configuration(self) -> int:
-        known = self.configuration.current.number
-        delta, revision = await self.store.read_delta(known, self._known_revision)
-        try:
-            self.configuration.apply(delta, "platform")
-        except snapshot.SnapshotError as error:
-            events.log(
-                LOGGER,
-                events.Event.CONFIGURATION_UNREADABLE,
-                source="platform",
-                configuration=delta.number,
-                reason=str(error),
-            )
-            return revision
-        self._known_revision = revision
-        return revision
-
     async def _refresh_plan(self) -> int:
         result = await self.platform.read(plan.PLAN_PREFIX)
         for item in result.items:
--- a/toucanhold/operators/app.py
+++ b/toucanhold/operators/app.py
@@ -150,6 +150,8 @@
         raise _error(409, "conflict", str(error)) from error
     except store.NotAcceptedError as error:
         raise _error(503, "unavailable", str(error)) from error
+    except store.UnreadableError as error:
+        raise _error(500, "unreadable", str(error)) from error
     except store.UnknownOutcomeError as error:
         raise _error(504, "unknown-outcome", str(error)) from error
 
--- a/toucanhold/peers/revisions.py
+++ b/toucanhold/peers/revisions.py
@@ -6,8 +6,7 @@
 import attrs
 import trio
 
-from toucanhold import events
-from toucanhold.configuration import holder, snapshot
+from toucanhold.configuration import holder, reading, snapshot
 from toucanhold.membership import facts, roster
 from toucanhold.peers import exchange, messages
 from toucanhold.planning import plan
@@ -32,6 +31,7 @@
 
     exchange: exchange.Exchange
     configuration: holder.ConfigurationHolder
+    reader: reading.ConfigurationReader
     plans: plan.PlanHolder
     roster: roster.Roster
     facts: facts.FactTable
@@ -113,13 +113,7 @@
         try:
             self.configuration.apply(message.delta, f"{SOURCE} {peer}")
         except snapshot.SnapshotError as error:
-            events.log(
-                LOGGER,
-                events.Event.CONFIGURATION_UNREADABLE,
-                source=f"{SOURCE} {peer}",
-                configuration=message.delta.number,
-                reason=str(error),
-            )
+            self.reader.note_unreadable(f"{SOURCE} {peer}", error)
             if message.delta.base:
                 # Parts that do not fit together: ask for all of them.
                 self.exchange.send(peer, messages.ConfigurationAsk(0))
--- a/toucanhold/peers/streams.py
+++ b/toucanhold/peers/streams.py
@@ -79,6 +79,12 @@
                     nursery.start_soon(self._dial, address)
                 await trio.sleep(DIAL_CHECK_INTERVAL_S * self.rng.uniform(0.5, 1.5))
 
+    def drop_all(self) -> None:
+        """End all streams; peers are dialled anew."""
+        for link in list(self._links.values()):
+            link.scope.cancel()
+            self._remove(link)
+
     async def _dial(self, address: str) -> None:
         # Both sides of a pair dial, since either may be unable to reach the other.
         backoff_s = FIRST_BACKOFF_S
@@ -150,12 +156,15 @@
         try:
             reason = await self._exchange_frames(link)
         finally:
-            if self._links.get(name) is link:
-                del self._links[name]
-            self.exchange.detach(name, link.outbox)
+            self._remove(link)
         events.log(LOGGER, events.Event.PEER_LOST, peer=name, reason=reason)
         return True
 
+    def _remove(self, link: _Link) -> None:
+        if self._links.get(link.peer.entry) is link:
+            del self._links[link.peer.entry]
+        self.exchange.detach(link.peer.entry, link.outbox)
+
     def _replaces(self, link: _Link, former: _Link) -> bool:
         # When both sides dial at once, each sees the two streams in its own order. "The first
         # stays" or "the last stays" would let each close the one that the other keeps. Both know
--- a/toucanhold/routing/candidates.py
+++ b/toucanhold/routing/candidates.py
@@ -97,11 +97,14 @@
     """Filters the plan by what the members themselves report.
 
     What was found is kept, and only places with a new or aged report are looked at again.
+
+    :ivar may_start: whether this entry's configuration is late enough for new work
     """
 
     configuration: holder.ConfigurationHolder
     plans: plan.PlanHolder
     view: view.View
+    may_start: collections.abc.Callable[[], bool] = lambda: True
     _basis: _Basis | None = attrs.field(default=None, init=False)
     _services: dict[str, _ServicePlaces] = attrs.field(factory=dict, init=False)
     _places_of_vm: dict[str, list[tuple[_ServicePlaces, str]]] = attrs.field(
@@ -116,6 +119,8 @@
 
     def find(self, service: rules.Service, now_s: float) -> CandidateSet:
         """Return all candidates of a service."""
+        if not self.may_start():
+            return ()
         self._follow_basis()
         known = self._services.get(service.name)
         if known is None:
--- a/toucanhold/routing/router.py
+++ b/toucanhold/routing/router.py
@@ -32,6 +32,7 @@
     :ivar availability_zone: where this entry runs
     :ivar entries: returns the names of all entries that serve
     :ivar max_in_flight: most requests that this entry has in flight
+    :ivar may_start: whether this entry's configuration is late enough for new work
     """
 
     entry: str
@@ -44,6 +45,7 @@
     entries: collections.abc.Callable[[], collections.abc.Sequence[str]]
     rng: random.Random
     max_in_flight: int = 2000
+    may_start: collections.abc.Callable[[], bool] = lambda: True
 
 
 @attrs.frozen
@@ -74,7 +76,7 @@
     """Return routing with the chosen policies."""
     leased = _leased_slots(around)
     in_flight = room.InFlight()
-    finder = candidates.CandidateFinder(around.configuration, around.plans, around.view)
+    finder = _finder(around)
     shares = cold.SlotShares(leased, around.view)
     limits = room.EstimatedRoom(in_flight, shares, around.view, lambda: len(around.entries()))
     policy = choice.TwoChoices(limits, around.rng, around.availability_zone)
@@ -98,7 +100,7 @@
     """Return routing with the baseline of each policy, for measurements side by side."""
     leased = _leased_slots(around)
     in_flight = room.InFlight()
-    finder = candidates.CandidateFinder(around.configuration, around.plans, around.view)
+    finder = _finder(around)
     whole = cold.WholeLimit()
     limits = room.ReportedRoom(in_flight, whole)
     policy = choice.RoundRobin(limits)
@@ -111,3 +113,9 @@
 
 def _leased_slots(around: Surroundings) -> slots.LeasedSlots:
     return slots.LeasedSlots(around.platform, around.entry, around.entries, around.rng)
+
+
+def _finder(around: Surroundings) -> candidates.CandidateFinder:
+    return candidates.CandidateFinder(
+        around.configuration, around.plans, around.view, around.may_start
+    )
