--- a/toucanhold/gauges.py
+++ b/toucanhold/gauges.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import collections
+import collections.abc
+import functools
 import typing
 
+import attrs
 import trio
 
 from toucanhold import metrics
@@ -14,57 +17,21 @@
     from toucanhold import entry as entries
 
 
+@attrs.frozen
+class Gauge:
+    """A metric and how it is read."""
+
+    name: str
+    unit: str
+    description: str
+    read: collections.abc.Callable[[entries.EntryApplication], metrics.Observed]
+
+
 def register(entry: entries.EntryApplication) -> None:
     """Add the gauges of ``entry`` to its metrics."""
-    observe = entry.metrics.observe
-    observe(
-        "toucanhold.configuration.number",
-        "{configuration}",
-        "Number of the configuration in force",
-        lambda: [(entry.configuration.current.number, {})],
-    )
-    observe(
-        "toucanhold.plan.revision",
-        "{revision}",
-        "Highest revision of the plan known",
-        lambda: [(entry.plans.revision, {})],
-    )
-    observe(
-        "toucanhold.planner.lease_held",
-        "1",
-        "Whether this entry is the planner",
-        lambda: [(int(entry.planner.leadership.is_held()), {})],
-    )
-    observe(
-        "toucanhold.platform.answering",
-        "1",
-        "Whether the key-value service answers",
-        lambda: [(int(entry.configuration_follower.answering), {})],
-    )
-    observe(
-        "http.server.active_requests",
-        "{request}",
-        "Callers' requests in flight",
-        lambda: [(entry.callers.in_flight, {})],
-    )
-    observe(
-        "toucanhold.replicas.serving",
-        "{replica}",
-        "Groups or plain servers that may get work",
-        lambda: _serving(entry),
-    )
-    observe(
-        "toucanhold.replicas.wanted",
-        "{replica}",
-        "Groups or plain servers that the rules want",
-        lambda: _wanted(entry),
-    )
-    observe(
-        "toucanhold.backend_servers",
-        "{server}",
-        "Backend servers by warmth",
-        lambda: _by_warmth(entry),
-    )
+    for gauge in GAUGES:
+        read = functools.partial(gauge.read, entry)
+        entry.metrics.observe(gauge.name, gauge.unit, gauge.description, read)
 
 
 def _serving(entry: entries.EntryApplication) -> metrics.Observed:
@@ -90,3 +57,56 @@
         counts["silent" if report is None else report.warmth.value] += 1
     for warmth, count in counts.items():
         yield count, {"toucanhold.warmth": warmth}
+
+
+def _single(
+    value: collections.abc.Callable[[entries.EntryApplication], float],
+) -> collections.abc.Callable[[entries.EntryApplication], metrics.Observed]:
+    return lambda entry: [(value(entry), {})]
+
+
+GAUGES = (
+    Gauge(
+        "toucanhold.configuration.number",
+        "{configuration}",
+        "Number of the configuration in force",
+        _single(lambda entry: entry.configuration.current.number),
+    ),
+    Gauge(
+        "toucanhold.plan.revision",
+        "{revision}",
+        "Highest revision of the plan known",
+        _single(lambda entry: entry.plans.revision),
+    ),
+    Gauge(
+        "toucanhold.planner.lease_held",
+        "1",
+        "Whether this entry is the planner",
+        _single(lambda entry: int(entry.planner.leadership.is_held())),
+    ),
+    Gauge(
+        "toucanhold.platform.answering",
+        "1",
+        "Whether the key-value service answers",
+        _single(lambda entry: int(entry.configuration_follower.answering)),
+    ),
+    Gauge(
+        "http.server.active_requests",
+        "{request}",
+        "Callers' requests in flight",
+        _single(lambda entry: entry.callers.in_flight),
+    ),
+    Gauge(
+        "toucanhold.replicas.serving",
+        "{replica}",
+        "Groups or plain servers that may get work",
+        _serving,
+    ),
+    Gauge(
+        "toucanhold.replicas.wanted",
+        "{replica}",
+        "Groups or plain servers that the rules want",
+        _wanted,
+    ),
+    Gauge("toucanhold.backend_servers", "{server}", "Backend servers by warmth", _by_warmth),
+)
