Pass over keys of cold slots that nobody can read

Cause: a key under the slots' prefix whose name is no number ended the slots' task, and with it every entry at once: each reads the same key. Found by writing rubbish over the system's records; the test failed first at the configuration's head, then here. Change: such a key is no slot.

--- a/toucanhold/routing/slots.py
+++ b/toucanhold/routing/slots.py
@@ -101,7 +101,7 @@
 
     async def _balance(self) -> bool:
         result = await self.client.read(SLOTS_PREFIX)
-        owners = {_slot(item.key): item.lease for item in result.items}
+        owners = {slot: item.lease for item in result.items for slot in _slots(item.key)}
         mine = {slot for slot, lease in owners.items() if lease == self._lease}
         self._note(mine)
         entries = sorted({*self.entries(), self.entry})
@@ -158,5 +158,7 @@
     return f"{SLOTS_PREFIX}{slot:04d}"
 
 
-def _slot(key: str) -> int:
-    return int(key.removeprefix(SLOTS_PREFIX))
+def _slots(key: str) -> tuple[int, ...]:
+    # Empty for a key that is no slot's: one that nobody can read must not end this entry.
+    name = key.removeprefix(SLOTS_PREFIX)
+    return (int(name),) if name.isdecimal() else ()
