--- a/toucanhold/backends/client.py
+++ b/toucanhold/backends/client.py
@@ -108,7 +108,7 @@
 
     :ivar request_id: sent as ``x-request-id`` and expected back
     :ivar fresh_connection: never on a connection that was used before
-    :ivar timeout_s: longest wait for the connection and between bytes
+    :ivar timeout_s: longest wait for the connection; the caller bounds the rest
     :ivar boot_id: the only boot that may get it; empty for any
     :ivar warm_only: whether a new connection must first show the boot to be warm
     :ivar guard: asked right before the first and the last byte leave; false stops the request
--- a/toucanhold/backends/http.py
+++ b/toucanhold/backends/http.py
@@ -10,11 +10,12 @@
 import trio
 
 from toucanhold import codec
-from toucanhold.backends import client, pool
+from toucanhold.backends import client, pacing, pool
 
 REPORT_PATH = "/v1/load"
 ORDERS_PATH = "/v1/orders"
 REPORT_LIMIT_BYTES = 64 * 1024
+BOOT_CHECK_TIMEOUT_S = 2.0
 REQUEST_ID_HEADER = b"x-request-id"
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 BODILESS_STATUSES = (204, 304)
@@ -28,6 +29,7 @@
     """Keeps the idle connections of each backend server."""
 
     _pools: dict[str, pool.Pool] = attrs.field(factory=dict, init=False)
+    _open_answers: int = attrs.field(default=0, init=False)
 
     async def close(self) -> None:
         """Close all idle connections."""
@@ -57,6 +59,7 @@
         """See :class:`client.BackendClient`."""
         with _translated_errors(address, client.NotSentError):
             connection = await self._connection(address, request)
+        self._open_answers += 1
         try:
             with _translated_errors(address, client.AnswerLostError):
                 response = await connection.http.handle_async_request(
@@ -70,6 +73,7 @@
             finally:
                 await _close_shielded(response)
         finally:
+            self._open_answers -= 1
             await self._put_away(address, connection)
 
     async def _connection(self, address: str, request: client.ForwardedRequest) -> pool.Connection:
@@ -84,7 +88,9 @@
             # has no such race.
             connection = None
         if connection is None:
-            connection = await pool.connect(_origin(address), request.timeout_s)
+            connection = await pool.connect(
+                _origin(address), request.timeout_s, self._read_interval_s
+            )
         if request.boot_id:
             await self._check_boot(address, connection, request)
         return connection
@@ -97,11 +103,15 @@
         # A connection ends with the process at its other end, so one report asked for over this
         # connection holds for as long as it lives.
         try:
-            report = await self._report_over(address, connection, request.timeout_s)
+            with trio.fail_after(BOOT_CHECK_TIMEOUT_S):
+                report = await self._report_over(address, connection, request.timeout_s)
             if report.boot_id != request.boot_id:
                 raise client.NotSentError(f"{address}: has booted again")
             if request.warm_only and report.warmth is not client.Warmth.WARM:
                 raise client.NotSentError(f"{address}: has turned cold")
+        except trio.TooSlowError as error:
+            await _close_all([connection])
+            raise client.NotSentError(f"{address}: no load report in time") from error
         except BaseException:
             await _close_all([connection])
             raise
@@ -139,6 +149,9 @@
         except trio.TooSlowError as error:
             raise client.AnswerLostError(f"{address}: no answer in {timeout_s} s") from error
 
+    def _read_interval_s(self) -> float:
+        return pacing.interval_s(self._open_answers)
+
     def _pool(self, address: str) -> pool.Pool:
         if address not in self._pools:
             self._pools[address] = pool.Pool(address)
@@ -201,8 +214,7 @@
         (b"content-length", str(len(request.body)).encode()),
         *request.headers,
     ]
-    timeouts = dict.fromkeys(("connect", "write", "read", "pool"), request.timeout_s)
-    extensions: dict = {"timeout": timeouts}
+    extensions: dict = {}
     content: bytes | collections.abc.AsyncIterator[bytes] = request.body
     if request.guard is not None:
         extensions["trace"] = _guarded_head(address, request.guard)
--- a/toucanhold/backends/pool.py
+++ b/toucanhold/backends/pool.py
@@ -5,6 +5,8 @@
 import attrs
 import httpcore
 
+from toucanhold.backends import pacing
+
 KEEP_CONNECTION_S = 30.0
 MAX_IDLE_CONNECTIONS = 64
 CONNECT_TIMEOUT_S = 1.0
@@ -70,15 +72,19 @@
         return connections
 
 
-async def connect(origin: httpcore.Origin, timeout_s: float) -> Connection:
+async def connect(
+    origin: httpcore.Origin, timeout_s: float, interval: pacing.Interval
+) -> Connection:
     """Open a connection.
 
+    :param interval: returns the least time between two reads, in seconds
+
     :raises httpcore.ConnectError: when it cannot be opened
     :raises httpcore.ConnectTimeout: when it is not open in time
     """
     # A dark VM answers nothing at all: without a short limit of its own, the attempt to connect
     # would use up the time in which another backend server could serve the request.
-    stream = await httpcore.TrioBackend().connect_tcp(
-        origin.host.decode(), origin.port, timeout=min(timeout_s, CONNECT_TIMEOUT_S)
+    stream = await pacing.connect(
+        origin.host.decode(), origin.port, min(timeout_s, CONNECT_TIMEOUT_S), interval
     )
     return Connection(httpcore.AsyncHTTP11Connection(origin, stream, KEEP_CONNECTION_S))
--- a/toucanhold/routing/fairqueue.py
+++ b/toucanhold/routing/fairqueue.py
@@ -21,7 +21,7 @@
 )
 
 MAX_WAITING = 256
-MAX_WAIT_S = 5.0
+MAX_WAIT_S = 2.0
 DEFAULT_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 60.0
 
@@ -180,8 +180,9 @@
             return 0.0
         weight = self._weight(workspace)
         part = weight / queue.order.active_weight(workspace, weight)
-        alone = (queue.order.waiting(workspace) + 1) / (per_second * part)
-        return min(alone, (len(queue.order) + 1) / per_second)
+        # By its own part alone: others that come later may start earlier, so the length of the
+        # whole queue would promise too much.
+        return (queue.order.waiting(workspace) + 1) / (per_second * part)
 
     def _release(self, chosen: candidates.Candidate, request: requests.CallerRequest) -> None:
         had_budget = self.in_flight.total() < self.max_in_flight
