--- a/standins/routers.py
+++ b/standins/routers.py
@@ -5,6 +5,7 @@
 import collections
 import collections.abc
 import contextlib
+import itertools
 import random
 
 import attrs
@@ -67,6 +68,7 @@
     outcomes: collections.Counter[str] = attrs.field(factory=collections.Counter)
     tokens: collections.abc.Callable = lambda request: 8
     as_groups: bool = False
+    _numbers: itertools.count = attrs.field(factory=itertools.count, init=False)
 
     def add_entry(self, name: str) -> Entry:
         """Start an entry."""
@@ -100,7 +102,7 @@
     def request(self, workspace: str = "w", timeout_s: float = 30, **fields):
         """Return an idempotent streamed request."""
         return requests.CallerRequest(
-            request_id=f"r{random.getrandbits(60):x}",
+            request_id=f"r{next(self._numbers)}",
             workspace=workspace,
             service=self.rules.services[0],
             method="GET",
--- a/toucanhold/routing/fairqueue.py
+++ b/toucanhold/routing/fairqueue.py
@@ -22,6 +22,7 @@
 
 MAX_WAITING = 256
 MAX_WAIT_S = 2.0
+LONGEST_WAIT_S = 3.0
 DEFAULT_RETRY_AFTER_S = 1.0
 MAX_RETRY_AFTER_S = 60.0
 
@@ -134,6 +135,9 @@
         queue.order.push(request.workspace, self._weight(request.workspace), waiter)
         self._waiting += 1
         latest_start_s = request.deadline_s - queue.rate.duration_s / 2
+        if wait_s:
+            # The computed wait was wrong; the caller should not pay for it up to its deadline.
+            latest_start_s = min(latest_start_s, now_s + LONGEST_WAIT_S)
         try:
             with trio.move_on_at(latest_start_s):
                 await waiter.decided.wait()
