Ask earlier planners whether they stepped down, and spread ended generations

After each change of planner, engines that ignore fencing waited 30 s for a place in a new group, since nothing told that the old planner was over. Now the old one is asked over the peers' streams; it answers when its lease has ended and no order of its own is on its way. A process that is gone shows itself by a refused connection; a paused one keeps its socket, and one that is cut off does not answer. An entry that sees a member leave tells the others, so that all stop routing to the generation within a message's time instead of their own next poll. Tests: PeersTest.

--- a/tests/test_planner_safety.py
+++ b/tests/test_planner_safety.py
@@ -10,7 +10,9 @@
 from standins import fleet, memory, planners
 from toucanhold.backends import client
 from toucanhold.configuration import inventory, rules
-from toucanhold.planning import placement, plan, terms
+from toucanhold.observing import view
+from toucanhold.peers import exchange, messages, transport
+from toucanhold.planning import peering, placement, plan, terms
 from toucanhold.platform import keyvalue
 
 DRAFTS = rules.Service("drafts", model="writer", version="1", replicas=1, vms_per_replica=2)
@@ -538,3 +540,74 @@
 
 async def _read_plan(site):
     return await site.platform.client("operator").read_key(plan.key_of("domain-0-0"))
+
+
+class PeersTest(unittest.TestCase):
+    def _pair(self):
+        near, far = exchange.Exchange(), exchange.Exchange()
+        near.attach("far", _Wire(far, "near"))
+        far.attach("near", _Wire(near, "far"))
+        return near, far
+
+    def test_departure_seen_by_one_entry_ends_the_generation_on_the_other(self):
+        near, far = self._pair()
+        views = view.View(), view.View()
+        peering.EndingSpreader(near, views[0])
+        peering.EndingSpreader(far, views[1])
+        views[0].record("vm", client.Report("vm", "1", group="g/1", generation=1), 1.0)
+        views[0].record("vm", client.Report("vm", "2"), 2.0)
+        self.assertTrue(views[1].is_ended("g/1", 1))
+
+    def test_planner_acknowledges_only_a_term_that_is_over(self):
+        async def test():
+            async with scene() as site:
+                near, far = self._pair()
+                old = site.start("old")
+                await wait_until(lambda: old.planner.term_log.has_begun)
+                peering.StepDownAnswerer(far, old.planner)
+                probe = peering.PeerProbe(near, _Transport("nobody answers"))
+                own = terms.Term(old.lease.fencing, "far", old.planner.process, "far:1")
+                old.planner.entry, old.planner.peers_address = "far", "far:1"
+                self.assertFalse(await _asked_twice(probe, own))
+                restarted = attrs.evolve(own, fencing=1, process="before")
+                self.assertTrue(await _asked_twice(probe, restarted))
+                moved = attrs.evolve(restarted, fencing=2, peers_address="elsewhere:1")
+                self.assertFalse(await _asked_twice(probe, moved))
+                old.scope.cancel()
+                await trio.sleep(5)
+                self.assertTrue(await _asked_twice(probe, own))
+
+        run(test)
+
+    def test_only_a_refused_connection_shows_that_an_earlier_planner_is_gone(self):
+        async def test():
+            for cause, expected in ((ConnectionRefusedError(), True), (TimeoutError(), False)):
+                probe = peering.PeerProbe(exchange.Exchange(), _Transport("failed", cause))
+                term = terms.Term(1, "gone", "p", "127.0.0.1:1")
+                self.assertEqual(expected, await probe.has_ended(term))
+
+        run(test)
+
+
+class _Wire:
+    """An outbox that delivers at once."""
+
+    def __init__(self, other, sender):
+        self.other, self.sender = other, sender
+
+    def put(self, body):
+        self.other.deliver(self.sender, messages.decode(body))
+        return True
+
+
+class _Transport:
+    def __init__(self, text, cause=None):
+        self.text, self.cause = text, cause
+
+    async def connect(self, address):
+        raise transport.TransportError(self.text) from self.cause
+
+
+async def _asked_twice(probe, term):
+    await probe.has_ended(term)
+    return await probe.has_ended(term)
--- a/toucanhold/backends/http.py
+++ b/toucanhold/backends/http.py
@@ -9,7 +9,7 @@
 import httpcore
 import trio
 
-from toucanhold import codec
+from toucanhold import codec, refusals
 from toucanhold.backends import client, pacing, pool
 
 REPORT_PATH = "/v1/load"
@@ -264,23 +264,13 @@
     try:
         yield
     except CONNECT_ERRORS as error:
-        if _is_refusal(error):
+        if refusals.is_refusal(error):
             raise client.RefusedError(f"{address}: nothing listens there") from error
         raise client.NotSentError(f"{address}: cannot connect: {error!r}") from error
     except TRANSFER_ERRORS as error:
         raise kind(f"{address}: connection lost: {error!r}") from error
 
 
-def _is_refusal(error: BaseException | None) -> bool:
-    while error is not None:
-        if isinstance(error, ConnectionRefusedError):
-            return True
-        if isinstance(error, BaseExceptionGroup):
-            return all(map(_is_refusal, error.exceptions))
-        error = error.__cause__ or error.__context__
-    return False
-
-
 async def _chunks(address: str, response: httpcore.Response) -> collections.abc.AsyncIterator:
     with _translated_errors(address, client.AnswerLostError):
         async for chunk in response.aiter_stream():
--- a/toucanhold/entry.py
+++ b/toucanhold/entry.py
@@ -19,7 +19,7 @@
 from toucanhold.operators import changes, status
 from toucanhold.orders import building
 from toucanhold.peers import exchange, handshake, holds, revisions, streams
-from toucanhold.planning import plan, planner, preview, spreading
+from toucanhold.planning import peering, plan, planner, preview, spreading
 from toucanhold.platform import following, lease, vms
 from toucanhold.routing import router
 
@@ -200,7 +200,11 @@
             self.planner_lease,
             self.settings.entry,
             self.settings.peers_address,
+            peering.PeerProbe(self.exchange, self.outside.peers),
+            self.roster.own.boot,
         )
+        peering.StepDownAnswerer(self.exchange, self.planner)
+        peering.EndingSpreader(self.exchange, self.view)
 
     def _build_routing(self) -> None:
         self.router = router.chosen(
--- a/toucanhold/observing/view.py
+++ b/toucanhold/observing/view.py
@@ -36,8 +36,13 @@
     _refusals: dict[str, int] = attrs.field(factory=dict)
     _restarted_at_s: dict[str, float] = attrs.field(factory=dict)
     _ended: set[tuple[str, int]] = attrs.field(factory=set)
+    _ended_listeners: list[collections.abc.Callable[[str, int], None]] = attrs.field(factory=list)
     _listeners: list[collections.abc.Callable[[str], None]] = attrs.field(factory=list)
 
+    def subscribe_ended(self, listener: collections.abc.Callable[[str, int], None]) -> None:
+        """Call ``listener`` with group and generation when a generation is seen to end."""
+        self._ended_listeners.append(listener)
+
     def subscribe(self, listener: collections.abc.Callable[[str], None]) -> None:
         """Call ``listener`` with the VM's name after each report and each loss."""
         self._listeners.append(listener)
@@ -89,7 +94,14 @@
 
     def end_generation(self, group: str, generation: int) -> None:
         """Note that a group lost a member: this generation never serves again."""
+        if (group, generation) in self._ended:
+            return
         self._ended.add((group, generation))
+        for listener in self._ended_listeners:
+            listener(group, generation)
+        for vm, seen in self._observations.items():
+            if (seen.report.group, seen.report.generation) == (group, generation):
+                self._tell(vm)
 
     def keep_ended(self, groups: collections.abc.Set[str]) -> None:
         """Forget ended generations of groups that are no longer planned."""
--- a/toucanhold/peers/messages.py
+++ b/toucanhold/peers/messages.py
@@ -5,7 +5,7 @@
 from toucanhold import codec
 from toucanhold.configuration import holds, snapshot
 from toucanhold.membership import facts as entry_facts
-from toucanhold.planning import plan
+from toucanhold.planning import plan, terms
 
 PROTOCOL_VERSION = 1
 
@@ -92,6 +92,28 @@
     holds: tuple[holds.Hold, ...]
 
 
+@attrs.frozen
+class StepDownAsk:
+    """Asks the receiver whether it can still act as planner of a term."""
+
+    term: terms.Term
+
+
+@attrs.frozen
+class StepDownAnswer:
+    """The sender cannot act as planner of this term any more."""
+
+    fencing: int
+
+
+@attrs.frozen
+class GenerationEnded:
+    """The sender saw a member leave this generation of a group."""
+
+    group: str
+    generation: int
+
+
 Message = object
 
 # Each message between entries is listed here once; its class name is its kind on the wire.
@@ -104,6 +126,9 @@
     PlanAsk,
     PlanNews,
     HoldNews,
+    StepDownAsk,
+    StepDownAnswer,
+    GenerationEnded,
 )
 
 _BY_NAME = {kind.__name__: kind for kind in KINDS}
--- a/toucanhold/planning/planner.py
+++ b/toucanhold/planning/planner.py
@@ -76,9 +76,10 @@
         """Return what a placement would rest on now."""
         return self.composer.compose(self.leadership.fencing)
 
-    def can_act(self) -> bool:
-        """Tell whether an order may still leave this entry."""
-        return self.leadership.is_held() or self._sending > 0
+    def can_act(self, fencing: int) -> bool:
+        """Tell whether an order of the term ``fencing`` may still leave this entry."""
+        holds = self.leadership.is_held() and self.leadership.fencing == fencing
+        return holds or self._sending > 0
 
     async def _tick(self) -> None:
         fencing = self.leadership.fencing
--- a/toucanhold/planning/terms.py
+++ b/toucanhold/planning/terms.py
@@ -96,7 +96,10 @@
             return
         item = await self.store.read_key(TERMS_KEY)
         stored = _decode(item)
-        earlier = tuple(term for term in stored if term.fencing < fencing)
+        # This process has no order on its way from a term of its own: a tick awaits its orders.
+        earlier = tuple(
+            term for term in stored if term.fencing < fencing and term.process != self.process
+        )
         if fencing not in {term.fencing for term in stored}:
             # An order may leave only after its sender stands in the list: a planner that is not
             # in it would be unknown to its successor, who would not wait for it.
