End as few VMs' groups as needed for a more important service

Victims were chosen by their number and zone. Now by VMs ended, then by models already held in the domain.

--- a/toucanhold/planning/spreading.py
+++ b/toucanhold/planning/spreading.py
@@ -165,7 +165,9 @@
         if victims:
             zone = board.zone_of(victims[0])
             highest = max(board.services[group.service].importance for group in victims)
-            cost = (highest, len(victims), zone_cost(board, service, zone), domain)
+            ended = sum(len(group.members) for group in victims)
+            held = sum(board.has_weights(vm, service) for vm in board.fitting(service, domain))
+            cost = (highest, ended, -held, zone_cost(board, service, zone), domain)
             options.append((cost, victims))
     return min(options, key=lambda option: option[0])[1] if options else []
 
