--- a/tools/measure/planning.py
+++ b/tools/measure/planning.py
@@ -178,11 +178,12 @@
     rows = []
     for label, policy in POLICIES.items():
         tallies = [tally(site, policy(), each) for each in range(seed, seed + SEEDS)]
-        rows.append((label, *_row(tallies, names)))
+        rows.append((label, *_row(tallies, site)))
     columns = (
         "policy",
         *(f"{name}_down_s" for name in names),
         "all_down_s",
+        "weighted_down_s",
         "zone_out_down_s",
         "stranded_s",
         "unavoidable_s",
@@ -193,14 +194,20 @@
         f"Seeds {seed} to {seed + SEEDS - 1}, mean (least to most). {DURATION_S:.0f} s each: a VM"
         f" fails every {FAILURE_INTERVAL_S:.0f} s on average, one availability zone is out for"
         f" {ZONE_OUT_S[1] - ZONE_OUT_S[0]:.0f} s, one fabric domain dark for"
-        f" {DARK_S[1] - DARK_S[0]:.0f} s; a load takes {LOAD_S:.0f} s or more."
+        f" {DARK_S[1] - DARK_S[0]:.0f} s; a load takes {LOAD_S:.0f} s or more. Columns ending in"
+        " down_s are group-seconds not serving against wanted; weighted by importance in one."
     )
     return table.Table(f"Placement at {site.name}", columns, tuple(rows), note)
 
 
-def _row(tallies: list[Tally], names: list[str]) -> list[str]:
-    figures = [[each.down_s[name] for each in tallies] for name in names]
+def _row(tallies: list[Tally], site: sites.Site) -> list[str]:
+    services = sorted(site.services, key=lambda each: -each.importance)
+    figures = [[each.down_s[service.name] for each in tallies] for service in services]
     figures.append([sum(each.down_s.values()) for each in tallies])
+    weights = {service.name: service.importance for service in services}
+    figures.append(
+        [sum(weights[name] * down_s for name, down_s in each.down_s.items()) for each in tallies]
+    )
     figures.append([each.zone_down_s for each in tallies])
     figures.append([each.stranded_s for each in tallies])
     figures.append([each.unavoidable_s for each in tallies])
@@ -214,17 +221,20 @@
 
 
 def _decision_table() -> table.Table:
+    kinds = ("first_ms", "steady_ms", "failure_ms", "peak_kb")
+    columns = ["vms", "facts_ms"]
+    columns += [f"{label.replace(' ', '_')}_{kind}" for label in POLICIES for kind in kinds]
     rows = []
     for size in DECISION_SIZES:
-        for label, policy in POLICIES.items():
-            rows.append((size, label, *_decision(size, policy())))
-    columns = ("vms", "policy", "first_ms", "steady_ms", "after_failure_ms", "peak_kb", "facts_ms")
+        costs = [_decision(size, policy()) for policy in POLICIES.values()]
+        rows.append((size, costs[0][-1], *(cell for cost in costs for cell in cost[:-1])))
     note = (
-        "Time of one placement: from nothing, with nothing to do, and after one VM's loss; the"
-        " memory that the first takes at its peak; time to gather the facts. Groups of 8 VMs,"
-        " fabric domains of 16, 11 availability zones."
+        "Time of one placement: from nothing (first), with nothing to do (steady), and after one"
+        " VM's loss (failure); the memory that the first takes at its peak; time to gather the"
+        " facts. Groups of 8 VMs, fabric domains of 16, 11 availability zones, one run each."
     )
-    return table.Table("Cost of a placement decision", columns, tuple(rows), note)
+    drawn = table.Plot("vms", tuple(each for each in columns if each.endswith("_ms")), True)
+    return table.Table("Cost of a placement decision", tuple(columns), tuple(rows), note, drawn)
 
 
 def _decision(size: int, policy: placement.PlacementPolicy) -> tuple[float, ...]:
