Leave streams on a silent VM after two seconds, its group after five

The longer wait before a group ends also held up streams that stalled on a VM that was gone (a test of streams failed with 5.4 s). Trying a request elsewhere is cheap and loading a model is not, so the two have limits of their own.

--- a/toucanhold/observing/view.py
+++ b/toucanhold/observing/view.py
@@ -9,6 +9,7 @@
 from toucanhold.backends import client
 
 FRESH_S = 2.5
+SILENT_AFTER_S = 2.0
 LOST_AFTER_S = 5.0
 REFUSALS_UNTIL_LOST = 2
 
@@ -136,10 +137,17 @@
         # A short pause must not tear a group apart: reloading a model costs far more than waiting.
         # A refused connection is no pause: a paused process still has its listening socket. Two
         # in a row rule out the moment in which a process replaces itself.
+        return self._is_silent_for(vm, now_s, LOST_AFTER_S)
+
+    def is_silent(self, vm: str, now_s: float) -> bool:
+        """Tell whether a VM has been silent so long that requests are better tried elsewhere."""
+        return self._is_silent_for(vm, now_s, SILENT_AFTER_S)
+
+    def _is_silent_for(self, vm: str, now_s: float, limit_s: float) -> bool:
         if self.is_refused(vm):
             return True
         since_s = self._failing_since_s.get(vm)
-        return since_s is not None and now_s - since_s >= LOST_AFTER_S
+        return since_s is not None and now_s - since_s >= limit_s
 
     def is_refused(self, vm: str) -> bool:
         """Tell whether a VM's backend server has certainly ended."""
--- a/toucanhold/routing/watchdog.py
+++ b/toucanhold/routing/watchdog.py
@@ -56,7 +56,7 @@
         candidate = attempt.candidate
         if now_s - attempt.last_event_s > self.stall_timeout_s:
             return f"no event for {self.stall_timeout_s:.0f} s"
-        if self.view.is_lost(candidate.vm.vm, now_s):
+        if self.view.is_silent(candidate.vm.vm, now_s):
             return "the backend server no longer answers"
         group = candidate.group
         if group is not None and self.view.is_ended(*group.place):
