Wait for the next report where broken connections leave no server

Cause: a server whose connection broke is held back until its next report, some tenths of a second.

Change: where a server is only held back, requests wait for its report in the queue; one that does not answer it is lost, and the wait ends at once.

--- a/toucanhold/routing/candidates.py
+++ b/toucanhold/routing/candidates.py
@@ -149,6 +149,20 @@
         self._distrusted_at_s[vm] = now_s
         self._mark_changed(vm)
 
+    def is_held_back(self, service: rules.Service, now_s: float) -> bool:
+        """Tell whether a place of the service only waits for its next report after a failure."""
+        known = self._services.get(service.name)
+        return known is not None and any(
+            self._is_distrusted(member) and self.view.fresh_report(member.vm, now_s) is not None
+            for place in known.places.values()
+            for member in place.members
+        )
+
+    def _is_distrusted(self, vm: inventory.Vm) -> bool:
+        observation = self.view.observation(vm.vm)
+        distrusted_at_s = self._distrusted_at_s.get(vm.vm, -math.inf)
+        return observation is None or observation.asked_at_s <= distrusted_at_s
+
     def _mark_changed(self, vm: str) -> None:
         for known, head in self._places_of_vm.get(vm, ()):
             known.changed.add(head)
@@ -219,7 +233,4 @@
         zones_out = self.configuration.current.zones_out
         if vm.availability_zone in zones_out or self.view.is_leaving(vm.vm):
             return False
-        if self.view.fresh_report(vm.vm, now_s) is None:
-            return False
-        distrusted_at_s = self._distrusted_at_s.get(vm.vm, -math.inf)
-        return self.view.observation(vm.vm).asked_at_s > distrusted_at_s
+        return self.view.fresh_report(vm.vm, now_s) is not None and not self._is_distrusted(vm)
--- a/toucanhold/routing/fairqueue.py
+++ b/toucanhold/routing/fairqueue.py
@@ -112,9 +112,9 @@
         self, queue: _Queue, request: requests.CallerRequest, avoid: frozenset[str]
     ) -> candidates.Candidate | None:
         options = self._options(queue)
-        if not options:
+        if not options and not self._may_return(queue):
             raise _refusal(_nobody(queue), DEFAULT_RETRY_AFTER_S)
-        if len(queue.order) or not self._has_budget(request.workspace):
+        if not options or len(queue.order) or not self._has_budget(request.workspace):
             return None
         preferred = [each for each in options if each.vm.vm not in avoid] if avoid else options
         chosen = self.policy.choose(request, preferred or options)
@@ -211,7 +211,7 @@
                 option = self.finder.candidate_of(queue.service, vm, now_s)
                 if option is not None:
                     self._offer(queue, option)
-                elif not self._options(queue):
+                elif not self._options(queue) and not self._may_return(queue):
                     self._refuse_all(queue)
 
     def _offer_all(self) -> None:
@@ -268,6 +268,11 @@
             return [each for each in options if queue.adapter in each.report.adapters]
         return options
 
+    def _may_return(self, queue: _Queue) -> bool:
+        # After a broken connection a server gets nothing until its next report, some tenths of a
+        # second later: a stream that broke on the last server is worth that wait.
+        return self.finder.is_held_back(queue.service, trio.current_time())
+
     def _count(self, chosen: candidates.Candidate, request: requests.CallerRequest) -> None:
         self.in_flight.add(chosen.vm.vm)
         self._by_workspace[request.workspace] += 1
