Tell operators what they did not see, and never answer without a type

An operator who lost a race learnt two numbers and nothing else, and an unexpected exception gave a bare 500 that does not say whether the change was made.

A conflict's answer lists what is different now from the configuration that the operator saw: VMs, services, workspaces, availability zones and zones out, typed. An entry that no longer has that configuration lists the parts that changed. An unexpected exception is logged and answered as "internal", with the outcome said to be unknown. Reading what was just accepted pauses between tries also when the service answers: a configuration that this version cannot read was asked for without a pause.

--- /dev/null
+++ b/tests/test_operators_racing.py
@@ -0,0 +1,117 @@
+"""Operators who change the configuration at the same time, and answers that get lost."""
+
+import unittest
+
+import trio
+
+from tests import test_revisions as support
+
+
+class RacingTest(unittest.TestCase):
+    @support.on_test_clock
+    async def test_loser_is_told_what_he_did_not_see(self):
+        # Two operators saw configuration 1. One changes a service; the other one's document,
+        # written without knowing that, would undo it. He is refused and sees what changed.
+        async with support.running() as site:
+            await support.apply(site)
+            await trio.sleep(1)
+            first = await support.apply(site, "entry-1", expected=1, replicas=2)
+            self.assertEqual(200, first.status, first.body)
+            second = await support.apply(site, "entry-2", expected=1, replicas=3)
+            self.assertEqual((409, "conflict"), (second.status, second.json()["kind"]))
+            expected = [{"kind": "service", "name": "drafts", "change": "changed"}]
+            self.assertEqual(expected, second.json()["differences"])
+
+    @support.on_test_clock
+    async def test_loser_at_an_entry_that_knows_no_history_sees_the_parts(self):
+        async with support.running(started=("entry-0",)) as site:
+            await support.apply(site)
+            await support.apply(site, expected=1, replicas=2)
+            await site.start("entry-1")
+            await trio.sleep(2)
+            answer = await support.apply(site, "entry-1", expected=1, replicas=3)
+            expected = [{"kind": "part", "name": "rules", "change": "changed"}]
+            self.assertEqual(expected, answer.json()["differences"])
+
+    @support.on_test_clock
+    async def test_exactly_one_of_two_simultaneous_changes_is_accepted(self):
+        async with support.running() as site:
+            await support.apply(site)
+            await trio.sleep(1)
+            answers = []
+
+            async def change(name, replicas):
+                answers.append(await support.apply(site, name, 1, replicas))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(change, "entry-0", 2)
+                nursery.start_soon(change, "entry-1", 3)
+            self.assertEqual([200, 409], sorted(answer.status for answer in answers))
+            await trio.sleep(1)
+            self.assertEqual(2, site.app("entry-2").configuration.current.number)
+
+
+class LostAnswerTest(unittest.TestCase):
+    @support.on_test_clock
+    async def test_change_whose_answer_was_lost_is_reported_as_accepted(self):
+        async with support.running() as site:
+            await trio.sleep(1)
+            faults = site.platform.faults["entry-0"]
+            faults.lose_kinds, faults.lose_answers = ("kv/txn",), 1
+            answer = await support.apply(site)
+            self.assertEqual((200, 1), (answer.status, answer.json()["configuration"]))
+
+    @support.on_test_clock
+    async def test_change_whose_request_was_lost_is_made_once(self):
+        async with support.running() as site:
+            await trio.sleep(1)
+            faults = site.platform.faults["entry-0"]
+            faults.lose_kinds, faults.lose_requests = ("kv/txn",), 1
+            answer = await support.apply(site)
+            self.assertEqual((200, 1), (answer.status, answer.json()["configuration"]))
+
+    @support.on_test_clock
+    async def test_change_during_an_outage_is_said_not_to_have_been_made(self):
+        async with support.running() as site:
+            await trio.sleep(1)
+            site.platform.set_mode("down")
+            answer = await support.apply(site)
+            self.assertEqual((503, "unavailable"), (answer.status, answer.json()["kind"]))
+
+    @support.on_test_clock
+    async def test_change_cut_off_after_it_was_sent_is_said_to_be_unknown(self):
+        # The write takes effect, its answer is lost, and the service goes down before it can be
+        # asked what became of it: neither "accepted" nor "refused" would be true.
+        async with support.running() as site:
+            await trio.sleep(1)
+            faults = site.platform.faults["entry-0"]
+            faults.lose_kinds, faults.lose_answers = ("kv/txn",), 1
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._expect_unknown, site)
+                await trio.sleep(0.1)
+                site.platform.set_mode("down", "entry-0")
+
+    async def _expect_unknown(self, site):
+        answer = await support.apply(site)
+        self.assertEqual((504, "unknown-outcome"), (answer.status, answer.json()["kind"]))
+
+    @support.on_test_clock
+    async def test_unexpected_mistake_gets_a_typed_answer(self):
+        async with support.running() as site:
+            await trio.sleep(1)
+
+            site.app("entry-0").operators.changes = None
+            with self.assertLogs("toucanhold.operators.app", "ERROR"):
+                answer = await support.apply(site)
+            self.assertEqual((500, "internal"), (answer.status, answer.json()["kind"]))
+
+    @support.on_test_clock
+    async def test_document_with_a_mistake_changes_nothing(self):
+        async with support.running() as site:
+            await trio.sleep(1)
+            body = support.document()
+            body["inventory"]["vms"][1]["availability_zone"] = "nowhere"
+            change = {"document": body, "expected": 0}
+            answer = await site.operate("entry-0", "PUT", "document", change)
+            self.assertEqual((422, "invalid"), (answer.status, answer.json()["kind"]))
+            self.assertEqual(0, site.app("entry-0").configuration.current.number)
--- a/toucanhold/configuration/holder.py
+++ b/toucanhold/configuration/holder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import logging
 
 import attrs
@@ -10,6 +11,8 @@
 from toucanhold import events
 from toucanhold.configuration import holds, snapshot
 
+HISTORY_LENGTH = 8
+
 LOGGER = logging.getLogger(__name__)
 
 
@@ -26,6 +29,9 @@
     accepted: snapshot.Configuration = attrs.field(init=False)
     _holds: dict[str, holds.Hold] = attrs.field(factory=dict, init=False)
     _changed: trio.Event = attrs.field(factory=trio.Event)
+    _former: collections.deque[snapshot.Configuration] = attrs.field(
+        factory=lambda: collections.deque(maxlen=HISTORY_LENGTH), init=False
+    )
 
     def __attrs_post_init__(self) -> None:
         """Start with no holds."""
@@ -40,7 +46,9 @@
         # that went back to an older one would give a drained availability zone new work.
         if delta.number <= self.accepted.number:
             return False
-        self.accepted = self.accepted.merged(delta)
+        merged = self.accepted.merged(delta)
+        self._former.append(self.accepted)
+        self.accepted = merged
         for hold in self.holds():
             if hold.hold in self.accepted.resolved_holds:
                 del self._holds[hold.hold]
@@ -55,6 +63,11 @@
         )
         return True
 
+    def former(self, number: int) -> snapshot.Configuration | None:
+        """Return an accepted configuration of the last few, the present one among them."""
+        known = (*self._former, self.accepted)
+        return next((each for each in known if each.number == number), None)
+
     def holds(self) -> tuple[holds.Hold, ...]:
         """Return the holds in force, in the order of their identifiers."""
         return tuple(self._holds[name] for name in sorted(self._holds))
--- a/toucanhold/operators/app.py
+++ b/toucanhold/operators/app.py
@@ -21,6 +21,8 @@
 BODY_LIMIT_BYTES = 8 * 1024 * 1024
 OK = 200
 ACCEPTED = 202
+CONFLICT = "conflict"
+DIFFERENCES_LIMIT = 200
 
 LOGGER = logging.getLogger(__name__)
 
@@ -70,6 +72,12 @@
             _log_refusal(scope, error)
         except asgi.ClientGoneError:
             return
+        except Exception as error:
+            # The server would answer with a bare 500, and the operator could not tell whether the
+            # change was made. It is not known here either, and the answer says so.
+            LOGGER.exception("%s %s failed", scope["method"], scope["path"])
+            detail = f"{error!r}; whether anything was changed is not known, see status"
+            body, code = codec.to_json(messages.ErrorAnswer("internal", detail)), 500
         await asgi.respond(send, code, [(b"content-type", b"application/json")], body)
 
     def _authenticate(self, scope: asgi.Scope) -> None:
@@ -111,7 +119,18 @@
     async def _apply(self, request: messages.ApplyRequest) -> messages.ChangeAnswer:
         _check(request.document)
         change = self.changes.apply(request.document, request.expected, request.author)
-        return await _translated(change)
+        try:
+            return await _translated(change)
+        except _OperatorError as error:
+            if error.answer.kind == CONFLICT:
+                error.answer = await self._with_differences(error.answer, request.expected)
+            raise
+
+    async def _with_differences(
+        self, answer: messages.ErrorAnswer, expected: int
+    ) -> messages.ErrorAnswer:
+        differences = await self.changes.differences(expected)
+        return attrs.evolve(answer, differences=differences[:DIFFERENCES_LIMIT])
 
     async def _set_zone(self, zone: str, request: messages.ZoneRequest) -> messages.ChangeAnswer:
         known = {each.name: each for each in self.configuration.current.rules.availability_zones}
@@ -147,7 +166,7 @@
     try:
         return await change
     except store.ConflictError as error:
-        raise _error(409, "conflict", str(error)) from error
+        raise _error(409, CONFLICT, str(error)) from error
     except store.NotAcceptedError as error:
         raise _error(503, "unavailable", str(error)) from error
     except store.UnreadableError as error:
--- a/toucanhold/operators/changes.py
+++ b/toucanhold/operators/changes.py
@@ -1,11 +1,12 @@
 """Operators' changes: accepted, put in force, and told truthfully."""
 
 import collections.abc
+import logging
 
 import attrs
 import trio
 
-from toucanhold.configuration import document, holder, holds, store
+from toucanhold.configuration import difference, document, holder, holds, store
 from toucanhold.membership import facts, roster
 from toucanhold.operators import messages
 from toucanhold.peers import holds as peer_holds
@@ -16,6 +17,8 @@
 IN_FORCE_WAIT_S = 1.0
 CHECK_INTERVAL_S = 0.02
 
+LOGGER = logging.getLogger(__name__)
+
 Refresh = collections.abc.Callable[[], collections.abc.Awaitable[object]]
 
 
@@ -44,6 +47,18 @@
         number = await self.store.apply(wanted, expected, author)
         return await self._accepted(number)
 
+    async def differences(self, expected: int) -> tuple[difference.Difference, ...]:
+        """Return what has changed since the configuration that an operator saw."""
+        with trio.move_on_after(IN_FORCE_WAIT_S):
+            try:
+                await self.refresh()
+            except keyvalue.KeyValueError as error:
+                LOGGER.debug("differences of what this entry knows: %s", error)
+        current, seen = self.configuration.accepted, self.configuration.former(expected)
+        if seen is None:
+            return difference.since(expected, current)
+        return difference.between(seen, current)
+
     async def take_out(self, zone: str, author: str) -> messages.ChangeAnswer:
         """Take an availability zone out, at once wherever peers can be reached."""
         # A hold first: were the key-value service asked first, a slow one would keep the zone's
@@ -74,8 +89,10 @@
         while self.configuration.current.number < number:
             try:
                 await self.refresh()
-            except keyvalue.KeyValueError:
-                await trio.sleep(CHECK_INTERVAL_S)
+            except keyvalue.KeyValueError as error:
+                LOGGER.debug("reading what was accepted: %s", error)
+            # Also after an answer: what this version cannot read must not be asked for without end.
+            await trio.sleep(CHECK_INTERVAL_S)
 
     async def _answer(self, number: int, hold: str) -> messages.ChangeAnswer:
         with trio.move_on_after(IN_FORCE_WAIT_S):
--- a/toucanhold/operators/client.py
+++ b/toucanhold/operators/client.py
@@ -102,4 +102,5 @@
     except codec.CodecError as error:
         detail = f"HTTP status {response.status}: {error}"
         raise OperatorsClientError("unreachable", detail) from error
-    raise OperatorsClientError(answer.kind, answer.detail, answer.mistakes)
+    lines = (*answer.mistakes, *(str(each) for each in answer.differences))
+    raise OperatorsClientError(answer.kind, answer.detail, lines)
--- a/toucanhold/operators/messages.py
+++ b/toucanhold/operators/messages.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from toucanhold.configuration import document
+from toucanhold.configuration import difference, document
 
 
 @attrs.frozen
@@ -53,11 +53,13 @@
 
     :ivar kind: ``invalid``, ``conflict``, ``unavailable``, ``unknown``, ``unauthorized`` …
     :ivar mistakes: each mistake of a document
+    :ivar differences: after a conflict, what is in force now and the operator did not see
     """
 
     kind: str
     detail: str
     mistakes: tuple[str, ...] = ()
+    differences: tuple[difference.Difference, ...] = ()
 
 
 @attrs.frozen
