Hold each entry's calls to the key-value service to a budget

Nothing bounded the calls of one entry: a loop or a burst of orders could use up what the others need to keep their leases, and no counter told.

A lease's end counts time in which the VM was suspended.

--- a/toucanhold/entry.py
+++ b/toucanhold/entry.py
@@ -20,7 +20,7 @@
 from toucanhold.orders import building
 from toucanhold.peers import exchange, handshake, holds, revisions, streams
 from toucanhold.planning import peering, plan, planner, preview, spreading
-from toucanhold.platform import following, lease, vms
+from toucanhold.platform import budget, following, lease, vms
 from toucanhold.routing import router
 
 PLANNER_LEASE_TTL_S = 4
@@ -48,7 +48,9 @@
         own = self.settings
         self.rng = own.new_rng()
         self.metrics = metrics.Metrics(own.entry)
-        self.platform = self.outside.platform
+        self.platform = budget.BudgetedClient(
+            self.outside.platform, own.platform_calls_per_s, 2 * own.platform_calls_per_s
+        )
         self.backends = self.outside.backends
         self.configuration = holder.ConfigurationHolder()
         self.store = store.ConfigurationStore(self.platform)
--- a/toucanhold/platform/lease.py
+++ b/toucanhold/platform/lease.py
@@ -6,6 +6,7 @@
 import attrs
 import trio
 
+from toucanhold import clock
 from toucanhold.platform import keyvalue
 
 LOGGER = logging.getLogger(__name__)
@@ -27,18 +28,18 @@
     rng: random.Random
     fencing: int = 0
     _lease: int = attrs.field(default=0, init=False)
-    _valid_until_s: float = attrs.field(default=float("-inf"), init=False)
+    _renewed: clock.Instant = attrs.field(default=clock.LONG_AGO, init=False)
     _released: bool = attrs.field(default=False, init=False)
 
     def is_held(self) -> bool:
         """Tell whether the lease certainly still runs."""
         # The time counts from before the renewal was sent, so the holder stops believing before
         # the service lets the key go, even when the answer took long or the process was paused.
-        return self.fencing != 0 and trio.current_time() < self._valid_until_s
+        return self.remaining_s() > 0
 
     def remaining_s(self) -> float:
         """Return for how long the lease certainly still runs; negative when it may have ended."""
-        return self._valid_until_s - trio.current_time() if self.fencing else float("-inf")
+        return self.ttl_s - self._renewed.age_s() if self.fencing else float("-inf")
 
     async def run(self) -> None:
         """Acquire, renew and acquire again until cancelled or released."""
@@ -83,9 +84,9 @@
             await self._renew(item.create_revision)
 
     async def _renew(self, fencing: int | None = None) -> None:
-        sent_at_s = trio.current_time()
+        sent = clock.read()
         if await self.client.keep_alive(self._lease):
-            self._valid_until_s = sent_at_s + self.ttl_s
+            self._renewed = sent
             self.fencing = fencing or self.fencing
         else:
             self._lease, self.fencing = 0, 0
--- a/toucanhold/settings.py
+++ b/toucanhold/settings.py
@@ -110,6 +110,11 @@
     operators_address: str = _setting("IP:port for operators", _address)
     peers_address: str = _setting("IP:port for other entries", _address)
     platform_url: str = _setting("URL of the platform's key-value service", _url)
+    platform_calls_per_s: float = _setting(
+        "calls to the key-value service that this entry may make a second",
+        _number(1, 10_000),
+        100.0,
+    )
     vm_list_url: str = _setting("URL of the platform's list of VMs; empty for none", str, "")
     operator_token: keyring.KeyRing = _setting(
         "tokens of operators, separated by commas", _secrets, secret=True
