--- a/toucanhold/backends/pacing.py
+++ b/toucanhold/backends/pacing.py
@@ -9,7 +9,7 @@
 
 # Below this many open answers each token is passed on as it comes.
 FREE_ANSWERS = 16
-INTERVAL_PER_ANSWER_S = 0.0003
+INTERVAL_PER_ANSWER_S = 0.0005
 MAX_INTERVAL_S = 0.2
 # A read that brought more than some tokens is part of a long body, which must not be slowed.
 LONG_READ_BYTES = 4096
