Count calls to the platform and bytes between entries in the metrics

Cause: calls were counted by kind and shown nowhere. Change: three totals, and a gauge of whether an entry may start new work.

--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -53,6 +53,7 @@
             answer = await sites.call("GET", url, headers=token)
             self.assertEqual(200, answer.status)
             self.assertIn(b"toucanhold_configuration_number", answer.body)
+            self.assertIn(b'toucanhold_platform_calls_total{toucanhold_call="read"}', answer.body)
 
 
 def _body(data: bytes, more: bool) -> dict:
--- a/toucanhold/gauges.py
+++ b/toucanhold/gauges.py
@@ -18,8 +18,8 @@
 
 
 @attrs.frozen
-class Gauge:
-    """A metric and how it is read."""
+class Source:
+    """A metric that is read, and how."""
 
     name: str
     unit: str
@@ -28,10 +28,13 @@
 
 
 def register(entry: entries.EntryApplication) -> None:
-    """Add the gauges of ``entry`` to its metrics."""
+    """Add the gauges and totals of ``entry`` to its metrics."""
     for gauge in GAUGES:
         read = functools.partial(gauge.read, entry)
         entry.metrics.observe(gauge.name, gauge.unit, gauge.description, read)
+    for total in TOTALS:
+        read = functools.partial(total.read, entry)
+        entry.metrics.count(total.name, total.unit, total.description, read)
 
 
 def _serving(entry: entries.EntryApplication) -> metrics.Observed:
@@ -59,6 +62,16 @@
         yield count, {"toucanhold.warmth": warmth}
 
 
+def _platform_calls(entry: entries.EntryApplication) -> metrics.Observed:
+    for kind, count in entry.platform.calls.items():
+        yield count, {"toucanhold.call": kind}
+
+
+def _refused_platform_calls(entry: entries.EntryApplication) -> metrics.Observed:
+    for kind, count in entry.platform.refused.items():
+        yield count, {"toucanhold.call": kind}
+
+
 def _single(
     value: collections.abc.Callable[[entries.EntryApplication], float],
 ) -> collections.abc.Callable[[entries.EntryApplication], metrics.Observed]:
@@ -66,47 +79,74 @@
 
 
 GAUGES = (
-    Gauge(
+    Source(
         "toucanhold.configuration.number",
         "{configuration}",
         "Number of the configuration in force",
         _single(lambda entry: entry.configuration.current.number),
     ),
-    Gauge(
+    Source(
         "toucanhold.plan.revision",
         "{revision}",
         "Highest revision of the plan known",
         _single(lambda entry: entry.plans.revision),
     ),
-    Gauge(
+    Source(
         "toucanhold.planner.lease_held",
         "1",
         "Whether this entry is the planner",
         _single(lambda entry: int(entry.planner.leadership.is_held())),
     ),
-    Gauge(
+    Source(
         "toucanhold.platform.answering",
         "1",
         "Whether the key-value service answers",
         _single(lambda entry: int(entry.configuration_follower.answering)),
     ),
-    Gauge(
+    Source(
+        "toucanhold.new_work.permitted",
+        "1",
+        "Whether this entry knows the configuration late enough to start new work",
+        _single(lambda entry: int(entry.permit.may_start())),
+    ),
+    Source(
         "http.server.active_requests",
         "{request}",
         "Callers' requests in flight",
         _single(lambda entry: entry.callers.in_flight),
     ),
-    Gauge(
+    Source(
         "toucanhold.replicas.serving",
         "{replica}",
         "Groups or plain servers that may get work",
         _serving,
     ),
-    Gauge(
+    Source(
         "toucanhold.replicas.wanted",
         "{replica}",
         "Groups or plain servers that the rules want",
         _wanted,
     ),
-    Gauge("toucanhold.backend_servers", "{server}", "Backend servers by warmth", _by_warmth),
+    Source("toucanhold.backend_servers", "{server}", "Backend servers by warmth", _by_warmth),
+)
+
+TOTALS = (
+    Source(
+        "toucanhold.platform.calls",
+        "{call}",
+        "Calls to the key-value service by kind",
+        _platform_calls,
+    ),
+    Source(
+        "toucanhold.platform.calls_refused",
+        "{call}",
+        "Calls held back by the entry's own budget, by kind",
+        _refused_platform_calls,
+    ),
+    Source(
+        "toucanhold.peers.sent",
+        "By",
+        "Bytes sent to other entries",
+        _single(lambda entry: entry.peers.sent_bytes),
+    ),
 )
