--- /dev/null
+++ b/tools/measure/placement.py
@@ -0,0 +1,95 @@
+"""Time and memory of one placement decision."""
+
+import time
+import tracemalloc
+
+import attrs
+import trio
+
+from standins import planners
+from tools.measure import planning, table
+from toucanhold.backends import client
+from toucanhold.configuration import holder, rules
+from toucanhold.observing import view
+from toucanhold.planning import facts, placement, plan
+
+DECISION_SIZES = (100, 1_000, 12_000)
+
+
+def run(seed: int) -> list[table.Table]:
+    """Return the cost of a decision; it involves no chance."""
+    kinds = ("first_ms", "steady_ms", "failure_ms", "peak_kb")
+    columns = ["vms", "facts_ms"]
+    columns += [
+        f"{label.replace(' ', '_')}_{kind}" for label in planning.POLICIES for kind in kinds
+    ]
+    rows = []
+    for size in DECISION_SIZES:
+        costs = [_decision(size, policy()) for policy in planning.POLICIES.values()]
+        rows.append((size, costs[0][-1], *(cell for cost in costs for cell in cost[:-1])))
+    note = (
+        "Time of one placement: from nothing (first), with nothing to do (steady), and after one"
+        " VM's loss (failure); the memory that the first takes at its peak; time to gather the"
+        " facts. Groups of 8 VMs, fabric domains of 16, 11 availability zones, one run each."
+    )
+    drawn = table.Plot("vms", tuple(each for each in columns if each.endswith("_ms")), True)
+    title = "Cost of a placement decision"
+    return [table.Table(title, tuple(columns), tuple(rows), note, drawn)]
+
+
+def _decision(size: int, policy: placement.PlacementPolicy) -> tuple[float, ...]:
+    vms = planners.new_vms(11, max(1, round(size / 11 / 16)), 16)
+    groups = len(vms) // 8
+    services = [
+        rules.Service(
+            f"s{index}",
+            model="m",
+            version="1",
+            replicas=max(1, int(groups * 0.95) // 10),
+            vms_per_replica=8,
+            importance=index,
+        )
+        for index in range(10)
+    ]
+    configuration = planners.new_configuration(vms, services)
+    seen = {vm.vm: client.Report(vm.vm, "1") for vm in vms}
+    given = placement.PlacementInput(configuration, {}, frozenset(seen), reports=seen)
+    first_s, placed = _timed(policy, given)
+    peak_kb = _peak_kb(policy, given)
+    plans = {each.domain: each for each in placed.changed}
+    steady = attrs.evolve(given, plans=plans)
+    steady_s, _ = _timed(policy, steady)
+    lost = next(iter(plans.values())).groups[0].members[0]
+    failed = attrs.evolve(steady, usable=given.usable - {lost}, lost=frozenset({lost}))
+    failure_s, _ = _timed(policy, failed)
+    facts_s = _facts_s(configuration, placed)
+    return (first_s * 1e3, steady_s * 1e3, failure_s * 1e3, peak_kb, facts_s * 1e3)
+
+
+def _timed(policy: placement.PlacementPolicy, given: placement.PlacementInput):
+    started_s = time.perf_counter()
+    placed = policy.place(given)
+    return time.perf_counter() - started_s, placed
+
+
+def _peak_kb(policy: placement.PlacementPolicy, given: placement.PlacementInput) -> float:
+    tracemalloc.start()
+    policy.place(given)
+    peak_bytes = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    return peak_bytes / 1024
+
+
+def _facts_s(configuration, placed: placement.Placement) -> float:
+    async def gather() -> float:
+        plans, seen = plan.PlanHolder(), view.View()
+        for revision, each in enumerate(placed.changed, 1):
+            plans.apply(plan.VersionedDomainPlan(each, revision))
+        for vm in configuration.inventory.vms:
+            seen.record(vm.vm, client.Report(vm.vm, "1"), trio.current_time())
+        composer = facts.FactsComposer(holder.ConfigurationHolder(configuration), plans, seen)
+        started_s = time.perf_counter()
+        composer.compose(1)
+        return time.perf_counter() - started_s
+
+    return trio.run(gather)
--- a/tools/measure/planning.py
+++ b/tools/measure/planning.py
@@ -4,8 +4,6 @@
 import logging
 import random
 import statistics
-import time
-import tracemalloc
 
 import attrs
 import trio
@@ -14,9 +12,8 @@
 from standins import fleet, memory, planners
 from tools.measure import sites, table
 from toucanhold.backends import client
-from toucanhold.configuration import holder, inventory, rules
-from toucanhold.observing import view
-from toucanhold.planning import facts, placement, plan, spreading
+from toucanhold.configuration import inventory
+from toucanhold.planning import placement, plan, spreading
 
 SEEDS = 3
 DURATION_S = 2400.0
@@ -28,7 +25,6 @@
 ZONE_OUT_S = (600.0, 1200.0)
 DARK_S = (1700.0, 1940.0)
 OUTAGE_S = 900.0
-DECISION_SIZES = (100, 1_000, 12_000)
 POLICIES: dict[str, type[placement.PlacementPolicy]] = {
     "first fit": placement.FirstFit,
     "spreading": spreading.Spreading,
@@ -178,10 +174,9 @@
 
 
 def run(seed: int) -> list[table.Table]:
-    """Return the tables of both sites and of the decision's cost."""
+    """Return the tables of both sites."""
     logging.disable(logging.CRITICAL)
-    tables = [_site_table(site, seed) for site in sites.ALL]
-    return [*tables, _outage_table(seed), _decision_table()]
+    return [_site_table(site, seed) for site in sites.ALL]
 
 
 def tally(site: sites.Site, policy: placement.PlacementPolicy, seed: int) -> Tally:
@@ -230,108 +225,14 @@
     figures.append([each.unavoidable_s for each in tallies])
     figures.append([each.joins / each.failures for each in tallies])
     figures.append([each.loads / each.failures for each in tallies])
-    return [_spread(values) for values in figures]
+    return [spread(values) for values in figures]
 
 
-def _spread(values: list[float]) -> str:
+def spread(values: list[float]) -> str:
+    """Return mean, least and most."""
     return f"{statistics.mean(values):.4g} ({min(values):.4g} to {max(values):.4g})"
 
 
-def _outage_table(seed: int) -> table.Table:
-    rows = []
-    for site in sites.ALL:
-        for recorded in (False, True):
-            policy = spreading.Spreading(record_spares=recorded)
-            down_s = []
-            for each in range(seed, seed + SEEDS):
-                clock = trio.testing.MockClock(autojump_threshold=0)
-                one = Run(site, policy, random.Random(each))
-                down_s.append(sum(trio.run(one.run_outage, clock=clock).down_s.values()))
-            rows.append((site.name, "recorded" if recorded else "none", _spread(down_s)))
-    note = (
-        f"Seeds {seed} to {seed + SEEDS - 1}, mean (least to most), group-seconds not serving in"
-        f" an outage of {OUTAGE_S:.0f} s, a VM failing every {FAILURE_INTERVAL_S:.0f} s on"
-        " average. All engines check fencing numbers."
-    )
-    columns = ("site", "substitutions", "all_down_s")
-    return table.Table("Substitutions during an outage", columns, tuple(rows), note)
-
-
-def _decision_table() -> table.Table:
-    kinds = ("first_ms", "steady_ms", "failure_ms", "peak_kb")
-    columns = ["vms", "facts_ms"]
-    columns += [f"{label.replace(' ', '_')}_{kind}" for label in POLICIES for kind in kinds]
-    rows = []
-    for size in DECISION_SIZES:
-        costs = [_decision(size, policy()) for policy in POLICIES.values()]
-        rows.append((size, costs[0][-1], *(cell for cost in costs for cell in cost[:-1])))
-    note = (
-        "Time of one placement: from nothing (first), with nothing to do (steady), and after one"
-        " VM's loss (failure); the memory that the first takes at its peak; time to gather the"
-        " facts. Groups of 8 VMs, fabric domains of 16, 11 availability zones, one run each."
-    )
-    drawn = table.Plot("vms", tuple(each for each in columns if each.endswith("_ms")), True)
-    return table.Table("Cost of a placement decision", tuple(columns), tuple(rows), note, drawn)
-
-
-def _decision(size: int, policy: placement.PlacementPolicy) -> tuple[float, ...]:
-    vms = planners.new_vms(11, max(1, round(size / 11 / 16)), 16)
-    groups = len(vms) // 8
-    services = [
-        rules.Service(
-            f"s{index}",
-            model="m",
-            version="1",
-            replicas=max(1, int(groups * 0.95) // 10),
-            vms_per_replica=8,
-            importance=index,
-        )
-        for index in range(10)
-    ]
-    configuration = planners.new_configuration(vms, services)
-    seen = {vm.vm: client.Report(vm.vm, "1") for vm in vms}
-    given = placement.PlacementInput(configuration, {}, frozenset(seen), reports=seen)
-    first_s, placed = _timed(policy, given)
-    peak_kb = _peak_kb(policy, given)
-    plans = {each.domain: each for each in placed.changed}
-    steady = attrs.evolve(given, plans=plans)
-    steady_s, _ = _timed(policy, steady)
-    lost = next(iter(plans.values())).groups[0].members[0]
-    failed = attrs.evolve(steady, usable=given.usable - {lost}, lost=frozenset({lost}))
-    failure_s, _ = _timed(policy, failed)
-    facts_s = _facts_s(configuration, placed)
-    return (first_s * 1e3, steady_s * 1e3, failure_s * 1e3, peak_kb, facts_s * 1e3)
-
-
-def _timed(policy: placement.PlacementPolicy, given: placement.PlacementInput):
-    started_s = time.perf_counter()
-    placed = policy.place(given)
-    return time.perf_counter() - started_s, placed
-
-
-def _peak_kb(policy: placement.PlacementPolicy, given: placement.PlacementInput) -> float:
-    tracemalloc.start()
-    policy.place(given)
-    peak_bytes = tracemalloc.get_traced_memory()[1]
-    tracemalloc.stop()
-    return peak_bytes / 1024
-
-
-def _facts_s(configuration, placed: placement.Placement) -> float:
-    async def gather() -> float:
-        plans, seen = plan.PlanHolder(), view.View()
-        for revision, each in enumerate(placed.changed, 1):
-            plans.apply(plan.VersionedDomainPlan(each, revision))
-        for vm in configuration.inventory.vms:
-            seen.record(vm.vm, client.Report(vm.vm, "1"), trio.current_time())
-        composer = facts.FactsComposer(holder.ConfigurationHolder(configuration), plans, seen)
-        started_s = time.perf_counter()
-        composer.compose(1)
-        return time.perf_counter() - started_s
-
-    return trio.run(gather)
-
-
 def _set_zones_out(node: planners.Node, zones: set[str]) -> None:
     current = node.configuration.current
     node.configuration.current = attrs.evolve(
