--- a/toucanhold/planning/placement.py
+++ b/toucanhold/planning/placement.py
@@ -67,6 +67,23 @@
             return "the service is gone or has another version"
         return "more replicas than wanted, or its VMs serve a more important service"
 
+    def reason_to_form(self, group: plan.Group) -> str:
+        """Return why a group is formed, for the log."""
+        service = self.configuration.rules.service(group.service)
+        wanted = service.replicas if service else 0
+        sound = [
+            each
+            for planned in self.plans.values()
+            for each in planned.groups
+            if each.service == group.service and not self.is_broken(each)
+        ]
+        serving = [each for each in sound if not any(is_out(vm, self) for vm in each.members)]
+        if len(serving) < wanted:
+            return f"{len(serving)} of {wanted} replicas were planned"
+        if service and any(not is_current(each, service) for each in serving):
+            return "a replica has an old version of the model"
+        return "replicas are crowded in one availability zone"
+
     def has_left(self, member: str, group: plan.Group) -> bool:
         """Tell whether a member is gone, restarted or outside the group."""
         report = self.reports.get(member)
--- a/toucanhold/planning/planner.py
+++ b/toucanhold/planning/planner.py
@@ -116,6 +116,8 @@
         for domain_plan in decided.changed:
             old = self.plans.domain(domain_plan.domain).plan
             reasons = {group.place: known.reason_to_end(group) for group in old.groups}
+            new = set(domain_plan.groups) - set(old.groups)
+            reasons |= {group.place: known.reason_to_form(group) for group in new}
             await self.writer.write(domain_plan, reasons)
         await self._note_formed(known.whole)
         if not self.term_log.has_begun:
--- a/toucanhold/planning/writing.py
+++ b/toucanhold/planning/writing.py
@@ -41,7 +41,7 @@
     ) -> bool:
         """Write one domain's plan; false where it does not stand.
 
-        :param reasons: why groups end, by group and generation, for the log
+        :param reasons: why groups are formed and end, by group and generation, for the log
         :raises keyvalue.KeyValueError: when that is not known; the domain is then unclear
         """
         fencing = self.leadership.fencing
@@ -138,4 +138,5 @@
                 group=group.group,
                 service=group.service,
                 members=list(group.members),
+                reason=reasons.get(group.place, "another planner's decision"),
             )
