Review earlier terms only while this entry is planner

A lapsed planner went on probing, and would have written the list of terms under fencing number zero, which the store accepts while nobody holds the lease. Substitutes are looked for only where a group is not whole.

--- a/toucanhold/planning/substitution.py
+++ b/toucanhold/planning/substitution.py
@@ -86,6 +86,8 @@
         for group in versioned.plan.groups:
             if not group.spare or plans.overlay_of(group) is not None:
                 continue
+            if composer.is_whole(group, now_s):
+                continue
             for member in group.members:
                 substitute = plan.substitute(group, member)
                 if composer.is_whole(substitute, now_s):
--- a/toucanhold/planning/terms.py
+++ b/toucanhold/planning/terms.py
@@ -114,14 +114,17 @@
     async def run(self) -> None:
         """Find out about earlier holders until cancelled."""
         while True:
-            for term in self.earlier():
-                if await self.probe.has_ended(term):
-                    await self._drop((term,))
-            expired = self._earlier if not self.earlier() else ()
-            if expired and self.has_begun and self.leadership.is_held():
-                await self._drop(expired)
+            if self.has_begun and self.leadership.is_held():
+                await self._review()
             await trio.sleep(PROBE_INTERVAL_S)
 
+    async def _review(self) -> None:
+        for term in self.earlier():
+            if await self.probe.has_ended(term):
+                await self._drop((term,))
+        if self._earlier and not self.earlier():
+            await self._drop(self._earlier)
+
     async def _drop(self, ended: collections.abc.Sequence[Term]) -> None:
         self._earlier = tuple(term for term in self._earlier if term not in ended)
         for term in ended:
@@ -138,6 +141,9 @@
     async def _write(
         self, fencing: int, item: keyvalue.Item | None, terms: tuple[Term, ...]
     ) -> bool:
+        if not fencing:
+            # Zero would ask for a planner's key that does not exist, which is true between terms.
+            return False
         conditions = [
             keyvalue.Condition(writing.PLANNER_KEY, create_revision=fencing),
             keyvalue.Condition(TERMS_KEY, mod_revision=item.mod_revision if item else 0),
