Cover entries that have no part in a step, and run random sequences of faults

The matrix passed even with the entries' permit switched off: the faults only ever hit the entry that took part in the step, and a take-out spreads before its step 'accepted'. Two faults now hit another entry, four procedures begin with the step 'asked', lookups go to all entries all the time, and a mutant shows that take-out.asked.other-isolated catches an entry without its permit.

--- a/tests/proof/history.py
+++ b/tests/proof/history.py
@@ -125,6 +125,13 @@
     outcome: str = ""
 
 
+@attrs.frozen
+class Asked:
+    """An operator asks an entry for a change."""
+
+    entry: str
+
+
 @attrs.frozen
 class Commanded:
     """An operator's change and its answer.
@@ -183,7 +190,7 @@
 
 Event = (
     RunStarted | RunEnded | TokenSent | OrderReceived | Joined | Committed | Sent | FirstPart
-) | (Answered | Commanded | InForce | EntryChanged | VmChanged | Fault)
+) | (Answered | Asked | Commanded | InForce | EntryChanged | VmChanged | Fault)
 
 
 @attrs.frozen
--- a/tests/proof/matrix.py
+++ b/tests/proof/matrix.py
@@ -17,6 +17,7 @@
 LAST_S = 6.0
 SETTLED_S = 2.5
 KINDS = ("chat", "order", "lookup", "stream")
+TRAFFIC_KINDS = ("chat", "order", "stream")
 
 
 class Fault(abc.ABC):
@@ -208,6 +209,37 @@
         return ["platform", *(name for name in own.entries if name != focus.entry)]
 
 
+class _Elsewhere(Fault):
+    def other(self, own: site.Site, focus: procedures.Focus) -> procedures.Focus:
+        """Return a focus on an entry that does not take part in the step."""
+        name = next(name for name in reversed(own.names()) if name != focus.entry)
+        return attrs.evolve(focus, entry=name)
+
+
+class OtherPaused(_Elsewhere, EntryPaused):
+    """An entry that has no part in the step is paused, and misses it."""
+
+    name = "other-paused"
+
+    def bring(self, own, focus):
+        super().bring(own, self.other(own, focus))
+
+    def heal(self, own, focus):
+        super().heal(own, self.other(own, focus))
+
+
+class OtherIsolated(_Elsewhere, Isolated):
+    """An entry that has no part in the step reaches neither the platform nor another entry."""
+
+    name, heal_after_s = "other-isolated", 9.0
+
+    def bring(self, own, focus):
+        super().bring(own, self.other(own, focus))
+
+    def heal(self, own, focus):
+        super().heal(own, self.other(own, focus))
+
+
 class PlatformDown(Fault):
     """The key-value service is down for all."""
 
@@ -264,9 +296,10 @@
         own.start(self._send, own)
 
     async def _send(self, own: site.Site) -> None:
+        series = len(own.history.entries)
         for number in range(4):
-            entry = f"entry-{1 + number % 3}"
-            await own.call(history.Sent(f"crash-{number}", entry, "chat", "crash-the-server"))
+            name, entry = f"crash-{series}-{number}", f"entry-{1 + number % 3}"
+            await own.call(history.Sent(name, entry, "chat", "crash-the-server"))
             await trio.sleep(0.5)
 
 
@@ -285,6 +318,8 @@
     CutFromPlatform,
     CutFromServer,
     Isolated,
+    OtherPaused,
+    OtherIsolated,
     PlatformDown,
     PlatformSlow,
     AnswerLost,
@@ -353,8 +388,10 @@
 
 
 @attrs.define(eq=False)
-class _Run:
-    cell: Cell
+class Run:
+    """One run of a cell."""
+
+    cell: Cell | None
     own: site.Site
     rng: random.Random
     reached: bool = False
@@ -362,6 +399,7 @@
     problems: list[str] = attrs.field(factory=list)
 
     async def drive(self) -> None:
+        """Carry out the cell."""
         procedure, own = self.cell.procedure, self.own
         if procedure.fresh:
             for name in own.names():
@@ -373,12 +411,16 @@
         await procedure.prepare(own)
         step = procedure.steps()[self.cell.step]
         own.history.watchers.append(lambda event: self._watch(step, event))
-        own.start(self._traffic)
+        own.start(self.traffic)
         await procedure.drive(own)
         await trio.sleep(TRAFFIC_S + 1)
         if self.reached:
             await self.healed.wait()
-        await self._end()
+        await self.end()
+
+    def note(self, text: str) -> None:
+        """Put a line about the faults into the history."""
+        self.own.history.record(history.Fault(text))
 
     def _watch(self, step: procedures.Step, event: history.Event) -> None:
         focus = None if self.reached else step(self.own, event)
@@ -386,7 +428,7 @@
             return
         self.reached = True
         focus = self._whole(focus)
-        self.own.history.record(history.Fault(f"the cell's step, at {focus}"))
+        self.note(f"the cell's step, at {focus}")
         own_faults = [fault() for fault in self.cell.faults]
         for fault in own_faults:
             fault.bring(self.own, focus)
@@ -402,21 +444,28 @@
         for fault in sorted(own_faults, key=lambda each: each.heal_after_s):
             await trio.sleep(fault.heal_after_s)
             fault.heal(self.own, focus)
-        self.own.history.record(history.Fault("all is healed"))
+        self.note("all is healed")
         self.healed.set()
 
-    async def _traffic(self) -> None:
-        count = int(TRAFFIC_S / TRAFFIC_INTERVAL_S)
-        for number in range(count):
-            entry = f"entry-{self.rng.randint(1, 3)}"
-            kind = KINDS[number % len(KINDS)]
-            key = f"t{number}" if kind == "order" else ""
-            sent = history.Sent(f"t{number}", entry, kind, f"traffic-{number}", key)
-            self.own.start(self.own.call, sent)
+    async def traffic(self) -> None:
+        """Send requests of all kinds to all entries for a while."""
+        for number in range(int(TRAFFIC_S / TRAFFIC_INTERVAL_S)):
+            kind = TRAFFIC_KINDS[number % len(TRAFFIC_KINDS)]
+            self._send(f"t{number}", f"entry-{self.rng.randint(1, 3)}", kind)
+            for name in self.own.names():
+                self._send(f"t{number}{name}", name, "lookup")
             await trio.sleep(TRAFFIC_INTERVAL_S)
 
-    async def _end(self) -> None:
+    def _send(self, name: str, entry: str, kind: str) -> None:
+        key = f"key-{name}" if kind == "order" else ""
+        sent = history.Sent(name, entry, kind, f"traffic-{name}", key)
+        self.own.start(self.own.call, sent)
+
+    async def end(self) -> None:
+        """Tell whether the site serves again, and check everything."""
         own = self.own
+        if not await own.wait(self._stopped, SERVES_AGAIN_S):
+            self.problems.append("a planned stop does not end")
         for name, each in own.entries.items():
             if not each.alive:
                 own.replace_entry(name)
@@ -433,6 +482,10 @@
                     self.problems.append(f"{name} did not serve a {kind}: {answer}"[:300])
         self.problems += promises.broken(steps.record_of(own))
 
+    def _stopped(self) -> bool:
+        entries = self.own.entries.values()
+        return not any(each.alive and each.stop_requested.is_set() for each in entries)
+
     def _answered(self) -> bool:
         return not self.own.waiting_calls
 
@@ -440,10 +493,17 @@
 def run(cell: Cell, seed: int = 1) -> tuple[Verdict, site.Site | None]:
     """Run a cell on the test clock."""
     plan = attrs.evolve(cell.procedure.plan, seed=seed)
-    runs: list[_Run] = []
+    return run_on(plan, cell.name, cell, Run, seed)
+
+
+def run_on(
+    plan: site.Plan, name: str, cell: Cell | None, kind: type[Run], seed: int
+) -> tuple[Verdict, site.Site | None]:
+    """Run something on a site of its own and return what it showed."""
+    runs: list[Run] = []
 
     async def drive(own: site.Site) -> None:
-        runs.append(_Run(cell, own, random.Random(seed)))
+        runs.append(kind(cell, own, random.Random(seed)))
         await runs[0].drive()
 
     own = None
@@ -452,4 +512,4 @@
         problems = runs[0].problems
     except Exception as error:
         problems = [f"the bench failed: {error!r} {getattr(error, 'exceptions', '')}"]
-    return Verdict(cell.name, bool(runs) and runs[0].reached, tuple(problems)), own
+    return Verdict(name, bool(runs) and runs[0].reached, tuple(problems)), own
--- a/tests/proof/procedures.py
+++ b/tests/proof/procedures.py
@@ -89,6 +89,14 @@
     return new
 
 
+def _runs_in_zone(zone: str) -> Step:
+    def step(own: site.Site, event: history.Event) -> Focus | None:
+        there = isinstance(event, history.RunStarted) and own.zone_of(event.vm) == zone
+        return Focus(vm=event.vm) if there else None
+
+    return step
+
+
 class _Call(Procedure):
     kind: str
     key = ""
@@ -198,6 +206,7 @@
     def steps(self) -> dict[str, Step]:
         """See :class:`Procedure`."""
         return {
+            "asked": _saw(history.Asked)(),
             "accepted": _wrote(promises.HEAD_KEY)(),
             "planned": _wrote(promises.PLAN_PREFIX)(),
             "left": _saw(history.OrderReceived, order="leave")(),
@@ -220,10 +229,12 @@
     def steps(self) -> dict[str, Step]:
         """See :class:`Procedure`."""
         return {
+            "asked": _saw(history.Asked)(),
             "accepted": _wrote(promises.HEAD_KEY)(),
             "in-force": _saw(history.InForce, configuration=2)(),
             "planned": _wrote(promises.PLAN_PREFIX)(),
-            "left": _saw(history.OrderReceived, order="leave")(),
+            "ordered": _saw(history.OrderReceived, order="join")(),
+            "joined": _saw(history.Joined)(),
         }
 
     async def drive(self, own: site.Site) -> None:
@@ -232,7 +243,7 @@
 
 
 class Return(Procedure):
-    """An availability zone is returned, and a group is formed there."""
+    """An availability zone is returned, and gets work again."""
 
     name = "return"
     plan = site.Plan(replicas=3)
@@ -240,11 +251,11 @@
     def steps(self) -> dict[str, Step]:
         """See :class:`Procedure`."""
         return {
+            "asked": _saw(history.Asked)(),
             "accepted": _wrote(promises.HEAD_KEY)(),
             "in-force": _saw(history.InForce, configuration=3)(),
             "planned": _wrote(promises.PLAN_PREFIX)(),
-            "ordered": _saw(history.OrderReceived, order="join")(),
-            "joined": _saw(history.Joined)(),
+            "runs-there": _runs_in_zone("a"),
         }
 
     async def prepare(self, own: site.Site) -> None:
@@ -265,6 +276,7 @@
     def steps(self) -> dict[str, Step]:
         """See :class:`Procedure`."""
         return {
+            "asked": _saw(history.Asked)(),
             "accepted": _wrote(promises.HEAD_KEY)(),
             "in-force": _saw(history.InForce, configuration=2)(),
             "in-force-everywhere": _saw(history.InForce, configuration=2, nth=3)(),
--- a/tests/proof/site.py
+++ b/tests/proof/site.py
@@ -157,6 +157,10 @@
         """Return the server at an address."""
         return next(each for each in self.servers.values() if each.address == address)
 
+    def zone_of(self, vm: str) -> str:
+        """Return a VM's availability zone."""
+        return self.servers[vm].availability_zone
+
     def names(self) -> list[str]:
         """Return the names of all entries that there should be."""
         return [f"entry-{number}" for number in range(1, self.plan.entries + 1)]
@@ -382,6 +386,7 @@
     async def set_zone(self, name: str, zone: str, out: bool) -> history.Commanded:
         """Take an availability zone out, or return it."""
         began_s = trio.current_time()
+        self.history.record(history.Asked(name))
         path = f"availability-zones/{zone}"
         status, answer = await self.operate(name, "PUT", path, {"out": out})
         return self._commanded(name, status, began_s, answer, zone, out)
@@ -389,6 +394,7 @@
     async def apply(self, name: str, document: dict, expected: int) -> history.Commanded:
         """Replace inventory and rules."""
         began_s = trio.current_time()
+        self.history.record(history.Asked(name))
         body = {"document": document, "expected": expected}
         status, answer = await self.operate(name, "PUT", "document", body)
         return self._commanded(name, status, began_s, answer)
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -5,10 +5,11 @@
 
 import trio
 
-from tests.proof import faults, history, promises, site, steps
+from tests.proof import faults, history, matrix, promises, site, steps
 from toucanhold import asgi, entry
 from toucanhold.callers import app, problems
 from toucanhold.configuration import holder, rules, snapshot
+from toucanhold.membership import permit
 from toucanhold.observing import view
 from toucanhold.planning import placement, plan, spreading
 from toucanhold.routing import candidates, cold, requests
@@ -159,6 +160,15 @@
 
 
 class MutantTest(unittest.TestCase):
+    def test_matrix_catches_an_entry_that_works_on_an_old_configuration(self):
+        # An entry that reaches neither the platform nor a peer gives an availability zone new
+        # work long after it was taken out: it goes on with the configuration that it has.
+        cell = matrix.by_name("take-out.asked.other-isolated")
+        self.assertTrue(matrix.run(cell)[0].passed)
+        with mock.patch.object(permit.WorkPermit, "refusal", lambda *_: None):
+            verdict, _ = matrix.run(cell)
+        self.assertIn("zones_out", verdict.problems[0])
+
     def test_there_is_a_mutant_for_each_promise(self):
         self.assertEqual(set(promises.PROMISES), set(MUTANTS))
 
--- a/tools/matrix.py
+++ b/tools/matrix.py
@@ -1,8 +1,8 @@
 """The fault matrix.
 
 `python -m tools.matrix` runs every cell with one fault and prints the table; `--part` runs the
-fixed part that CI runs, `--pairs N` a fixed sample of N cells with two faults, and
-`python -m tools.matrix CELL…` the named cells, with their histories.
+fixed part that CI runs, `--pairs N` a fixed sample of N cells with two faults, `--seeds FROM TO`
+random sequences of faults, and `python -m tools.matrix CELL…` the named cells, with histories.
 """
 
 import collections
@@ -17,11 +17,11 @@
 import attrs
 import trio
 
-from tests.proof import matrix
+from tests.proof import matrix, sequences
 
 WORKERS = 4
 CELL_LIMIT_S = 60
-PART_STEP = 7
+PART_STEP = 8
 SAMPLE_SEED = 6
 SIGNS = {True: "·", False: "F"}
 
@@ -123,6 +123,16 @@
     return min(1, failed)
 
 
+def _run_seeds(first: int, last: int) -> int:
+    failed = 0
+    for seed in range(first, last + 1):
+        verdict, _ = sequences.run(seed)
+        print(f"{verdict.name}: {'passed' if verdict.passed else 'failed'}", *verdict.problems)
+        failed += not verdict.passed
+    print(f"{last + 1 - first - failed} passed, {failed} failed")
+    return min(1, failed)
+
+
 def _show(names: list[str]) -> int:
     failed = 0
     for name in names:
@@ -144,6 +154,8 @@
     if arguments[:1] == ["--pairs"]:
         cells = sample(int(arguments[1]))
         return report(cells, run_all(cells))
+    if arguments[:1] == ["--seeds"]:
+        return _run_seeds(int(arguments[1]), int(arguments[2]))
     if arguments and arguments != ["--part"]:
         return _show(arguments)
     cells = part() if arguments else matrix.cells()
