--- a/tests/proof/sequences.py
+++ b/tests/proof/sequences.py
@@ -1,6 +1,5 @@
 """Random sequences of faults, each decided by its seed."""
 
-
 import trio
 
 from tests.proof import matrix, procedures, site
