Bound what names made up by callers leave behind in admission

Cause: each workspace and each adapter that a caller named was kept for ever; names are free, so a caller could fill the memory with them.

Change: beyond 1,024 workspaces those without waiting requests are forgotten, at the cost of one turn at most; an adapter that nobody serves gets no queue.

Shown failing before: the test of adapters (50 queues were left). The test of workspaces could not run there, since it names the new bound.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -56,8 +56,30 @@
         self.assertEqual(3, taken.count("new"))
         self.assertEqual("new", taken[0])
 
+    def test_names_that_callers_make_up_are_forgotten(self):
+        # Callers name a new workspace with each request; the memory must not grow with them, and
+        # those that wait must not lose their place.
+        order = fairness.FairOrder()
+        order.push("waiting", 1.0, "first")
+        for number in range(5 * fairness.MAX_IDLE_WORKSPACES):
+            order.charge(f"made-up-{number}", 1.0)
+        self.assertLessEqual(len(order._workspaces), fairness.MAX_IDLE_WORKSPACES + 1)
+        self.assertEqual(("waiting", "first"), order.pop())
+
 
 class FairQueueTest(unittest.TestCase):
+    def test_adapters_that_nobody_serves_leave_nothing_behind(self):
+        on_test_clock(self._adapters)
+
+    async def _adapters(self):
+        async with routers.running([warm_server()], entries=1) as site:
+            entry = site.entries["entry-0"]
+            await trio.sleep(2)
+            for number in range(50):
+                answer = await site.ask(entry, adapter=f"made-up-{number}")
+                self.assertEqual("no-capacity", answer)
+            self.assertEqual({}, entry.router.admission._queues)
+
     def test_small_workspace_is_served_while_a_large_one_floods(self):
         # 40 callers of one workspace and one of another share two places. First come, first
         # served would give the small one a fortieth; its fair share is half of the places.
--- a/toucanhold/routing/fairness.py
+++ b/toucanhold/routing/fairness.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+MAX_IDLE_WORKSPACES = 1024
+
 Item = typing.TypeVar("Item")
 
 
@@ -115,10 +117,18 @@
     def _workspace(self, name: str, weight: float) -> _Workspace[Item]:
         known = self._workspaces.get(name)
         if known is None:
+            if len(self._workspaces) >= MAX_IDLE_WORKSPACES:
+                self._forget_idle()
             known = self._workspaces[name] = _Workspace(name)
         known.weight = weight
         return known
 
+    def _forget_idle(self) -> None:
+        # Callers choose the names. One that is forgotten gains one turn at most.
+        self._workspaces = {name: known for name, known in self._workspaces.items() if known.items}
+        self._heap = [entry for entry in self._heap if entry[2].items]
+        heapq.heapify(self._heap)
+
     def _make_ready(self, known: _Workspace[Item]) -> None:
         if known.items and not known.is_ready:
             known.is_ready = True
--- a/toucanhold/routing/fairqueue.py
+++ b/toucanhold/routing/fairqueue.py
@@ -81,6 +81,10 @@
     async def place(self, request: requests.CallerRequest, avoid: frozenset[str]):
         """See :class:`gate.AdmissionPolicy`."""
         queue = self._queue(request)
+        if request.adapter and not len(queue.order) and not self._options(queue):
+            # Callers choose the names of adapters; a queue for each would fill the memory.
+            self._queues.pop((request.service.name, request.adapter), None)
+            raise _refusal(_nobody(queue), DEFAULT_RETRY_AFTER_S)
         chosen = self._start_now(queue, request, avoid)
         if chosen is None:
             chosen = await self._wait(queue, request)
