--- /dev/null
+++ b/tests/test_planner_peers.py
@@ -0,0 +1,163 @@
+"""What planners tell each other, and what they do while nothing can be decided."""
+
+import unittest
+
+import attrs
+import trio
+import trio.testing
+
+from standins import fleet
+from tests import scenes
+from toucanhold.backends import client
+from toucanhold.configuration import inventory
+from toucanhold.observing import view
+from toucanhold.peers import exchange, messages, transport
+from toucanhold.planning import peering, spreading, terms
+
+
+class PeersTest(unittest.TestCase):
+    def _pair(self):
+        near, far = exchange.Exchange(), exchange.Exchange()
+        near.attach("far", _Wire(far, "near"))
+        far.attach("near", _Wire(near, "far"))
+        return near, far
+
+    def test_departure_seen_by_one_entry_ends_the_generation_on_the_other(self):
+        near, far = self._pair()
+        views = view.View(), view.View()
+        peering.EndingSpreader(near, views[0])
+        peering.EndingSpreader(far, views[1])
+        views[0].record("vm", client.Report("vm", "1", group="g/1", generation=1), 1.0)
+        views[0].record("vm", client.Report("vm", "2"), 2.0)
+        self.assertTrue(views[1].is_ended("g/1", 1))
+
+    def test_planner_acknowledges_only_a_term_that_is_over(self):
+        async def test():
+            async with scenes.scene() as site:
+                near, far = self._pair()
+                old = site.start("old")
+                await scenes.wait_until(lambda: old.planner.term_log.has_begun)
+                peering.StepDownAnswerer(far, old.planner)
+                probe = peering.PeerProbe(near, _Transport("nobody answers"))
+                own = terms.Term(old.lease.fencing, "far", old.planner.process, "far:1")
+                old.planner.entry, old.planner.peers_address = "far", "far:1"
+                self.assertFalse(await _asked_twice(probe, own))
+                restarted = attrs.evolve(own, fencing=1, process="before")
+                self.assertTrue(await _asked_twice(probe, restarted))
+                moved = attrs.evolve(restarted, fencing=2, peers_address="elsewhere:1")
+                self.assertFalse(await _asked_twice(probe, moved))
+                old.scope.cancel()
+                await trio.sleep(5)
+                self.assertTrue(await _asked_twice(probe, own))
+
+        scenes.run(test)
+
+    def test_only_a_refused_connection_shows_that_an_earlier_planner_is_gone(self):
+        async def test():
+            for cause, expected in ((ConnectionRefusedError(), True), (TimeoutError(), False)):
+                probe = peering.PeerProbe(exchange.Exchange(), _Transport("failed", cause))
+                term = terms.Term(1, "gone", "p", "127.0.0.1:1")
+                self.assertEqual(expected, await probe.has_ended(term))
+
+        scenes.run(test)
+
+
+class OutageTest(unittest.TestCase):
+    def test_recorded_spare_takes_the_place_of_a_lost_member(self):
+        # A replica stays down until the key-value service returns, perhaps for hours: nothing new
+        # can be decided. The last accepted plan names a spare and reserves a generation for it.
+        async def test():
+            async with scenes.scene(policy=spreading.Spreading()) as site:
+                node, other = site.start("node"), site.start("other")
+                await scenes.wait_until(lambda: node.whole_groups() and scenes.has_spare(node))
+                (before,) = node.whole_groups()
+                site.platform.set_mode("down")
+                await trio.sleep(60)
+                lost = site.engines.engines[scenes.address(site, before.members[1])]
+                lost.mode = fleet.Mode.SILENT
+                for each in (node, other):
+                    await scenes.wait_until(
+                        lambda each=each: scenes.other_generation(each, before), 30
+                    )
+                (during,) = other.whole_groups()
+                self.assertNotIn(before.members[1], during.members)
+                site.platform.set_mode("up")
+                await trio.sleep(20)
+                self.assertEqual([during.place], [each.place for each in other.whole_groups()])
+                self.assertTrue(scenes.is_formed(other))
+                lost.mode = fleet.Mode.UP
+                await scenes.wait_until(lambda: lost.place is None)
+
+        scenes.run(test)
+
+    def test_engine_that_knows_a_newer_plan_refuses_the_substitution(self):
+        # The last planner is cut off from the service and takes that for an outage; another one
+        # was elected and gave the spare to its own group. No VM leaves that group.
+        async def test():
+            async with scenes.scene(policy=spreading.Spreading()) as site:
+                old = site.start("old")
+                await scenes.wait_until(lambda: old.whole_groups() and scenes.has_spare(old))
+                (before,) = old.whole_groups()
+                site.platform.set_mode("down", "old")
+                new = site.start("new")
+                await scenes.wait_until(lambda: new.planner.term_log.has_begun, 30)
+                site.engines.engines[scenes.address(site, before.members[0])].restart()
+                await scenes.wait_until(lambda: scenes.other_generation(new, before))
+                (now,) = new.whole_groups()
+                await trio.sleep(30)
+                self.assertEqual([now.place], [each.place for each in new.whole_groups()])
+
+        scenes.run(test)
+
+    def test_engines_that_ignore_fencing_get_no_spare(self):
+        async def test():
+            ignored = inventory.Fencing.IGNORED
+            async with scenes.scene(fencing=ignored, policy=spreading.Spreading()) as site:
+                node = site.start("node")
+                await scenes.wait_until(lambda: scenes.is_formed(node))
+                await trio.sleep(2)
+                self.assertFalse(scenes.has_spare(node))
+
+        scenes.run(test)
+
+    def test_planner_that_was_asked_to_step_down_substitutes_no_more(self):
+        async def test():
+            async with scenes.scene(policy=spreading.Spreading()) as site:
+                node = site.start("node")
+                await scenes.wait_until(lambda: node.whole_groups() and scenes.has_spare(node))
+                (before,) = node.whole_groups()
+                fencing = node.lease.fencing
+                site.platform.set_mode("down")
+                await trio.sleep(6)
+                node.planner.renounce(fencing)
+                site.engines.engines[scenes.address(site, before.members[1])].mode = (
+                    fleet.Mode.SILENT
+                )
+                await trio.sleep(60)
+                self.assertEqual([], node.whole_groups())
+
+        scenes.run(test)
+
+
+class _Wire:
+    """An outbox that delivers at once."""
+
+    def __init__(self, other, sender):
+        self.other, self.sender = other, sender
+
+    def put(self, body):
+        self.other.deliver(self.sender, messages.decode(body))
+        return True
+
+
+class _Transport:
+    def __init__(self, text, cause=None):
+        self.text, self.cause = text, cause
+
+    async def connect(self, address):
+        raise transport.TransportError(self.text) from self.cause
+
+
+async def _asked_twice(probe, term):
+    await probe.has_ended(term)
+    return await probe.has_ended(term)
