Refuse requests that crash backend servers after two crashes

A request that crashes its backend server was retried on the next ones, by the entry and by its caller. Now a connection that is lost with its request makes a suspect of it: it runs alone, on a server that all entries keep free, once. Reports then tell whether the server died. Two deaths, one of them alone, refuse it for good on all entries, those that start later among them. Requests that were in flight with it weigh less, run alone once and are cleared.

It stands around the admission policy and the backend client, so that every attempt passes it, whatever the dispatcher does.

--- a/standins/backends.py
+++ b/standins/backends.py
@@ -13,6 +13,7 @@
 from toucanhold.backends import client
 
 NETWORK_S = 0.0015
+CRASH_S = 0.03
 
 
 @attrs.define
@@ -42,6 +43,7 @@
     :ivar report_lag_s: age of the load that its reports tell
     :ivar unnoticed_s: time until it notices that a client has left
     :ivar max_running_cold: most requests that ran at once while it was cold
+    :ivar crashes: tells whether a request makes it restart
     """
 
     vm: str
@@ -56,6 +58,8 @@
     adapters: tuple[str, ...] = ()
     template: client.Report | None = None
     faults: list[StreamFaults] = attrs.field(factory=list)
+    crashes: collections.abc.Callable[[client.ForwardedRequest], bool] = lambda request: False
+    restarts: int = attrs.field(default=0, init=False)
     running: int = attrs.field(default=0, init=False)
     waiting: int = attrs.field(default=0, init=False)
     completed: int = attrs.field(default=0, init=False)
@@ -76,6 +80,7 @@
 
     def restart(self) -> None:
         """Cut all requests and be cold, at once and without warning."""
+        self.restarts += 1
         self.boot_id = f"{self.vm}-boot-{next(self._boots)}"
         self.warm, self.completed = False, 0
         for scope in self.scopes:
@@ -228,6 +233,9 @@
             with self._scope, contextlib.suppress(ConnectionError):
                 await trio.sleep(NETWORK_S)
                 async with self.server.running_one():
+                    if self.server.crashes(self.request):
+                        await trio.sleep(CRASH_S)
+                        self.server.restart()
                     await self._emit_all()
                     finished = True
         finally:
--- a/toucanhold/entry.py
+++ b/toucanhold/entry.py
@@ -222,6 +222,7 @@
                 may_start=self.permit.may_start,
                 rng=self.rng,
                 max_in_flight=self.settings.max_requests_in_flight,
+                exchange=self.exchange,
             )
         )
         self.orders = building.new_keeper(
--- a/toucanhold/peers/messages.py
+++ b/toucanhold/peers/messages.py
@@ -114,6 +114,39 @@
     generation: int
 
 
+@attrs.frozen
+class IncidentNews:
+    """A request was lost with its connection to a backend server.
+
+    :ivar fingerprint: hash of the request
+    :ivar company: requests that ran there at that time
+    :ivar alone: whether the backend server was kept free for it
+    :ivar verdict: "pending", "died" or "dismissed"
+    """
+
+    fingerprint: bytes
+    vm: str
+    boot_id: str
+    company: int
+    alone: bool
+    verdict: str
+
+
+@attrs.frozen
+class ClearedNews:
+    """A suspected request ran whole."""
+
+    fingerprint: bytes
+
+
+@attrs.frozen
+class IsolationNews:
+    """A backend server is to get no other work for a time; none to end that."""
+
+    vm: str
+    for_s: float
+
+
 Message = object
 
 # Each message between entries is listed here once; its class name is its kind on the wire.
@@ -129,6 +162,9 @@
     StepDownAsk,
     StepDownAnswer,
     GenerationEnded,
+    IncidentNews,
+    ClearedNews,
+    IsolationNews,
 )
 
 _BY_NAME = {kind.__name__: kind for kind in KINDS}
--- a/toucanhold/routing/router.py
+++ b/toucanhold/routing/router.py
@@ -1,5 +1,7 @@
 """An entry's routing: its components, built to fit each other."""
 
+from __future__ import annotations
+
 import collections.abc
 import random
 
@@ -9,17 +11,21 @@
 from toucanhold.backends import client
 from toucanhold.configuration import holder
 from toucanhold.observing import view
+from toucanhold.peers import exchange
 from toucanhold.planning import plan
 from toucanhold.platform import keyvalue
 from toucanhold.routing import (
     candidates,
     choice,
     cold,
+    deaths,
     dispatch,
     fairqueue,
     gate,
+    isolation,
     room,
     slots,
+    suspects,
     watchdog,
 )
 
@@ -46,6 +52,7 @@
     rng: random.Random
     max_in_flight: int = 2000
     may_start: collections.abc.Callable[[], bool] = lambda: True
+    exchange: exchange.Exchange = attrs.field(factory=exchange.Exchange)
 
 
 @attrs.frozen
@@ -60,12 +67,15 @@
     choice: choice.ChoicePolicy
     admission: gate.AdmissionPolicy
     dispatcher: dispatch.Dispatcher
+    watch: isolation.SuspectWatch | None = None
 
     async def run(self) -> None:
         """Do the background work until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.slots.run)
             nursery.start_soon(self.dispatcher.watchdog.run)
+            if self.watch is not None:
+                nursery.start_soon(self.watch.run)
 
     async def release(self) -> None:
         """Give back what this entry holds; nothing may be in flight any more."""
@@ -79,21 +89,35 @@
     finder = _finder(around)
     shares = cold.SlotShares(leased, around.view)
     limits = room.EstimatedRoom(in_flight, shares, around.view, lambda: len(around.entries()))
-    policy = choice.TwoChoices(limits, around.rng, around.availability_zone)
-    admission = fairqueue.FairQueue(
+    isolations = isolation.Isolations(around.exchange)
+    usable = isolation.IsolatingRoom(limits, isolations)
+    policy = choice.TwoChoices(usable, around.rng, around.availability_zone)
+    queue = fairqueue.FairQueue(
         around.configuration,
         finder,
         around.view,
         policy,
         in_flight,
-        limits,
+        usable,
         shares,
         around.max_in_flight,
     )
+    watch = isolation.SuspectWatch(
+        suspects.SuspectTable(around.exchange),
+        deaths.DeathWatch(around.view, around.plans),
+        around.view,
+        in_flight,
+    )
+    admission = isolation.IsolatingAdmission(
+        queue, finder, in_flight, limits, shares, watch, isolations
+    )
     dispatcher = dispatch.Dispatcher(
-        admission, finder, around.backends, watchdog.Watchdog(around.view)
+        admission,
+        finder,
+        isolation.WatchingBackends(around.backends, watch),
+        watchdog.Watchdog(around.view),
     )
-    return Router(leased, in_flight, finder, shares, limits, policy, admission, dispatcher)
+    return Router(leased, in_flight, finder, shares, usable, policy, admission, dispatcher, watch)
 
 
 def baseline(around: Surroundings) -> Router:
