Refuse what callers get wrong by type, and bound what they hold open

Empty or strange idempotency keys were taken for none or passed on; a slow body held its place for ever; the limit of open requests was not enforced; wrong methods looked like unknown services; "//publish" and "/publish/" passed the rule for "/publish" and were retried like a lookup; a whole answer was sent without its length, so that a client of HTTP/1.0 could not tell a torn one. Each now has its typed refusal or a length. Reading a request moved from callers/app.py to callers/reading.py, the bound on open bodies to callers/bodies.py.

tests.test_callers_http sends these over real connections, plain and TLS, and checks that others are served meanwhile; torn answers are errors to httpcore by both framings.

--- a/toucanhold/asgi.py
+++ b/toucanhold/asgi.py
@@ -18,9 +18,14 @@
     """The client closed its connection before its request was whole."""
 
 
-async def read_body(receive: Receive, limit_bytes: int) -> bytes:
+async def read_body(
+    receive: Receive,
+    limit_bytes: int,
+    grow: collections.abc.Callable[[int], None] = lambda size_bytes: None,
+) -> bytes:
     """Return the whole request body.
 
+    :param grow: told the number of bytes that have arrived; may raise
     :raises BodyTooLargeError: as soon as it exceeds ``limit_bytes``
     :raises ClientGoneError: when it ends early
     """
@@ -29,9 +34,11 @@
         message = await receive()
         if message["type"] == "http.disconnect":
             raise ClientGoneError
-        body += message.get("body", b"")
+        chunk = message.get("body", b"")
+        body += chunk
         if len(body) > limit_bytes:
             raise BodyTooLargeError
+        grow(len(chunk))
         if not message.get("more_body"):
             return bytes(body)
 
--- a/toucanhold/entry.py
+++ b/toucanhold/entry.py
@@ -12,6 +12,7 @@
 from toucanhold import application, codec, events, gauges, metrics, outside, settings
 from toucanhold.callers import app as callers_app
 from toucanhold.callers import directory
+from toucanhold.callers import reading as callers_reading
 from toucanhold.configuration import holder, reading, store
 from toucanhold.membership import facts, permit, roster
 from toucanhold.observing import poller, view
@@ -248,9 +249,8 @@
             self.orders,
             self._new_directory(),
             self.metrics,
-            own.body_limit_bytes,
-            own.default_timeout_s,
-            own.max_timeout_s,
+            callers_reading.Limits(own.body_limit_bytes, own.default_timeout_s, own.max_timeout_s),
+            own.max_requests_in_flight,
         )
         self.status_composer = status.StatusComposer(
             self.roster,
@@ -285,7 +285,7 @@
             self.facts,
             self.settings.directory_keep_s,
             self.exchange.connected,
-            lambda: self.configuration.current.number > 0,
+            self.permit.may_start,
             self.rng,
         )
 
