--- a/tests/order_fakes.py
+++ b/standins/orders.py
@@ -1,4 +1,4 @@
-"""Fakes at the interfaces of orders: a key-value service and a sender, both with faults."""
+"""What orders meet, in memory on trio's clock: a key-value service and a sender, with faults."""
 
 import collections
 import contextlib
@@ -25,6 +25,7 @@
     :ivar faults: by number of the call: "unavailable", "lost-request", "lost-answer" or "late"
     :ivar down: every call fails before it has an effect
     :ivar latency_s: time of each call
+    :ivar calls_per_s: what the store takes; what comes faster waits, and may time out
     """
 
     items: dict[str, keyvalue.Item] = attrs.field(factory=dict)
@@ -32,43 +33,54 @@
     faults: dict[int, str] = attrs.field(factory=dict)
     down: bool = False
     latency_s: float = 0.005
+    calls_per_s: float = float("inf")
+    timeout_s: float = 2.0
     calls: collections.Counter = attrs.field(factory=collections.Counter)
     revision: int = 1
     _late: list = attrs.field(factory=list)
+    _free_at_s: float = 0.0
 
     async def close(self):
-        pass
+        """See :class:`keyvalue.KeyValueClient`."""
 
     async def read(self, prefix, min_mod_revision=0):
+        """See :class:`keyvalue.KeyValueClient`."""
         found = tuple(item for key, item in self.items.items() if key.startswith(prefix))
         return await self._call("read", lambda: keyvalue.RangeResult(self.revision, found))
 
     async def read_key(self, key):
+        """See :class:`keyvalue.KeyValueClient`."""
         return await self._call("read", lambda: self.items.get(key))
 
     async def commit(self, conditions, writes):
+        """See :class:`keyvalue.KeyValueClient`."""
         return await self._call("write", lambda: self._commit(conditions, writes))
 
     async def grant_lease(self, ttl_s):
+        """See :class:`keyvalue.KeyValueClient`."""
         return await self._call("grant", self._grant)
 
     async def keep_alive(self, lease):
+        """See :class:`keyvalue.KeyValueClient`."""
         return lease in self.leases
 
     async def revoke_lease(self, lease):
+        """See :class:`keyvalue.KeyValueClient`."""
         self.lapse(lease)
 
     def watch(self, prefix, start_revision):
+        """Not needed here."""
         raise NotImplementedError
 
     def lapse(self, lease):
+        """End a lease and delete its keys."""
         self.leases.discard(lease)
         self.items = {key: item for key, item in self.items.items() if item.lease != lease}
 
     async def _call(self, kind, effect):
         number = self.calls.total()
         self.calls[kind] += 1
-        await trio.sleep(self.latency_s)
+        await self._wait_served()
         self._arrive()
         fault = "unavailable" if self.down else self.faults.get(number)
         if fault == "unavailable":
@@ -84,6 +96,15 @@
             raise keyvalue.UnclearError(fault)
         return result
 
+    async def _wait_served(self):
+        now_s = trio.current_time()
+        self._free_at_s = max(now_s, self._free_at_s) + 1 / self.calls_per_s
+        wait_s = self._free_at_s - now_s + self.latency_s
+        if wait_s > self.timeout_s:
+            await trio.sleep(self.timeout_s)
+            raise keyvalue.UnclearError("no answer in time")
+        await trio.sleep(wait_s)
+
     def _arrive(self):
         due = [effect for due_s, effect in self._late if due_s <= trio.current_time()]
         self._late = [late for late in self._late if late[0] > trio.current_time()]
@@ -130,6 +151,7 @@
 
     @contextlib.asynccontextmanager
     async def serve(self, request):
+        """See :class:`dispatch.Dispatcher`."""
         behaviour = self.behaviours.pop(0) if self.behaviours else "ok"
         if behaviour == "not-sent":
             raise requests.RequestError(
@@ -159,15 +181,18 @@
     scopes: list = attrs.field(factory=list)
 
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED):
+        """Run until killed."""
         with trio.CancelScope() as scope:
             self.scopes.append(scope)
             await self.keeper.run(task_status=task_status)
 
     def kill(self):
+        """End everything at once."""
         for scope in self.scopes:
             scope.cancel()
 
     def issue(self):
+        """Return a new order key."""
         return self.keeper.issued.issue("growers", 1)[0]
 
     async def order(self, request):
@@ -185,6 +210,7 @@
 
 
 def new_entry(name, store, sender, calls_per_s=1000.0, address="127.0.0.1:1"):
+    """Return an entry that is not running."""
     boot = f"boot-of-{name}-{random.random()}"
     own = roster.Member(name, "zone-a", address, "", "", boot=boot)
     entries = roster.Roster(own)
@@ -201,6 +227,7 @@
 
 
 def new_request(key="key-1", body=b"{}", timeout_s=10.0, **changes):
+    """Return an order."""
     new_request.count += 1
     values = {
         "request_id": f"request-{new_request.count}",
--- a/tests/test_callers_http.py
+++ b/tests/test_callers_http.py
@@ -14,8 +14,8 @@
 import trio
 import trustme
 
+from standins import orders as order_fakes
 from standins import processes
-from tests import order_fakes
 from toucanhold import codec, metrics, serving
 from toucanhold.backends import client, http
 from toucanhold.callers import app, directory, reading
--- a/tests/test_order_keys.py
+++ b/tests/test_order_keys.py
@@ -4,7 +4,8 @@
 
 import trio
 
-from tests import order_fakes, test_orders
+from standins import orders as order_fakes
+from tests import test_orders
 from toucanhold import keyring
 from toucanhold.orders import issued, keys
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -6,7 +6,7 @@
 import trio
 import trio.testing
 
-from tests import order_fakes
+from standins import orders as order_fakes
 from toucanhold.orders import claimed, claims, commits, limits, records
 from toucanhold.platform import keyvalue
 
@@ -339,7 +339,9 @@
     def test_outage_refuses_keyed_orders_truthfully(self):
         async def body(store, sender, a, b):
             store.down = True
+            asked_at_s = trio.current_time()
             problem, outcome, retry_after_s = await a.order(order_fakes.new_request())
+            self.assertLess(trio.current_time() - asked_at_s, 0.5)
             self.assertEqual(("claim-unavailable", "did-not-run"), (problem, outcome))
             self.assertGreater(retry_after_s, 0)
             self.assertEqual([], sender.runs)
--- a/toucanhold/orders/claims.py
+++ b/toucanhold/orders/claims.py
@@ -10,6 +10,9 @@
 from toucanhold.platform import keyvalue
 
 CLAIM_TIMEOUT_S = 3.0
+# A service that refuses connections will hardly take them in three seconds; the caller can be told
+# at once.
+REFUSED_TIMEOUT_S = 0.3
 FIRST_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 2.0
 LATE_WRITE_LIMIT_S = 60.0
@@ -64,7 +67,8 @@
             raise ClaimUnavailableError("many claims are unclear", False, MAX_BACKOFF_S)
         may_stand = False
         backoff_s = FIRST_BACKOFF_S
-        until_s = trio.current_time() + CLAIM_TIMEOUT_S
+        began_at_s = trio.current_time()
+        until_s = began_at_s + CLAIM_TIMEOUT_S
         while True:
             try:
                 found = await self._claim_once(key, record)
@@ -79,6 +83,8 @@
                 raise ClaimUnavailableError(str(error), may_stand, MAX_BACKOFF_S) from error
             except keyvalue.UnavailableError as error:
                 reason = str(error)
+                if not may_stand:
+                    until_s = min(until_s, began_at_s + REFUSED_TIMEOUT_S)
             except keyvalue.UnclearError as error:
                 may_stand, reason = True, str(error)
             if trio.current_time() + backoff_s >= until_s:
