Tell callers what happens to their requests, and bound the claims that are kept

All entries together now keep at most 500,000, each its share; beyond it an order under a caller's own key is refused with the time to come back (tests.test_orders.KeptClaimsTest).

A fault inside an entry ended in a bare 500; it is now the problem internal-error, which says that the outcome is unknown.

--- a/standins/orders.py
+++ b/standins/orders.py
@@ -217,7 +217,7 @@
     return FakeEntry(
         building.new_keeper(
             entries,
-            sender,
+            sender.serve,
             store,
             keyring.from_text("peer-key"),
             trio.current_time,
--- a/tests/test_callers_http.py
+++ b/tests/test_callers_http.py
@@ -48,6 +48,8 @@
     @contextlib.asynccontextmanager
     async def serve(self, request):
         self.seen.append(request)
+        if b"fault" in request.body:
+            raise ValueError("a fault of our own")
         if b"slow" in request.body:
             await trio.sleep(0.5)
         headers = ((b"content-type", b"application/json"),)
@@ -344,6 +346,17 @@
         self.assertEqual(200, (await self.chat(CHAT)).status)
 
 
+class OwnFaultTest(HttpTest):
+    def test_own_fault_is_told_without_a_claim_about_the_outcome(self):
+        self.serve(self._fault)
+
+    async def _fault(self):
+        with self.assertLogs("toucanhold.callers.app", "ERROR"):
+            answer = await self.chat(CHAT | {"x": "fault"})
+        self.assertEqual((500, "unknown"), (answer.status, json.loads(answer.content)["outcome"]))
+        self.assertEqual(200, (await self.chat(CHAT)).status)
+
+
 class TornAnswerTest(HttpTest):
     def test_stream_that_breaks_off_is_an_error_for_the_client(self):
         self.serve(self._torn)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -7,7 +7,7 @@
 import trio.testing
 
 from standins import orders as order_fakes
-from toucanhold.orders import claimed, claims, commits, limits, records
+from toucanhold.orders import claimed, claims, commits, leases, limits, records
 from toucanhold.platform import keyvalue
 
 FAULTS = ("unavailable", "lost-request", "lost-answer", "late")
@@ -296,6 +296,23 @@
         self.with_entries(body)
 
 
+class KeptClaimsTest(OrderTest):
+    def test_claims_in_the_service_are_bounded_and_age(self):
+        async def body(store, sender, a, b):
+            a.keeper.claimed.claims.leases.max_claims = lambda: 3
+            sender.behaviours = ["ok", "not-sent"]
+            ends = []
+            for number in range(6):
+                ends.append((await a.order(order_fakes.new_request(f"key-{number}")))[0])
+                await trio.sleep(1)
+            refused = ["claim-unavailable"] * 2
+            self.assertEqual([200, "no-capacity", 200, 200, *refused], ends)
+            await trio.sleep(leases.KEPT_S + 3 * leases.BUCKET_S)
+            self.assertEqual(200, (await a.order(order_fakes.new_request("later")))[0])
+
+        self.with_entries(body)
+
+
 class CombiningTest(unittest.TestCase):
     def commit_all(self, commits_wanted):
         """Commit all at once, one more first so that they gather; return the results."""
--- a/toucanhold/callers/app.py
+++ b/toucanhold/callers/app.py
@@ -73,6 +73,11 @@
             try:
                 answering = _closing(timed) if self.stopping else timed
                 await self._serve(scope, receive, answering)
+            except Exception as error:
+                # The server's own answer would be a bare 500 that says nothing about the outcome.
+                LOGGER.exception("a request failed inside the entry")
+                if not timed.has_started:
+                    await _answer_internal_error(answering, error)
             finally:
                 self.in_flight -= 1
                 timed.finish()
@@ -200,6 +205,15 @@
     return reading.SERVICES_PREFIX if path.startswith(reading.SERVICES_PREFIX) else ""
 
 
+async def _answer_internal_error(send: asgi.Send, error: Exception) -> None:
+    failure = requests.RequestError(
+        requests.Problem.INTERNAL_ERROR, requests.Outcome.UNKNOWN, type(error).__name__
+    )
+    request_id = uuid.uuid4().hex
+    body = problems.body(failure, request_id)
+    await asgi.respond(send, failure.problem.status, problems.headers(failure), body)
+
+
 def _closing(send: asgi.Send) -> asgi.Send:
     # A kept connection would hold its caller to an entry that is about to close its listener.
     async def send_closing(message: dict) -> None:
--- a/toucanhold/callers/measuring.py
+++ b/toucanhold/callers/measuring.py
@@ -20,6 +20,11 @@
     _streams: bool = attrs.field(default=False, init=False)
     _ended: bool = attrs.field(default=False, init=False)
 
+    @property
+    def has_started(self) -> bool:
+        """Whether the head of the answer has been sent."""
+        return self._status != ABORTED_STATUS
+
     async def __call__(self, message: dict) -> None:
         """Pass a message on."""
         if message["type"] == "http.response.start":
--- a/toucanhold/entry.py
+++ b/toucanhold/entry.py
@@ -227,7 +227,7 @@
             )
         )
         self.orders = building.new_keeper(
-            self.roster, self.router.dispatcher, self.platform, self.settings.peer_key
+            self.roster, self.router.dispatcher.serve, self.platform, self.settings.peer_key
         )
 
     def _serving_entries(self) -> list[str]:
--- a/toucanhold/orders/building.py
+++ b/toucanhold/orders/building.py
@@ -25,7 +25,7 @@
 
 def new_keeper(
     entries: roster.Roster,
-    sender: running.Sender,
+    serve: running.Serve,
     platform: keyvalue.KeyValueClient,
     peer_keys: keyring.KeyRing,
     wall_clock: collections.abc.Callable[[], float] = time.time,
@@ -40,11 +40,16 @@
     def rate_per_s() -> float:
         return calls_per_s / len(entries.members())
 
+    def max_claims() -> int:
+        return leases.MAX_KEPT_CLAIMS // len(entries.members())
+
     bucket = limits.TokenBucket(rate_per_s, max(1.0, BURST_S * rate_per_s()))
     store = claims.ClaimStore(
-        platform, commits.CombiningCommitter(platform, bucket), leases.ClaimLeases(platform)
+        platform,
+        commits.CombiningCommitter(platform, bucket),
+        leases.ClaimLeases(platform, max_claims=max_claims),
     )
-    runner = running.OrderRunner(sender)
+    runner = running.OrderRunner(serve)
     own = entries.own
     by_claim = claimed.ClaimedOrders(own.entry, own.boot, runner, store, wall_clock)
     signer = keys.KeySigner(peer_keys)
--- a/toucanhold/orders/claims.py
+++ b/toucanhold/orders/claims.py
@@ -17,6 +17,7 @@
 MAX_BACKOFF_S = 2.0
 LATE_WRITE_LIMIT_S = 60.0
 MAX_ABANDONED = 200
+FULL_S = 60.0
 
 LOGGER = logging.getLogger(__name__)
 
@@ -65,6 +66,8 @@
             # Each of these is looked for every few seconds; more would load a service that has
             # just come back. Nothing is written for the order refused here.
             raise ClaimUnavailableError("many claims are unclear", False, MAX_BACKOFF_S)
+        if not self.leases.has_room():
+            raise ClaimUnavailableError("the service holds too many claims", False, FULL_S)
         may_stand = False
         backoff_s = FIRST_BACKOFF_S
         began_at_s = trio.current_time()
@@ -73,6 +76,7 @@
             try:
                 found = await self._claim_once(key, record)
                 if isinstance(found, HeldClaim):
+                    self.leases.note(1)
                     return attrs.evolve(found, late_write=found.late_write or may_stand)
                 if found is not None:
                     return found
@@ -145,6 +149,7 @@
     async def release(self, held: HeldClaim) -> None:
         """Delete the claim of an order that was never sent, trying until it is gone."""
         await self._replace(held, None)
+        self.leases.note(-1)
         if held.late_write:
             await self.abandon(held.key, held.record)
 
--- a/toucanhold/orders/running.py
+++ b/toucanhold/orders/running.py
@@ -3,7 +3,6 @@
 import collections.abc
 import contextlib
 import logging
-import typing
 
 import attrs
 import trio
@@ -14,15 +13,10 @@
 LOGGER = logging.getLogger(__name__)
 
 
-class Sender(typing.Protocol):
-    """Sends a request to one backend server; :class:`dispatch.Dispatcher` does."""
-
-    def serve(
-        self, request: requests.CallerRequest
-    ) -> contextlib.AbstractAsyncContextManager[dispatch.Answer]:
-        """See :meth:`dispatch.Dispatcher.serve`."""
-
-
+# Sends a request to one backend server, as :meth:`dispatch.Dispatcher.serve` does.
+Serve = collections.abc.Callable[
+    [requests.CallerRequest], contextlib.AbstractAsyncContextManager[dispatch.Answer]
+]
 Procedure = collections.abc.Callable[..., collections.abc.Awaitable[None]]
 
 
@@ -33,7 +27,7 @@
     :ivar count: number of orders that run or whose outcome is not stored yet
     """
 
-    sender: Sender
+    serve: Serve
     count: int = attrs.field(default=0, init=False)
     _ended: trio.Event = attrs.field(factory=trio.Event, init=False)
     _nursery: trio.Nursery | None = attrs.field(default=None, init=False)
@@ -64,7 +58,7 @@
     async def send(self, request: requests.CallerRequest) -> results.Result:
         """Send an order to one backend server and return how it ended."""
         try:
-            async with self.sender.serve(request) as answer:
+            async with self.serve(request) as answer:
                 body = b"".join([chunk async for chunk in answer.chunks])
                 return results.Answered(answer.status, answer.headers, body)
         except requests.RequestError as error:
--- a/toucanhold/routing/requests.py
+++ b/toucanhold/routing/requests.py
@@ -33,6 +33,7 @@
     NOT_READY = (503, "This entry cannot take requests now")
     CLAIM_UNAVAILABLE = (503, "The idempotency key could not be claimed")
     DEADLINE = (504, "The request was not finished in time")
+    INTERNAL_ERROR = (500, "The entry failed")
     BACKEND_FAILED = (502, "The backend server failed")
     WRONG_ENTRY = (421, "Only the entry that issued this order key runs it")
     ANSWER_NOT_KEPT = (410, "The request ran; its answer was not kept")
--- a/toucanhold/routing/router.py
+++ b/toucanhold/routing/router.py
@@ -27,6 +27,7 @@
     slots,
     suspects,
     watchdog,
+    watching,
 )
 
 
@@ -67,7 +68,7 @@
     choice: choice.ChoicePolicy
     admission: gate.AdmissionPolicy
     dispatcher: dispatch.Dispatcher
-    watch: isolation.SuspectWatch | None = None
+    watch: watching.SuspectWatch | None = None
 
     async def run(self) -> None:
         """Do the background work until cancelled."""
@@ -102,7 +103,7 @@
         shares,
         around.max_in_flight,
     )
-    watch = isolation.SuspectWatch(
+    watch = watching.SuspectWatch(
         suspects.SuspectTable(around.exchange),
         deaths.DeathWatch(around.view, around.plans),
         around.view,
@@ -114,7 +115,7 @@
     dispatcher = dispatch.Dispatcher(
         admission,
         finder,
-        isolation.WatchingBackends(around.backends, watch),
+        watching.WatchingBackends(around.backends, watch),
         watchdog.Watchdog(around.view),
     )
     return Router(leased, in_flight, finder, shares, usable, policy, admission, dispatcher, watch)
