--- a/toucanhold/routing/isolation.py
+++ b/toucanhold/routing/isolation.py
@@ -9,7 +9,7 @@
 from toucanhold.configuration import rules
 from toucanhold.observing import view
 from toucanhold.peers import exchange, messages
-from toucanhold.routing import attempts, candidates, cold, gate, requests, room, watching
+from toucanhold.routing import candidates, cold, gate, requests, room, watching
 
 ISOLATION_S = 30.0
 CHECK_INTERVAL_S = 0.05
@@ -93,23 +93,19 @@
     async def place(self, request: requests.CallerRequest, avoid: frozenset[str]):
         """See :class:`gate.AdmissionPolicy`."""
         run = self.watch.run_of(request)
-        suspected = not self.watch.table.is_empty() and await self._is_suspect(run)
+        if self.watch.table.is_empty() or not await self._is_suspect(run):
+            async with self.inner.place(request, avoid) as placement:
+                with self.watch.placed(run, placement, False):
+                    yield placement
+            return
         async with contextlib.AsyncExitStack() as stack:
-            placement = None
-            if suspected:
-                placement = await stack.enter_async_context(self._alone(run, avoid))
+            placement = await stack.enter_async_context(self._alone(run, avoid))
             alone = placement is not None
             if not alone:
                 placement = await stack.enter_async_context(self.inner.place(request, avoid))
-            with self.watch.placed(run, placement.candidate, alone):
-                try:
-                    yield placement
-                except (attempts.RetryableError, requests.RequestError):
-                    # Also where the watchdog ended it: a server that went dark resets nothing.
-                    if not placement.finished:
-                        self.watch.note_loss(run)
-                    raise
-            if suspected and placement.finished and _is_whole(run.status):
+            with self.watch.placed(run, placement, alone):
+                yield placement
+            if placement.finished and _is_whole(run.status):
                 self.watch.table.clear(run.fingerprint)
 
     async def _is_suspect(self, run: watching.Run) -> bool:
--- a/toucanhold/routing/watching.py
+++ b/toucanhold/routing/watching.py
@@ -8,7 +8,7 @@
 
 from toucanhold.backends import client
 from toucanhold.observing import view
-from toucanhold.routing import candidates, deaths, requests, room, suspects
+from toucanhold.routing import attempts, deaths, gate, requests, room, suspects
 
 
 @attrs.define(eq=False)
@@ -63,13 +63,19 @@
         return self._placed.get(request_id)
 
     @contextlib.contextmanager
-    def placed(self, run: Run, candidate: candidates.Candidate, alone: bool):
-        """Know ``run`` to be on a candidate while the context is open."""
+    def placed(self, run: Run, placement: gate.Placement, alone: bool):
+        """Know ``run`` to be on a backend server while the context is open."""
+        candidate = placement.candidate
         run.boot = deaths.Boot(candidate.vm.vm, candidate.report.boot_id, candidate.group)
         run.alone, run.status, run.is_noted = alone, None, False
         self._placed[run.request.request_id] = run
         try:
             yield
+        except (attempts.RetryableError, requests.RequestError):
+            # Also where the watchdog ended it: a server that went dark resets nothing.
+            if not placement.finished:
+                self.note_loss(run)
+            raise
         finally:
             self._placed.pop(run.request.request_id, None)
 
