Leave a suspect without any server to the queue's refusal

tests.test_streams and tests.test_admission failed with the list of suspects around the queue: a retry waited for a server to come back where the queue refuses at once, and the router no longer showed its queue.

--- a/toucanhold/routing/isolation.py
+++ b/toucanhold/routing/isolation.py
@@ -153,6 +153,9 @@
                 if not await self._is_suspect(run):
                     return None
                 options = self.finder.find(service, trio.current_time())
+                if not options:
+                    # Nothing to keep free, and nothing to run on: the inner policy refuses at once.
+                    return None
                 option = next((each for each in options if each.vm.vm == vm), None)
                 if option is not None and self._is_free(service, option, since_s):
                     free = option
--- a/toucanhold/routing/router.py
+++ b/toucanhold/routing/router.py
@@ -118,7 +118,7 @@
         watching.WatchingBackends(around.backends, watch),
         watchdog.Watchdog(around.view),
     )
-    return Router(leased, in_flight, finder, shares, usable, policy, admission, dispatcher, watch)
+    return Router(leased, in_flight, finder, shares, usable, policy, queue, dispatcher, watch)
 
 
 def baseline(around: Surroundings) -> Router:
