--- a/toucanhold/routing/isolation.py
+++ b/toucanhold/routing/isolation.py
@@ -160,7 +160,8 @@
                 if option is not None and self._is_free(service, option, since_s):
                     free = option
                     return free
-                if option is None:
+                if option is None or not self.isolations.is_isolated(vm):
+                    # Gone, or not idle in all that time: long streams may run there.
                     self._end_isolation(vm)
                     vm, since_s = self._begin(service, options, avoid), trio.current_time()
                 await trio.sleep(CHECK_INTERVAL_S)
