--- a/toucanhold/peers/holds.py
+++ b/toucanhold/peers/holds.py
@@ -10,6 +10,7 @@
 from toucanhold import events
 from toucanhold.configuration import holder, holds, store
 from toucanhold.peers import exchange, messages
+from toucanhold.platform import keyvalue
 
 # The entry that the operator asked goes first; the others step in when it cannot.
 OTHERS_WAIT_S = 2.0
@@ -72,7 +73,7 @@
         try:
             await self.store.make_durable(waiting)
             await self.refresh()
-        except (store.StoreError, store.keyvalue.KeyValueError) as error:
+        except (store.StoreError, keyvalue.KeyValueError) as error:
             names = [hold.hold for hold in waiting]
             events.log(LOGGER, events.Event.HOLD_NOT_DURABLE, holds=names, reason=str(error))
 
