Refuse a number in place of bytes, and keep handlers' mistakes off streams

The first frame between entries comes from whoever connects. A number where its challenge belongs went through the decoder as bytes(number): a frame of forty bytes made the entry allocate a hundred megabytes, or what else it said. Bytes are now accepted as bytes only. The frame's limit did not help, since the frame was small.

A mistake in a component that hears of new peers ended the stream's tasks and with them the entry; it is logged now, like a mistake in a message's handler.

--- a/tests/test_peer_streams.py
+++ b/tests/test_peer_streams.py
@@ -4,6 +4,7 @@
 import unittest
 
 import attrs
+import msgpack
 import trio
 import trio.testing
 
@@ -135,6 +136,16 @@
         self.assertTrue(outbox.overflowed.is_set())
         self.assertFalse(found.send("slow", messages.Heartbeat()))
 
+    def test_mistake_in_a_handler_ends_no_stream(self):
+        # One component's mistake when a peer connects must not take the entry down, nor keep the
+        # other components from hearing of the peer.
+        found, heard = exchange.Exchange(), []
+        found.subscribe_connected(lambda peer: [][0])
+        found.subscribe_connected(heard.append)
+        with self.assertLogs("toucanhold.peers.exchange", "ERROR"):
+            found.attach("b", exchange.Outbox())
+        self.assertEqual(["b"], heard)
+
 
 class HandshakeTest(unittest.TestCase):
     def test_wrong_key_is_refused_by_both_sides(self):
@@ -220,6 +231,13 @@
                 frames.FrameStream(far, 1024), handshake.Identity("a", "1"), KEY
             )
 
+    def test_number_in_place_of_bytes_is_refused(self):
+        # A stranger needs no key for the first frame. A number where bytes belong would be taken
+        # as a length, and a frame of forty bytes would make the entry allocate as many as it says.
+        hello = {"protocol": 1, "entry": "b", "boot": "1", "challenge": 100_000_000}
+        with self.assertRaises(messages.MessageError):
+            messages.decode(msgpack.packb(("Hello", hello)))
+
     def test_other_protocol_version_is_refused(self):
         run(self._version)
 
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -93,6 +93,20 @@
             answer = await site.request("entry-2", "POST", "/v1/chat/completions", chat)
             self.assertEqual(200, answer.status, answer.body)
 
+    @on_test_clock
+    async def test_dead_watches_delay_no_change(self):
+        # Every entry's watches died unnoticed and tell nothing until the next regular read, 20 s
+        # later. The entry that accepts the change reads it itself, and its peers hear the number.
+        async with running() as site:
+            await apply(site)
+            await trio.sleep(2)
+            for faults in site.platform.faults.values():
+                faults.silent_watches = True
+            await apply(site, expected=1, replicas=2)
+            await trio.sleep(1)
+            for name in NAMES:
+                self.assertEqual(2, site.app(name).configuration.current.number)
+
     @on_test_clock
     async def test_any_entry_shows_what_is_in_force_on_all(self):
         # Entries 0 and 2 cannot reach each other; entry 1 passes on what each says of itself.
--- a/toucanhold/codec.py
+++ b/toucanhold/codec.py
@@ -14,6 +14,17 @@
 T = typing.TypeVar("T")
 
 
+def _bytes(value: object, _: type) -> bytes:
+    # The library would call bytes(value), and bytes(number) allocates as many as the number says.
+    if not isinstance(value, bytes):
+        raise TypeError("bytes were expected")
+    return value
+
+
+for _converter in (CONVERTER, TOLERANT_CONVERTER):
+    _converter.register_structure_hook(bytes, _bytes)
+
+
 class CodecError(Exception):
     """Bytes or values do not have the expected shape; the text names each mistake by path."""
 
--- a/toucanhold/peers/exchange.py
+++ b/toucanhold/peers/exchange.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import functools
 import logging
 
 import attrs
@@ -99,7 +100,7 @@
         """Send through ``outbox`` from now on; for the owner of a stream."""
         self._outboxes[entry] = outbox
         for handler in self._connected_handlers:
-            handler(entry)
+            _guarded("connected", entry, functools.partial(handler, entry))
 
     def detach(self, entry: str, outbox: Outbox) -> bool:
         """End sending through ``outbox``; false where another has taken its place."""
@@ -110,17 +111,17 @@
 
     def deliver(self, entry: str, message: messages.Message) -> None:
         """Hand a peer's message to the subscribers; for the owner of a stream."""
+        kind = type(message).__name__
         for handler in self._handlers[type(message)]:
-            try:
-                handler(entry, message)
-            except Exception as error:
-                # One message that a handler cannot digest must not end the stream: the peer
-                # would send it again after each reconnection and nothing else would get through.
-                kind = type(message).__name__
-                events.log(
-                    LOGGER,
-                    events.Event.PEER_MESSAGE_FAILED,
-                    peer=entry,
-                    kind=kind,
-                    reason=f"{error!r}",
-                )
+            _guarded(kind, entry, functools.partial(handler, entry, message))
+
+
+def _guarded(kind: str, entry: str, handler: collections.abc.Callable[[], None]) -> None:
+    # One message that a handler cannot digest must not end the stream: the peer would send it
+    # again after each reconnection and nothing else would get through.
+    try:
+        handler()
+    except Exception as error:
+        events.log(
+            LOGGER, events.Event.PEER_MESSAGE_FAILED, peer=entry, kind=kind, reason=f"{error!r}"
+        )
