Use no slot again whose deletion may still take effect

Cause: an entry let cold slots go to a newcomer, the deletion's answer was lost, the newcomer left: the slots looked the entry's own and were used as before.

Change: a slot that was let go stays unused until its deletion is seen; then it is taken anew. Shown failing before: none of 128 slots was taken anew; now all are.

--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -6,8 +6,8 @@
 import trio
 import trio.testing
 
-from standins import backends, routers
-from toucanhold.routing import router
+from standins import backends, memory, routers
+from toucanhold.routing import router, slots
 
 SETTLED_S = 15
 
@@ -198,3 +198,32 @@
         await trio.sleep(rng.uniform(1, 60))
         site.entries[name].wake()
         site.platform.set_mode("up", name)
+
+
+class SlotTest(unittest.TestCase):
+    def test_slot_that_was_let_go_is_not_used_again_before_it_was_given_up(self):
+        # An entry lets slots go to a newcomer; the deletion is lost or late, the newcomer leaves,
+        # and the slots still look its own. If it used them as they are, the late deletion would
+        # let another have them at the same time.
+        on_test_clock(self._let_go)
+
+    async def _let_go(self):
+        platform = memory.MemoryPlatform()
+        client, names = platform.client("a"), ["a"]
+        held = slots.LeasedSlots(client, "a", lambda: names, random.Random(1))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(held.run)
+            await trio.sleep(20)
+            self.assertEqual(slots.SLOTS, held.held())
+            platform.faults["a"].lose_requests = 1
+            platform.faults["a"].lose_kinds = ("kv/txn",)
+            names.append("b")
+            before = (await client.read(slots.SLOTS_PREFIX)).revision
+            while held.held() == slots.SLOTS:
+                await trio.sleep(0.05)
+            names.remove("b")
+            await trio.sleep(20)
+            self.assertEqual(slots.SLOTS, held.held())
+            items = (await client.read(slots.SLOTS_PREFIX)).items
+            self.assertEqual(128, sum(item.create_revision > before for item in items))
+            nursery.cancel_scope.cancel()
--- a/toucanhold/routing/slots.py
+++ b/toucanhold/routing/slots.py
@@ -51,6 +51,7 @@
     _lease: int = attrs.field(default=0, init=False)
     _valid_until_s: float = attrs.field(default=-math.inf, init=False)
     _acquired_at_s: dict[int, float] = attrs.field(factory=dict, init=False)
+    _let_go_slots: set[int] = attrs.field(factory=set, init=False)
 
     def acquired_at_s(self, slot: int) -> float | None:
         """See :class:`SlotOwnership`."""
@@ -98,6 +99,7 @@
     def _forget(self) -> None:
         self._lease, self._valid_until_s = 0, -math.inf
         self._acquired_at_s.clear()
+        self._let_go_slots.clear()
 
     async def _balance(self) -> bool:
         result = await self.client.read(SLOTS_PREFIX)
@@ -106,6 +108,8 @@
         self._note(mine)
         entries = sorted({*self.entries(), self.entry})
         quota = math.ceil(SLOTS / len(entries))
+        if self._let_go_slots:
+            return await self._let_go(sorted(self._let_go_slots))
         if len(mine) > quota:
             return await self._let_go(sorted(mine, key=self._rank(entries))[quota:])
         free = set(range(SLOTS)) - set(owners)
@@ -123,6 +127,10 @@
 
     def _note(self, mine: set[int]) -> None:
         now_s = trio.current_time()
+        # A deletion whose answer was lost may take effect late: until it has, the slot looks like
+        # this entry's own, and is not used, since another may have it at any moment.
+        self._let_go_slots &= mine
+        mine = mine - self._let_go_slots
         for slot in set(self._acquired_at_s) - mine:
             del self._acquired_at_s[slot]
         for slot in mine - set(self._acquired_at_s):
@@ -137,6 +145,7 @@
 
     async def _let_go(self, slots: collections.abc.Sequence[int]) -> bool:
         # Not used any more before they are given away: the other order would let two use them.
+        self._let_go_slots.update(slots)
         for slot in slots:
             self._acquired_at_s.pop(slot, None)
         events.log(LOGGER, events.Event.COLD_SLOTS_RELEASED, entry=self.entry, count=len(slots))
