--- a/tests/test_callers_http.py
+++ b/tests/test_callers_http.py
@@ -30,8 +30,8 @@
         "valves",
         rules.ServiceKind.PLAIN,
         non_idempotent=(
-            rules.NonIdempotentCall("POST", "/open/*"),
-            rules.NonIdempotentCall("POST", "/publish"),
+            rules.CallPattern("POST", "/open/*"),
+            rules.CallPattern("POST", "/publish"),
         ),
     ),
 )
--- a/toucanhold/configuration/rules.py
+++ b/toucanhold/configuration/rules.py
@@ -5,6 +5,9 @@
 
 import attrs
 
+# RFC 9110, section 9.2.2: a client may repeat all other methods by itself.
+UNSAFE_TO_REPEAT = frozenset({"POST", "PATCH", "CONNECT"})
+
 
 class ServiceKind(enum.Enum):
     """How a service is reached."""
@@ -14,8 +17,8 @@
 
 
 @attrs.frozen
-class NonIdempotentCall:
-    """Calls of a plain service that may run at most once.
+class CallPattern:
+    """Calls of a plain service.
 
     :ivar method: HTTP method
     :ivar path: shell-style pattern of the path below the service
@@ -25,7 +28,7 @@
     path: str
 
     def matches(self, method: str, path: str) -> bool:
-        """Tell whether a call falls under this rule."""
+        """Tell whether a call falls under this pattern."""
         return method == self.method and fnmatch.fnmatchcase(path, self.path)
 
 
@@ -43,6 +46,7 @@
     :ivar cold_requests: requests a cold backend server bears at once, where it does not report it
     :ivar slots: requests a warm backend server runs at once, where it does not report it
     :ivar non_idempotent: calls that may run at most once
+    :ivar idempotent: calls that may run more than once although their method does not say so
     """
 
     name: str
@@ -55,11 +59,18 @@
     importance: int = 0
     cold_requests: int = 1
     slots: int = 8
-    non_idempotent: tuple[NonIdempotentCall, ...] = ()
+    non_idempotent: tuple[CallPattern, ...] = ()
+    idempotent: tuple[CallPattern, ...] = ()
 
     def may_repeat(self, method: str, path: str) -> bool:
         """Tell whether a call may run more than once."""
-        return not any(rule.matches(method, path) for rule in self.non_idempotent)
+        if any(pattern.matches(method, path) for pattern in self.non_idempotent):
+            return False
+        if any(pattern.matches(method, path) for pattern in self.idempotent):
+            return True
+        # A call that the rules forgot would otherwise be retried on the word of nobody, and a
+        # publish run twice. Taken for an order it loses no more than a retry.
+        return method not in UNSAFE_TO_REPEAT
 
 
 @attrs.frozen
