Keep the plan's records in a package of their own

Cause: planning and peers depended on each other: messages between entries carry plans, and the planner speaks to peers. Ruled out: registering messages at run time; a reader could not see what goes over the wire.

--- a/standins/routers.py
+++ b/standins/routers.py
@@ -16,7 +16,7 @@
 from toucanhold.backends import client
 from toucanhold.configuration import holder, inventory, rules, snapshot
 from toucanhold.observing import poller, view
-from toucanhold.planning import plan
+from toucanhold.plans import plan
 from toucanhold.routing import requests, router
 
 SERVICE = "lookups"
--- a/tests/scenes.py
+++ b/tests/scenes.py
@@ -9,7 +9,8 @@
 from standins import fleet, memory, planners
 from toucanhold.backends import client
 from toucanhold.configuration import inventory, rules
-from toucanhold.planning import placement, plan, terms
+from toucanhold.planning import placement, terms
+from toucanhold.plans import plan
 from toucanhold.platform import keyvalue
 
 DRAFTS = rules.Service("drafts", model="writer", version="1", replicas=1, vms_per_replica=2)
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -13,7 +13,7 @@
 from toucanhold.backends import client
 from toucanhold.configuration import document, holder, snapshot
 from toucanhold.peers import frames, messages
-from toucanhold.planning import plan
+from toucanhold.plans import plan
 from toucanhold.routing import sse
 
 # The same examples in each run, so that the verdict is the same, too.
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -11,7 +11,8 @@
 from toucanhold.configuration import holder, rules, snapshot
 from toucanhold.membership import permit
 from toucanhold.observing import view
-from toucanhold.planning import placement, plan, spreading
+from toucanhold.planning import placement, spreading
+from toucanhold.plans import plan
 from toucanhold.routing import candidates, cold, requests
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -10,7 +10,8 @@
 from standins import planners
 from toucanhold.backends import client
 from toucanhold.configuration import rules
-from toucanhold.planning import placement, plan, preview, spreading
+from toucanhold.planning import placement, preview, spreading
+from toucanhold.plans import plan
 
 POLICY = spreading.Spreading()
 
--- a/tests/test_planner_peers.py
+++ b/tests/test_planner_peers.py
@@ -12,7 +12,8 @@
 from toucanhold.configuration import inventory
 from toucanhold.observing import view
 from toucanhold.peers import exchange, messages, transport
-from toucanhold.planning import peering, spreading, terms
+from toucanhold.planning import peering, spreading
+from toucanhold.plans import plan
 
 
 class PeersTest(unittest.TestCase):
@@ -39,7 +40,7 @@
                 await scenes.wait_until(lambda: old.planner.term_log.has_begun)
                 peering.StepDownAnswerer(far, old.planner)
                 probe = peering.PeerProbe(near, _Transport("nobody answers"))
-                own = terms.Term(old.lease.fencing, "far", old.planner.process, "far:1")
+                own = plan.Term(old.lease.fencing, "far", old.planner.process, "far:1")
                 old.planner.entry, old.planner.peers_address = "far", "far:1"
                 self.assertFalse(await _asked_twice(probe, own))
                 restarted = attrs.evolve(own, fencing=1, process="before")
@@ -56,7 +57,7 @@
         async def test():
             for cause, expected in ((ConnectionRefusedError(), True), (TimeoutError(), False)):
                 probe = peering.PeerProbe(exchange.Exchange(), _Transport("failed", cause))
-                term = terms.Term(1, "gone", "p", "127.0.0.1:1")
+                term = plan.Term(1, "gone", "p", "127.0.0.1:1")
                 self.assertEqual(expected, await probe.has_ended(term))
 
         scenes.run(test)
--- a/tests/test_planner_safety.py
+++ b/tests/test_planner_safety.py
@@ -9,7 +9,8 @@
 from standins import fleet
 from tests import scenes
 from toucanhold.configuration import inventory
-from toucanhold.planning import plan, terms
+from toucanhold.planning import terms
+from toucanhold.plans import plan
 
 
 class PlannerChangeTest(unittest.TestCase):
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -10,7 +10,7 @@
 from standins import entries, memory
 from toucanhold.backends import client
 from toucanhold.configuration import holder, snapshot
-from toucanhold.planning import plan
+from toucanhold.plans import plan
 
 ZONES = ("zone-a", "zone-b")
 NAMES = tuple(f"entry-{number}" for number in range(3))
--- a/tools/capacity/state.py
+++ b/tools/capacity/state.py
@@ -15,7 +15,7 @@
 from toucanhold.configuration import document, inventory, rules, snapshot
 from toucanhold.membership import roster
 from toucanhold.observing import view
-from toucanhold.planning import plan
+from toucanhold.plans import plan
 
 SIZES = (500, 1000, 2000, 4000)
 ZONES = 11
--- a/tools/matrix.py
+++ b/tools/matrix.py
@@ -19,7 +19,7 @@
 
 from tests.proof import matrix, sequences
 
-WORKERS = 4
+WORKERS = 6
 CELL_LIMIT_S = 60
 PART_STEP = 8
 SAMPLE_SEED = 6
--- a/tools/measure/placement.py
+++ b/tools/measure/placement.py
@@ -11,7 +11,8 @@
 from toucanhold.backends import client
 from toucanhold.configuration import holder, rules
 from toucanhold.observing import view
-from toucanhold.planning import facts, placement, plan
+from toucanhold.planning import facts, placement
+from toucanhold.plans import plan
 
 DECISION_SIZES = (100, 1_000, 12_000)
 
--- a/tools/measure/planning.py
+++ b/tools/measure/planning.py
@@ -13,7 +13,8 @@
 from tools.measure import sites, table
 from toucanhold.backends import client
 from toucanhold.configuration import inventory
-from toucanhold.planning import placement, plan, spreading
+from toucanhold.planning import placement, spreading
+from toucanhold.plans import plan
 
 SEEDS = 3
 DURATION_S = 2400.0
--- a/tools/measure/state.py
+++ b/tools/measure/state.py
@@ -16,7 +16,7 @@
 from toucanhold.configuration import holder, reading, store
 from toucanhold.membership import facts, roster
 from toucanhold.peers import exchange, handshake, revisions, streams
-from toucanhold.planning import plan
+from toucanhold.plans import plan
 
 ENTRIES = 7
 CHANGES = 10
--- a/toucanhold/entry.py
+++ b/toucanhold/entry.py
@@ -20,7 +20,8 @@
 from toucanhold.operators import changes, status
 from toucanhold.orders import building
 from toucanhold.peers import exchange, handshake, holds, revisions, streams
-from toucanhold.planning import peering, plan, planner, preview, spreading
+from toucanhold.planning import peering, planner, preview, spreading
+from toucanhold.plans import plan
 from toucanhold.platform import budget, following, lease, vms
 from toucanhold.routing import router
 
--- a/toucanhold/operators/status.py
+++ b/toucanhold/operators/status.py
@@ -9,7 +9,8 @@
 from toucanhold.membership import facts, roster
 from toucanhold.observing import view
 from toucanhold.operators import messages
-from toucanhold.planning import plan, planner
+from toucanhold.planning import planner
+from toucanhold.plans import plan
 from toucanhold.platform import following
 from toucanhold.routing import candidates
 
--- a/toucanhold/peers/messages.py
+++ b/toucanhold/peers/messages.py
@@ -5,7 +5,7 @@
 from toucanhold import codec
 from toucanhold.configuration import holds, snapshot
 from toucanhold.membership import facts as entry_facts
-from toucanhold.planning import plan, terms
+from toucanhold.plans import plan
 
 PROTOCOL_VERSION = 1
 
@@ -96,7 +96,7 @@
 class StepDownAsk:
     """Asks the receiver whether it can still act as planner of a term."""
 
-    term: terms.Term
+    term: plan.Term
 
 
 @attrs.frozen
--- a/toucanhold/peers/revisions.py
+++ b/toucanhold/peers/revisions.py
@@ -9,7 +9,7 @@
 from toucanhold.configuration import holder, reading, snapshot
 from toucanhold.membership import facts, roster
 from toucanhold.peers import exchange, messages
-from toucanhold.planning import plan
+from toucanhold.plans import plan
 
 ASK_INTERVAL_S = 1.0
 SOURCE = "peer"
--- a/toucanhold/planning/board.py
+++ b/toucanhold/planning/board.py
@@ -9,7 +9,8 @@
 
 from toucanhold.backends import client
 from toucanhold.configuration import inventory, rules
-from toucanhold.planning import placement, plan
+from toucanhold.planning import placement
+from toucanhold.plans import plan
 
 
 @attrs.define(eq=False)
--- a/toucanhold/planning/facts.py
+++ b/toucanhold/planning/facts.py
@@ -5,7 +5,8 @@
 
 from toucanhold.configuration import holder, inventory
 from toucanhold.observing import view
-from toucanhold.planning import placement, plan
+from toucanhold.planning import placement
+from toucanhold.plans import plan
 
 GENERATIONS_PER_TERM = 1 << 16
 UNSTABLE_S = 60.0
--- a/toucanhold/planning/ordering.py
+++ b/toucanhold/planning/ordering.py
@@ -8,7 +8,8 @@
 from toucanhold.backends import client
 from toucanhold.configuration import holder, inventory
 from toucanhold.observing import view
-from toucanhold.planning import facts, plan, terms
+from toucanhold.planning import facts, terms
+from toucanhold.plans import plan
 
 ORDER_REPEAT_S = 5.0
 QUIET_S = 3.0
--- a/toucanhold/planning/peering.py
+++ b/toucanhold/planning/peering.py
@@ -7,6 +7,7 @@
 from toucanhold.observing import view
 from toucanhold.peers import exchange, messages, transport
 from toucanhold.planning import planner, terms
+from toucanhold.plans import plan
 
 CONNECT_TIMEOUT_S = 1.0
 
@@ -44,7 +45,7 @@
         """Subscribe to answers."""
         self.exchange.subscribe(messages.StepDownAnswer, self._hear)
 
-    async def has_ended(self, term: terms.Term) -> bool:
+    async def has_ended(self, term: plan.Term) -> bool:
         """See :class:`terms.PredecessorProbe`."""
         if (term.entry, term.fencing) in self._ended:
             return True
@@ -52,7 +53,7 @@
             return False
         return await self._is_gone(term)
 
-    async def _is_gone(self, term: terms.Term) -> bool:
+    async def _is_gone(self, term: plan.Term) -> bool:
         # A paused process keeps its listening socket, and a VM that is cut off does not answer at
         # all. Only a VM that is there without the process refuses.
         try:
@@ -84,7 +85,7 @@
         if self._is_over(message.term):
             self.exchange.send(sender, messages.StepDownAnswer(message.term.fencing))
 
-    def _is_over(self, term: terms.Term) -> bool:
+    def _is_over(self, term: plan.Term) -> bool:
         own = self.planner
         if term.entry != own.entry:
             return False
--- a/toucanhold/planning/placement.py
+++ b/toucanhold/planning/placement.py
@@ -10,7 +10,7 @@
 
 from toucanhold.backends import client
 from toucanhold.configuration import inventory, rules, snapshot
-from toucanhold.planning import plan
+from toucanhold.plans import plan
 
 
 @attrs.frozen
--- a/toucanhold/planning/planner.py
+++ b/toucanhold/planning/planner.py
@@ -10,7 +10,8 @@
 from toucanhold.backends import client
 from toucanhold.configuration import holder
 from toucanhold.observing import view
-from toucanhold.planning import facts, ordering, placement, plan, substitution, terms, writing
+from toucanhold.planning import facts, ordering, placement, substitution, terms, writing
+from toucanhold.plans import plan
 from toucanhold.platform import keyvalue, lease
 
 PLANNER_KEY = writing.PLANNER_KEY
--- a/toucanhold/planning/spreading.py
+++ b/toucanhold/planning/spreading.py
@@ -8,7 +8,8 @@
 from toucanhold.backends import client
 from toucanhold.configuration import rules
 from toucanhold.planning import board as boards
-from toucanhold.planning import placement, plan
+from toucanhold.planning import placement
+from toucanhold.plans import plan
 
 DRAINABLE_COST = 0.5
 REBALANCE_AFTER_S = 60.0
--- a/toucanhold/planning/substitution.py
+++ b/toucanhold/planning/substitution.py
@@ -7,7 +7,8 @@
 
 from toucanhold import events
 from toucanhold.configuration import holder, inventory
-from toucanhold.planning import facts, plan, writing
+from toucanhold.planning import facts, writing
+from toucanhold.plans import plan
 from toucanhold.platform import keyvalue, lease
 
 SUBSTITUTE_AFTER_S = 10.0
--- a/toucanhold/planning/terms.py
+++ b/toucanhold/planning/terms.py
@@ -9,6 +9,7 @@
 
 from toucanhold import codec, events
 from toucanhold.planning import writing
+from toucanhold.plans import plan
 from toucanhold.platform import keyvalue, lease
 
 TERMS_KEY = "toucanhold/planner-terms"
@@ -18,41 +19,25 @@
 LOGGER = logging.getLogger(__name__)
 
 
-@attrs.frozen
-class Term:
-    """One holder's time as planner.
-
-    :ivar fencing: its fencing number
-    :ivar entry: the entry that held the lease
-    :ivar process: identifier of the entry's process; a restarted entry has another
-    :ivar peers_address: where that process takes peers' connections
-    """
-
-    fencing: int
-    entry: str
-    process: str
-    peers_address: str
-
-
 @attrs.frozen
 class Terms:
     """The stored list: all terms whose holder may still act, the present one last."""
 
-    terms: tuple[Term, ...] = ()
+    terms: tuple[plan.Term, ...] = ()
 
 
 class PredecessorProbe(abc.ABC):
     """Finds out whether an earlier planner can still send orders."""
 
     @abc.abstractmethod
-    async def has_ended(self, term: Term) -> bool:
+    async def has_ended(self, term: plan.Term) -> bool:
         """Tell whether the holder acknowledged stepping down, or is known to be gone."""
 
 
 class NoProbe(PredecessorProbe):
     """Knows nothing: only the bound on pauses ends a term."""
 
-    async def has_ended(self, term: Term) -> bool:
+    async def has_ended(self, term: plan.Term) -> bool:
         """See :class:`PredecessorProbe`."""
         return False
 
@@ -73,14 +58,14 @@
     probe: PredecessorProbe = attrs.field(factory=NoProbe)
     _begun: int = attrs.field(default=0, init=False)
     _begun_at_s: float = attrs.field(default=float("-inf"), init=False)
-    _earlier: tuple[Term, ...] = attrs.field(default=(), init=False)
+    _earlier: tuple[plan.Term, ...] = attrs.field(default=(), init=False)
 
     @property
     def has_begun(self) -> bool:
         """Whether the present term is on record, so that orders may be sent."""
         return self._begun != 0 and self._begun == self.leadership.fencing
 
-    def earlier(self) -> tuple[Term, ...]:
+    def earlier(self) -> tuple[plan.Term, ...]:
         """Return the earlier terms whose holders may still act."""
         if trio.current_time() - self._begun_at_s >= PAUSE_BOUND_S:
             return ()
@@ -103,7 +88,7 @@
         if fencing not in {term.fencing for term in stored}:
             # An order may leave only after its sender stands in the list: a planner that is not
             # in it would be unknown to its successor, who would not wait for it.
-            own = Term(fencing, self.entry, self.process, self.peers_address)
+            own = plan.Term(fencing, self.entry, self.process, self.peers_address)
             if not await self._write(fencing, item, (*earlier, own)):
                 return
         self._begun, self._begun_at_s, self._earlier = fencing, trio.current_time(), earlier
@@ -125,7 +110,7 @@
         if self._earlier and not self.earlier():
             await self._drop(self._earlier)
 
-    async def _drop(self, ended: collections.abc.Sequence[Term]) -> None:
+    async def _drop(self, ended: collections.abc.Sequence[plan.Term]) -> None:
         self._earlier = tuple(term for term in self._earlier if term not in ended)
         for term in ended:
             events.log(
@@ -139,7 +124,7 @@
             LOGGER.debug("the list of terms keeps an ended one: %s", error)
 
     async def _write(
-        self, fencing: int, item: keyvalue.Item | None, terms: tuple[Term, ...]
+        self, fencing: int, item: keyvalue.Item | None, terms: tuple[plan.Term, ...]
     ) -> bool:
         if not fencing:
             # Zero would ask for a planner's key that does not exist, which is true between terms.
@@ -152,7 +137,7 @@
         return (await self.store.commit(conditions, [record])).succeeded
 
 
-def _decode(item: keyvalue.Item | None) -> tuple[Term, ...]:
+def _decode(item: keyvalue.Item | None) -> tuple[plan.Term, ...]:
     if item is None:
         return ()
     try:
--- a/toucanhold/planning/writing.py
+++ b/toucanhold/planning/writing.py
@@ -6,7 +6,7 @@
 import attrs
 
 from toucanhold import codec, events
-from toucanhold.planning import plan
+from toucanhold.plans import plan
 from toucanhold.platform import keyvalue, lease
 
 PLANNER_KEY = "toucanhold/planner"
--- a/toucanhold/planning/plan.py
+++ b/toucanhold/plans/plan.py
@@ -15,6 +15,22 @@
 LOGGER = logging.getLogger(__name__)
 
 
+@attrs.frozen
+class Term:
+    """One holder's time as planner.
+
+    :ivar fencing: its fencing number
+    :ivar entry: the entry that held the lease
+    :ivar process: identifier of the entry's process; a restarted entry has another
+    :ivar peers_address: where that process takes peers' connections
+    """
+
+    fencing: int
+    entry: str
+    process: str
+    peers_address: str
+
+
 @attrs.frozen
 class Group:
     """A replica's VMs.
--- a/toucanhold/routing/candidates.py
+++ b/toucanhold/routing/candidates.py
@@ -8,7 +8,7 @@
 from toucanhold.backends import client
 from toucanhold.configuration import holder, inventory, rules, snapshot
 from toucanhold.observing import view
-from toucanhold.planning import plan
+from toucanhold.plans import plan
 
 
 @attrs.frozen
--- a/toucanhold/routing/deaths.py
+++ b/toucanhold/routing/deaths.py
@@ -7,7 +7,7 @@
 import trio
 
 from toucanhold.observing import view
-from toucanhold.planning import plan
+from toucanhold.plans import plan
 
 CHECK_INTERVAL_S = 0.1
 VERDICT_LIMIT_S = 4.0
--- a/toucanhold/routing/router.py
+++ b/toucanhold/routing/router.py
@@ -12,7 +12,7 @@
 from toucanhold.configuration import holder
 from toucanhold.observing import view
 from toucanhold.peers import exchange
-from toucanhold.planning import plan
+from toucanhold.plans import plan
 from toucanhold.platform import keyvalue
 from toucanhold.routing import (
     candidates,
