Remove a hook that nobody used, and abstract methods that raised by hand

Cause: an application could ask itself to stop, which none does; four base classes of the stand-ins raised NotImplementedError, which shows only when called. Change: the hook is gone; the base classes are abstract.

--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -1,8 +1,9 @@
 """Command line of the stand-ins: `python -m standins keyvalue|engine|service|vms`."""
 
+import abc
+import collections.abc
 import sys
 import typing
-from collections import abc
 
 import attrs
 import cleo.application
@@ -31,7 +32,7 @@
     return options
 
 
-async def serve_all(apps: abc.Mapping[str, serving.App]) -> None:
+async def serve_all(apps: collections.abc.Mapping[str, serving.App]) -> None:
     """Serve apps by address until the process is ended; say so when all are bound."""
     async with trio.open_nursery() as nursery:
         for address, app in apps.items():
@@ -39,12 +40,12 @@
             print(f"serving on {bound}", flush=True)
 
 
-class Command(cleo.commands.command.Command):
+class Command(cleo.commands.command.Command, abc.ABC):
     """Base of the commands: makes the apps and serves them."""
 
+    @abc.abstractmethod
     def apps(self) -> dict[str, serving.App]:
         """Return the apps by address."""
-        raise NotImplementedError
 
     def handle(self) -> int:
         """Serve until the process is ended."""
@@ -90,9 +91,9 @@
         value_option("server", None, multiple=True),
     )
 
+    @abc.abstractmethod
     def app(self, settings: typing.Any) -> serving.App:
         """Return the app of one server."""
-        raise NotImplementedError
 
     def apps(self) -> dict[str, serving.App]:
         """Return an app for each `--server VM=ADDRESS`, and for `--vm` at `--address`."""
--- a/standins/orders.py
+++ b/standins/orders.py
@@ -69,8 +69,8 @@
         self.lapse(lease)
 
     def watch(self, prefix, start_revision):
-        """Not needed here."""
-        raise NotImplementedError
+        """Not needed here: nothing watches orders."""
+        raise keyvalue.UnavailableError("no watches here")
 
     def lapse(self, lease):
         """End a lease and delete its keys."""
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -1,10 +1,11 @@
 """Serving of the stand-ins' ASGI apps with hypercorn on trio."""
 
+import abc
+import collections.abc
 import functools
 import json
 import logging
 import typing
-from collections import abc
 
 import attrs
 import hypercorn.config
@@ -34,8 +35,8 @@
     path: str
     headers: dict[str, str]
     body: bytes
-    receive: abc.Callable[[], abc.Awaitable[dict]]
-    send: abc.Callable[[dict], abc.Awaitable[None]]
+    receive: collections.abc.Callable[[], collections.abc.Awaitable[dict]]
+    send: collections.abc.Callable[[dict], collections.abc.Awaitable[None]]
 
     def json(self) -> dict[str, typing.Any]:
         """Return the body as a JSON object; an empty body is an empty object."""
@@ -87,15 +88,16 @@
         await protocol.send(hypercorn.events.Closed())
 
 
-class App:
+class App(abc.ABC):
     """Base of the stand-ins' ASGI apps: subclasses give `handle` and, if needed, `run`."""
 
+    @abc.abstractmethod
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
-        raise NotImplementedError
 
     async def run(self) -> None:
-        """Run the app's background work until cancelled."""
+        """Run the app's background work until cancelled; most have none."""
+        await trio.lowlevel.checkpoint()
 
     async def __call__(self, scope: dict, receive: typing.Any, send: typing.Any) -> None:
         """Serve one ASGI scope."""
--- a/tests/proof/matrix.py
+++ b/tests/proof/matrix.py
@@ -160,9 +160,9 @@
 
 
 class _Cut(Fault):
+    @abc.abstractmethod
     def far(self, own: site.Site, focus: procedures.Focus) -> list[str]:
         """Return whom the entry of the step is cut off from."""
-        raise NotImplementedError
 
     def bring(self, own, focus):
         for each in self.far(own, focus):
--- a/toucanhold/application.py
+++ b/toucanhold/application.py
@@ -3,7 +3,6 @@
 import abc
 import collections.abc
 import contextlib
-import functools
 import logging
 import signal
 
@@ -16,12 +15,12 @@
     """Owns components and runs them between its life-cycle hooks."""
 
     async def run(self) -> None:
-        """Run until a stop signal, or until the application itself wants to stop."""
+        """Run until a stop signal."""
         asked_to_stop = trio.Event()
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(_take_signals, signals, asked_to_stop)
-                await self.run_until(functools.partial(self._wait_for_stop, asked_to_stop))
+                await self.run_until(asked_to_stop.wait)
                 nursery.cancel_scope.cancel()
 
     async def run_until(
@@ -51,20 +50,6 @@
     async def clean_up(self) -> None:
         """Release what is left, also after a failure."""
 
-    @abc.abstractmethod
-    async def wait_stop_requested(self) -> None:
-        """Return when the application itself wants to stop."""
-
-    async def _wait_for_stop(self, asked_to_stop: trio.Event) -> None:
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._cancel_on_request, nursery.cancel_scope)
-            await asked_to_stop.wait()
-            nursery.cancel_scope.cancel()
-
-    async def _cancel_on_request(self, scope: trio.CancelScope) -> None:
-        await self.wait_stop_requested()
-        scope.cancel()
-
 
 async def _take_signals(signals, asked_to_stop: trio.Event) -> None:
     # All signals are taken, until the end. One that is left over when the receiver is closed would
--- a/toucanhold/entry.py
+++ b/toucanhold/entry.py
@@ -43,7 +43,6 @@
     _stop_serving: trio.Event = attrs.field(factory=trio.Event, init=False)
     _servers_left: int = attrs.field(default=0, init=False)
     _all_served: trio.Event = attrs.field(factory=trio.Event, init=False)
-    _stop_requested: trio.Event = attrs.field(factory=trio.Event, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Build the components; none does anything before :meth:`start`."""
@@ -119,10 +118,6 @@
             await self.outside.close()
         events.log(LOGGER, events.Event.ENTRY_STOPPED, entry=self.settings.entry)
 
-    async def wait_stop_requested(self) -> None:
-        """See :class:`application.Application`."""
-        await self._stop_requested.wait()
-
     def _build_membership(self) -> None:
         own = self.settings
         member = roster.Member(
