Let the matrix's operator return a zone again that was not returned

Cause: four cells of return.asked failed with 'not serving 40 s after the faults were healed'. Their histories show the return refused with 503 because the key-value service was out or cut off, or its entry killed before it answered; the availability zone stays out, as it must, and the site cannot serve all. Ruled out: a lost acceptance; no configuration 3 was committed. Change: once the faults are healed the operator asks again until it is accepted; what is required at the end is unchanged.

--- a/tests/proof/matrix.py
+++ b/tests/proof/matrix.py
@@ -469,6 +469,8 @@
         for name, each in own.entries.items():
             if not each.alive:
                 own.replace_entry(name)
+        if self.cell is not None:
+            await self.cell.procedure.ask_again(own)
         if not await own.wait(self._answered, SERVES_AGAIN_S):
             self.problems.append("requests without an answer")
         if not await own.wait(own.all_serving, SERVES_AGAIN_S):
--- a/tests/proof/procedures.py
+++ b/tests/proof/procedures.py
@@ -9,6 +9,7 @@
 from tests.proof import faults, history, promises, site, steps
 
 DEFAULT_ENTRY = "entry-2"
+ASK_AGAIN_ATTEMPTS = 20
 DEFAULT_VM = "a1"
 CALLER = "p1"
 KEY = "key-p1"
@@ -49,6 +50,10 @@
         """Bring the site to where it can begin; nothing by default."""
         return
 
+    async def ask_again(self, own: site.Site) -> None:
+        """After the faults, ask for what was not accepted; nothing by default."""
+        return
+
 
 def _wrote(prefix: str, deleted: bool = False, nth: int = 1) -> collections.abc.Callable[[], Step]:
     def new() -> Step:
@@ -267,6 +272,17 @@
         """See :class:`Procedure`."""
         own.start(own.set_zone, "entry-1", "a", False)
 
+    async def ask_again(self, own: site.Site) -> None:
+        """See :class:`Procedure`."""
+        # A return that was refused truthfully, or whose entry died, leaves the zone out: without
+        # it the site cannot serve all again, and no operator would leave it at that.
+        for _ in range(ASK_AGAIN_ATTEMPTS):
+            returned = (each for _, each in own.history.of(history.Commanded) if not each.out)
+            if any(each.zone == "a" and each.status == 200 for each in returned):
+                return
+            await own.set_zone("entry-2", "a", False)
+            await trio.sleep(1)
+
 
 class Configuration(Procedure):
     """The rules change, and no group with them."""
