Look at a suspect's second server before refusing its request

A request whose first loss was already dismissed, its server seen alive, lost its second connection while it ran alone; the verdict on that second loss was not waited for, since one incident cannot condemn. It depended on when polls came. Ruled out: the retry budget and the deadline. Change: the verdicts are waited for whenever the request ran alone.

A suspect whose server did die alone is still not tried a second time.

--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -77,6 +77,15 @@
         body, _ = on_test_clock(self._read, made)
         self.assertEqual((WHOLE, True), tokens_of(body))
 
+    def test_second_failure_after_the_first_server_was_seen_alive(self):
+        # The caller of a slow stream sees it whole. Its first server breaks the connection and is
+        # then seen alive, so the request is no suspect for that; the second breaks it seconds
+        # later, while the request runs alone. Refused before that server was looked at, the caller
+        # would pay for two broken connections that killed nobody.
+        faults = backends.StreamFaults(cut_after=2), backends.StreamFaults(cut_after=5)
+        body, _ = on_test_clock(self._read, servers(*faults, count=3, token_s=0.9))
+        self.assertEqual((WHOLE, True), tokens_of(body))
+
     def test_engine_that_restarts_is_left_at_once(self):
         # The server restarts while a stream stalls; the next report shows a new boot, and the
         # stream is resumed elsewhere long before the stall would be noticed.
--- a/toucanhold/routing/isolation.py
+++ b/toucanhold/routing/isolation.py
@@ -110,8 +110,9 @@
 
     async def _is_suspect(self, run: watching.Run) -> bool:
         table = self.watch.table
-        if table.may_be_condemned(run.fingerprint):
-            # Two deaths may be on its account. A third server must not pay for deciding early.
+        if run.alone or table.may_be_condemned(run.fingerprint):
+            # Two deaths may be on its account. A third server must not pay for deciding early, nor
+            # the caller, where the server that it ran on alone is soon seen to live.
             for incident in table.incidents(run.fingerprint):
                 with trio.move_on_at(run.request.deadline_s):
                     await incident.judged.wait()
