Remove a query of the view that nobody asks

Cause: the planner once asked for the age of a report; its facts come from elsewhere since. Found by listing names that are used once. Change: View.report_age_s is gone.

--- a/toucanhold/observing/view.py
+++ b/toucanhold/observing/view.py
@@ -127,11 +127,6 @@
             return None
         return observation.report if now_s - observation.asked_at_s <= FRESH_S else None
 
-    def report_age_s(self, vm: str, now_s: float) -> float:
-        """Return the age of the latest report; infinite without one."""
-        observation = self._observations.get(vm)
-        return now_s - observation.asked_at_s if observation else float("inf")
-
     def is_lost(self, vm: str, now_s: float) -> bool:
         """Tell whether a VM has been silent so long that its group cannot go on."""
         # A short pause must not tear a group apart: reloading a model costs far more than waiting.
