--- a/standins/entries.py
+++ b/standins/entries.py
@@ -15,7 +15,7 @@
 from standins import memory
 from toucanhold import entry, keyring, outside, serving, settings
 from toucanhold.backends import client
-from toucanhold.platform import vms
+from toucanhold.coordination import vms
 
 TOKEN = "stand-in-operator-token"
 PEER_KEY = "stand-in-peer-key-0000"
--- a/standins/memory.py
+++ b/standins/memory.py
@@ -11,9 +11,9 @@
 import trio.testing
 
 from standins import keyvalue, serving
+from toucanhold.coordination import etcd
+from toucanhold.coordination import keyvalue as contract
 from toucanhold.peers import transport
-from toucanhold.platform import etcd
-from toucanhold.platform import keyvalue as contract
 
 EXPIRY_INTERVAL_S = 0.1
 LOSABLE = ("kv/txn", "lease/grant", "lease/revoke", "lease/keepalive")
--- a/standins/orders.py
+++ b/standins/orders.py
@@ -9,9 +9,9 @@
 
 from toucanhold import keyring
 from toucanhold.configuration import rules
+from toucanhold.coordination import keyvalue
 from toucanhold.membership import roster
 from toucanhold.orders import building, keeper
-from toucanhold.platform import keyvalue
 from toucanhold.routing import dispatch, requests
 
 SERVICE = rules.Service("releases", rules.ServiceKind.PLAIN)
--- a/standins/planners.py
+++ b/standins/planners.py
@@ -8,10 +8,10 @@
 
 from standins import fleet, memory
 from toucanhold.configuration import holder, inventory, rules, snapshot
+from toucanhold.coordination import following, lease
 from toucanhold.observing import poller, view
 from toucanhold.planning import placement, planner, terms
 from toucanhold.plans import plan
-from toucanhold.platform import following, lease
 
 LEASE_TTL_S = 4
 
--- a/tests/proof/site.py
+++ b/tests/proof/site.py
@@ -18,8 +18,8 @@
 from standins import memory
 from tests.proof import history, network, platform, servers
 from toucanhold import entry, keyring, outside, serving, settings
+from toucanhold.coordination import vms
 from toucanhold.peers import transport
-from toucanhold.platform import vms
 
 TOKEN = "bench-operator-token"
 TOKENS = 12
--- a/tests/scenes.py
+++ b/tests/scenes.py
@@ -9,9 +9,9 @@
 from standins import fleet, memory, planners
 from toucanhold.backends import client
 from toucanhold.configuration import inventory, rules
+from toucanhold.coordination import keyvalue
 from toucanhold.planning import placement, terms
 from toucanhold.plans import plan
-from toucanhold.platform import keyvalue
 
 DRAFTS = rules.Service("drafts", model="writer", version="1", replicas=1, vms_per_replica=2)
 
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -9,7 +9,7 @@
 from tests import test_holds, test_revisions
 from tools import demo
 from toucanhold.configuration import store
-from toucanhold.platform import keyvalue
+from toucanhold.coordination import keyvalue
 
 NAMES = test_revisions.NAMES
 CHAT = {"model": "drafts", "messages": []}
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -29,4 +29,4 @@
         self.assertGreater(len(graph), 10)
         # Raises CycleError, which names the packages.
         order = list(graphlib.TopologicalSorter(graph).static_order())
-        self.assertLess(order.index("platform"), order.index("routing"))
+        self.assertLess(order.index("coordination"), order.index("routing"))
--- a/tests/test_lease_release.py
+++ b/tests/test_lease_release.py
@@ -7,7 +7,7 @@
 import trio.testing
 
 from standins import memory
-from toucanhold.platform import lease
+from toucanhold.coordination import lease
 
 KEY = "toucanhold/entries/entry-0"
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -7,8 +7,8 @@
 import trio.testing
 
 from standins import orders as order_fakes
+from toucanhold.coordination import keyvalue
 from toucanhold.orders import claimed, claims, commits, leases, limits, records
-from toucanhold.platform import keyvalue
 
 FAULTS = ("unavailable", "lost-request", "lost-answer", "late")
 BEHAVIOURS = ("ok", "not-sent", "lost-after-run", "lost-before-run")
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -7,7 +7,7 @@
 
 from standins import memory
 from tests import test_revisions as support
-from toucanhold.platform import budget, keyvalue, lease
+from toucanhold.coordination import budget, keyvalue, lease
 
 KEY = "toucanhold/key"
 TTL_S = 4
--- a/toucanhold/cli/application.py
+++ b/toucanhold/cli/application.py
@@ -9,11 +9,12 @@
 
 import toucanhold
 from toucanhold import environment, exitstatus
-from toucanhold.cli import documents, queries, running, zones
+from toucanhold.cli import documents, platform, queries, running, zones
 
 PROGRAM = "toucanhold"
 COMMANDS = (
     running.EntryCommand,
+    platform.PlatformEntryCommand,
     documents.CheckCommand,
     documents.ExplainCommand,
     documents.ApplyCommand,
--- a/toucanhold/cli/definitions.py
+++ b/toucanhold/cli/definitions.py
@@ -68,6 +68,12 @@
     ),
 )
 
+PLATFORM_ENTRY = CommandDefinition(
+    name="platform",
+    description="Run an entry on the users' platform, by the settings file that it writes.",
+    examples=(("toucanhold platform", "The environment names the settings file."),),
+)
+
 CHECK = CommandDefinition(
     name="check",
     description="Check a file of inventory and rules, and apply nothing.",
--- a/toucanhold/configuration/store.py
+++ b/toucanhold/configuration/store.py
@@ -13,7 +13,7 @@
 
 from toucanhold import codec, events
 from toucanhold.configuration import document, holds, snapshot
-from toucanhold.platform import keyvalue
+from toucanhold.coordination import keyvalue
 
 PREFIX = "toucanhold/configuration/"
 HEAD_KEY = PREFIX + "head"
--- /dev/null
+++ b/toucanhold/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's services: the key-value service and the list of VMs."""
--- a/toucanhold/platform/budget.py
+++ b/toucanhold/coordination/budget.py
@@ -9,7 +9,7 @@
 import attrs
 import trio
 
-from toucanhold.platform import keyvalue
+from toucanhold.coordination import keyvalue
 
 # What waits longer than this is better refused: its caller can tell that nothing was done.
 MAX_WAIT_S = 0.5
--- a/toucanhold/platform/etcd.py
+++ b/toucanhold/coordination/etcd.py
@@ -9,7 +9,7 @@
 import httpcore
 import trio
 
-from toucanhold.platform import keyvalue
+from toucanhold.coordination import keyvalue
 
 CALL_TIMEOUT_S = 2.0
 WATCH_IDLE_TIMEOUT_S = 60.0
--- a/toucanhold/platform/following.py
+++ b/toucanhold/coordination/following.py
@@ -8,7 +8,7 @@
 import trio
 
 from toucanhold import events
-from toucanhold.platform import keyvalue
+from toucanhold.coordination import keyvalue
 
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 2.0
--- a/toucanhold/platform/lease.py
+++ b/toucanhold/coordination/lease.py
@@ -1,5 +1,6 @@
 """A key held under a lease, with its end on the holder's own monotonic clock."""
 
+import collections.abc
 import logging
 import random
 
@@ -7,7 +8,7 @@
 import trio
 
 from toucanhold import clock
-from toucanhold.platform import keyvalue
+from toucanhold.coordination import keyvalue
 
 LOGGER = logging.getLogger(__name__)
 
@@ -18,6 +19,7 @@
 
     :ivar value: what the holder writes
     :ivar ttl_s: time after which the service lets an unrenewed key go
+    :ivar is_taken: tells for free that another client holds the key; false where unknown
     :ivar fencing: the key's create revision while held: it grows with each holder
     """
 
@@ -26,6 +28,7 @@
     value: bytes
     ttl_s: int
     rng: random.Random
+    is_taken: collections.abc.Callable[[], bool] = attrs.field(default=lambda: False, kw_only=True)
     fencing: int = 0
     _lease: int = attrs.field(default=0, init=False)
     _renewed: clock.Instant = attrs.field(default=clock.LONG_AGO, init=False)
@@ -47,7 +50,7 @@
             try:
                 if self.is_held():
                     await self._renew()
-                else:
+                elif not self.is_taken():
                     await self._acquire()
             except keyvalue.KeyValueError as error:
                 LOGGER.debug("lease on %s: %s", self.key, error)
--- a/toucanhold/entry.py
+++ b/toucanhold/entry.py
@@ -14,6 +14,7 @@
 from toucanhold.callers import directory
 from toucanhold.callers import reading as callers_reading
 from toucanhold.configuration import holder, reading, store
+from toucanhold.coordination import budget, following, lease, vms
 from toucanhold.membership import facts, permit, roster
 from toucanhold.observing import poller, view
 from toucanhold.operators import app as operators_app
@@ -22,7 +23,6 @@
 from toucanhold.peers import exchange, handshake, holds, revisions, streams
 from toucanhold.planning import peering, planner, preview, spreading
 from toucanhold.plans import plan
-from toucanhold.platform import budget, following, lease, vms
 from toucanhold.routing import router
 
 PLANNER_LEASE_TTL_S = 4
--- /dev/null
+++ b/toucanhold/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Serving requests of routes on backend servers that register themselves."""
--- /dev/null
+++ b/toucanhold/gateway/admission.py
@@ -0,0 +1,144 @@
+"""Waiting for a backend server with room, the most urgent first."""
+
+from __future__ import annotations
+
+import bisect
+import collections.abc
+import contextlib
+import itertools
+
+import attrs
+import trio
+
+from toucanhold.gateway import calls, targets
+from toucanhold.registry import servers
+from toucanhold.routes import table
+
+# Room also appears without an event of this entry: others finish, groups form, servers warm up.
+LOOK_AGAIN_S = 0.02
+# A caller told to come back finds room: groups form again within about a second of a loss.
+RETRY_AFTER_S = 0.8
+RETRY_SPREAD_S = 0.4
+
+
+@attrs.define(eq=False, order=False)
+class _Waiter:
+    service: table.Service
+    model: str
+    avoid: collections.abc.Set[str]
+    placed: trio.Event = attrs.field(factory=trio.Event)
+    server: servers.Server | None = None
+
+
+@attrs.define(eq=False)
+class Admission:
+    """Places requests; those that find no room wait by rank, then in their order."""
+
+    targets: targets.Targets
+    _queue: list[tuple[int, int, _Waiter]] = attrs.field(factory=list, init=False)
+    _numbers: collections.abc.Iterator[int] = attrs.field(factory=itertools.count, init=False)
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait now."""
+        return len(self._queue)
+
+    @contextlib.asynccontextmanager
+    async def place(
+        self,
+        service: table.Service,
+        model: str,
+        rank: int,
+        patience_s: float,
+        avoid: collections.abc.Set[str] = frozenset(),
+    ) -> collections.abc.AsyncIterator[servers.Server]:
+        """Hold room on a server while the context is open.
+
+        :param patience_s: longest wait
+        :raises calls.CallError: when there is no room in time, or cannot be
+        """
+        server = self._try_at_once(service, model, avoid)
+        if server is None:
+            server = await self._wait(service, model, rank, patience_s, avoid)
+        try:
+            yield server
+        finally:
+            self.targets.loads.remove(server.server_id)
+            self.pump()
+
+    async def run(self) -> None:
+        """Look for room at an interval, until cancelled."""
+        while True:
+            await trio.sleep(LOOK_AGAIN_S)
+            self.pump()
+
+    def pump(self) -> None:
+        """Give room to those that wait, in their order."""
+        waiting, self._queue = self._queue, []
+        full: set[tuple[str, str]] = set()
+        for entry in waiting:
+            waiter = entry[-1]
+            kind = waiter.service.name, waiter.model
+            server = None
+            if kind not in full:
+                server = self._choose(waiter.service, waiter.model, waiter.avoid)
+            if server is None:
+                full.add(kind)
+                self._queue.append(entry)
+                continue
+            waiter.server = server
+            waiter.placed.set()
+
+    def _try_at_once(
+        self, service: table.Service, model: str, avoid: collections.abc.Set[str]
+    ) -> servers.Server | None:
+        if any(
+            each.service.name == service.name and each.model == model for *_, each in self._queue
+        ):
+            return None
+        return self._choose(service, model, avoid)
+
+    def _choose(
+        self, service: table.Service, model: str, avoid: collections.abc.Set[str]
+    ) -> servers.Server | None:
+        found = self.targets.find(service, model)
+        server = self.targets.choose(service, found, avoid)
+        if server is not None:
+            self.targets.loads.add(server.server_id)
+            if server.cold_until_s > trio.current_time():
+                self.targets.cold.note(server.server_id)
+        return server
+
+    async def _wait(
+        self,
+        service: table.Service,
+        model: str,
+        rank: int,
+        patience_s: float,
+        avoid: collections.abc.Set[str],
+    ) -> servers.Server:
+        if not self.targets.find(service, model) and not self._may_come(service, model):
+            raise self._refusal(calls.RefusalReason.NO_SERVER)
+        waiter = _Waiter(service, model, avoid)
+        entry = (rank, next(self._numbers), waiter)
+        bisect.insort(self._queue, entry, key=lambda each: each[:2])
+        try:
+            with trio.move_on_after(patience_s):
+                await waiter.placed.wait()
+        except trio.Cancelled:
+            if waiter.server is not None:
+                self.targets.loads.remove(waiter.server.server_id)
+            raise
+        finally:
+            if entry in self._queue:
+                self._queue.remove(entry)
+        if waiter.server is None:
+            raise self._refusal(calls.RefusalReason.NO_ROOM)
+        return waiter.server
+
+    def _may_come(self, service: table.Service, model: str) -> bool:
+        return service.engine is None or self.targets.may_serve_soon(service, model)
+
+    def _refusal(self, reason: calls.RefusalReason) -> calls.CallError:
+        spread_s = self.targets.rng.uniform(0, RETRY_SPREAD_S)
+        return calls.CallError(reason, retry_after_s=RETRY_AFTER_S + spread_s)
--- /dev/null
+++ b/toucanhold/gateway/attempt.py
@@ -0,0 +1,190 @@
+"""One call at one backend server."""
+
+from __future__ import annotations
+
+import logging
+
+import attrs
+import trio
+
+from toucanhold import events
+from toucanhold.gateway import calls, health, silence
+from toucanhold.registry import servers
+from toucanhold.routes import table
+from toucanhold.routing import sse
+
+# A body that is passed on whole is held in memory; larger ones are no answers of these services.
+ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
+SERVER_ERROR = 500
+
+LOGGER = logging.getLogger(__name__)
+
+
+@attrs.define(eq=False)
+class Run:
+    """A call's way through its servers.
+
+    :ivar deadline_s: when the caller or the route has waited long enough
+    :ivar server_id: the server that has it, or had it last
+    :ivar runs: servers that may have begun to run it
+    :ivar has_replied: whether the caller has got the beginning of an answer
+    :ivar last_event_id: the last event that the caller has got
+    """
+
+    call: calls.Call
+    route: table.Route
+    service: table.Service
+    workspace: table.Workspace | None
+    deadline_s: float
+    reply: calls.Reply
+    server_id: str = ""
+    runs: int = 0
+    has_replied: bool = False
+    last_event_id: int | None = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Begin where the caller wants a stream to go on."""
+        self.last_event_id = self.call.last_event_id
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any server may have begun to run it."""
+        return self.runs > 0
+
+    @property
+    def workspace_name(self) -> str:
+        """Who holds the caller's key; empty for public routes."""
+        return self.workspace.name if self.workspace is not None else ""
+
+
+async def run_on(
+    run: Run,
+    server: servers.Server,
+    client: calls.ServerClient,
+    watch: silence.SilenceWatch,
+    outcomes: health.Health,
+) -> int:
+    """Send a call to one server and pass its answer on.
+
+    :return: the status of the answer
+    :raises calls.ExchangeError: when another server may be tried, if the call allows that
+    """
+    run.server_id = server.server_id
+    forwarded = calls.Forwarded(
+        run.call,
+        run.workspace_name,
+        run.deadline_s - trio.current_time(),
+        run.last_event_id,
+        run.route.is_stream,
+    )
+    _log_placed(run, server, forwarded)
+    run.runs += 1
+    try:
+        if run.route.is_stream:
+            return await _run_stream(run, forwarded, server, client, watch, outcomes)
+        async with client.exchange(server, forwarded) as response:
+            return await _pass_whole(run, response, outcomes)
+    except calls.NotRunError:
+        run.runs -= 1
+        raise
+
+
+async def _run_stream(
+    run: Run,
+    forwarded: calls.Forwarded,
+    server: servers.Server,
+    client: calls.ServerClient,
+    watch: silence.SilenceWatch,
+    outcomes: health.Health,
+) -> int:
+    watched = silence.WatchedStream(server.server_id)
+    if run.route.may_repeat:
+        watch.add(watched)
+    status = 0
+    try:
+        with watched.scope:
+            async with client.exchange(server, forwarded) as response:
+                if response.status == 200:
+                    status = await _pass_stream(run, response, watched)
+                    outcomes.note(server.server_id, failed=False)
+                else:
+                    status = await _pass_whole(run, response, outcomes)
+    finally:
+        if run.route.may_repeat:
+            watch.remove(watched)
+    if watched.scope.cancelled_caught:
+        raise calls.AnswerLostError("the server has fallen silent")
+    return status
+
+
+async def _pass_stream(run: Run, response: calls.Response, watched: silence.WatchedStream) -> int:
+    splitter = sse.EventSplitter()
+    async for chunk in response.chunks:
+        watched.note_event()
+        passed = bytearray()
+        for event in splitter.feed(chunk):
+            if _is_next(run, event):
+                passed += event.raw
+        if passed:
+            await _begin(run, response)
+            await run.reply.send(bytes(passed))
+    if splitter.has_rest:
+        raise calls.AnswerLostError("the stream ended within an event", was_cut=True)
+    await _begin(run, response)
+    await run.reply.finish()
+    return response.status
+
+
+async def _begin(run: Run, response: calls.Response) -> None:
+    if not run.has_replied:
+        run.has_replied = True
+        await run.reply.start(response.status, response.headers, None)
+
+
+def _is_next(run: Run, event: sse.ServerSentEvent) -> bool:
+    """Tell whether the caller lacks an event, and take note of it."""
+    if not event.event_id.isdigit():
+        return True
+    number = int(event.event_id)
+    last = run.last_event_id
+    if last is not None and number <= last:
+        return False
+    if last is not None and number > last + 1:
+        raise calls.AnswerLostError(f"event {number} follows event {last}")
+    run.last_event_id = number
+    return True
+
+
+async def _pass_whole(run: Run, response: calls.Response, outcomes: health.Health) -> int:
+    body = bytearray()
+    async for chunk in response.chunks:
+        body += chunk
+        if len(body) > ANSWER_LIMIT_BYTES:
+            raise calls.AnswerLostError("the answer is larger than allowed")
+    failed = response.status >= SERVER_ERROR
+    outcomes.note(run.server_id, failed)
+    if run.has_replied:
+        raise calls.AnswerLostError(f"the stream was not resumed: status {response.status}")
+    run.has_replied = True
+    await run.reply.start(response.status, response.headers, len(body))
+    await run.reply.send(bytes(body))
+    await run.reply.finish()
+    return response.status
+
+
+def _log_placed(run: Run, server: servers.Server, forwarded: calls.Forwarded) -> None:
+    membership = server.membership
+    events.log(
+        LOGGER,
+        events.Event.CALL_PLACED,
+        request_id=run.call.call_id,
+        route=run.route.name,
+        workspace=run.workspace_name,
+        server=server.server_id,
+        availability_zone=server.zone,
+        group=membership.group if membership is not None else None,
+        epoch=membership.epoch if membership is not None else None,
+        waited_s=round(trio.current_time() - run.call.arrived_s, 3),
+        remaining_s=round(forwarded.remaining_s, 3),
+        attempt=run.runs + 1,
+    )
--- /dev/null
+++ b/toucanhold/gateway/entries.py
@@ -0,0 +1,114 @@
+"""The entries that are there, as each keeps itself written in the key-value service."""
+
+from __future__ import annotations
+
+import logging
+import random
+
+import attrs
+import trio
+
+from toucanhold import codec, events
+from toucanhold.coordination import keyvalue, lease, mirror
+
+ENTRIES_PREFIX = "toucanhold/entries/"
+# An entry that was killed is named to callers for this long at most. It is renewed four times in
+# this time, for a tenth of a call's price each.
+ENTRY_LEASE_S = 3
+# All leases may lapse while the service is away; each entry writes itself anew within a second.
+LAPSE_GRACE_S = 2.0
+
+LOGGER = logging.getLogger(__name__)
+
+
+@attrs.frozen
+class Entry:
+    """One start of one entry.
+
+    :ivar callers_address: where callers connect
+    :ivar exchange_address: where other entries send to
+    :ivar boot: tells its starts apart
+    """
+
+    entry: str
+    zone: str
+    region: str
+    callers_address: str
+    exchange_address: str
+    boot: str
+
+
+@attrs.define(eq=False)
+class EntryList:
+    """This entry's own record, and the others'."""
+
+    own: Entry
+    client: keyvalue.KeyValueClient
+    source: mirror.Mirror
+    rng: random.Random
+    is_stopping: bool = attrs.field(default=False, init=False)
+    _others: dict[str, Entry] = attrs.field(factory=dict, init=False)
+    _held: lease.LeasedKey = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Follow the records."""
+        self._held = lease.LeasedKey(
+            self.client, self._own_key, codec.to_json(self.own), ENTRY_LEASE_S, self.rng
+        )
+        self.source.listen(ENTRIES_PREFIX, lambda keys: self._refresh())
+
+    async def run(self) -> None:
+        """Keep the own record until cancelled or stopped."""
+        await self._held.run()
+
+    async def leave(self) -> None:
+        """Take the own record away for good."""
+        self.is_stopping = True
+        await self._held.release()
+
+    def others(self) -> list[Entry]:
+        """Return the other entries that are there."""
+        return list(self._others.values())
+
+    def serving(self) -> list[Entry]:
+        """Return the entries that callers may be sent to."""
+        return self.others() + ([] if self.is_stopping else [self.own])
+
+    def count(self) -> int:
+        """Return the number of entries, this one included."""
+        return len(self._others) + 1
+
+    @property
+    def _own_key(self) -> str:
+        return f"{ENTRIES_PREFIX}{self.own.entry}/{self.own.boot}"
+
+    def _refresh(self) -> None:
+        found: dict[str, tuple[int, Entry]] = {}
+        for item in self.source.under(ENTRIES_PREFIX):
+            if item.key == self._own_key:
+                continue
+            try:
+                entry = codec.from_json(item.value, Entry)
+            except codec.CodecError as error:
+                LOGGER.warning("the record %s is not readable: %s", item.key, error)
+                continue
+            newest = found.get(entry.entry, (0, entry))
+            # A machine that was killed and is back stands here twice until its old lease ends.
+            if entry.entry != self.own.entry and item.create_revision > newest[0]:
+                found[entry.entry] = item.create_revision, entry
+        self._replace({name: entry for name, (_, entry) in found.items()})
+
+    def _replace(self, found: dict[str, Entry]) -> None:
+        if self.source.since_failure_s < LAPSE_GRACE_S:
+            found = self._others | found
+        for name in found.keys() - self._others.keys():
+            events.log(LOGGER, events.Event.ENTRY_JOINED, entry=name, zone=found[name].zone)
+        for name in self._others.keys() - found.keys():
+            events.log(LOGGER, events.Event.ENTRY_LEFT, entry=name)
+        self._others = found
+
+    async def watch(self) -> None:
+        """Drop records that did not come back after an outage, until cancelled."""
+        while True:
+            await trio.sleep(0.5)
+            self._refresh()
--- /dev/null
+++ b/toucanhold/gateway/exchange.py
@@ -0,0 +1,124 @@
+"""Datagrams between entries: what each has in flight, avoids, and has lost servers to.
+
+Counts are worth nothing when they come late, and the next ones follow in a tenth of a second. So
+they go by datagram: nothing is sent twice, waits behind a lost packet, or needs a connection to
+each other entry.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import errno
+import logging
+import random
+
+import attrs
+import msgpack
+import trio
+
+from toucanhold import codec
+from toucanhold.gateway import crashes, entries, health, load
+
+# Each head gets about one request in this time from all entries together; counts that are older
+# would send two entries to the same head.
+SEND_INTERVAL_S = 0.1
+DATAGRAM_LIMIT_BYTES = 16 * 1024
+MAX_CRASHES_SENT = 32
+# Longest time for which another entry's word on a silent server holds here.
+SUSPECT_S = 1.0
+
+LOGGER = logging.getLogger(__name__)
+
+
+@attrs.frozen
+class Notice:
+    """What an entry tells the others.
+
+    :ivar in_flight: requests by server
+    :ivar silent: servers whose streams fell silent, or that could not be reached
+    :ivar crashes: lost connections by request
+    """
+
+    entry: str
+    boot: str
+    in_flight: dict[str, int]
+    silent: list[str]
+    crashes: list[tuple[str, int]]
+
+
+@attrs.define(eq=False)
+class Exchange:
+    """Tells the other entries, and hears them.
+
+    :ivar on_silent: told servers that another entry found silent
+    """
+
+    listed: entries.EntryList
+    loads: load.LoadBoard
+    health: health.Health
+    crashes: crashes.CrashMemory
+    on_silent: collections.abc.Callable[[str], None]
+    rng: random.Random
+    _silent_until_s: dict[str, float] = attrs.field(factory=dict, init=False)
+
+    def note_silent(self, server_id: str) -> None:
+        """Tell the others of a silent server, a few times."""
+        self._silent_until_s[server_id] = trio.current_time() + 4 * SEND_INTERVAL_S
+
+    async def run(self) -> None:
+        """Send and receive until cancelled."""
+        host, _, port = self.listed.own.exchange_address.rpartition(":")
+        with trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM) as socket:
+            await socket.bind((host, int(port)))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._receive, socket)
+                nursery.start_soon(self._send, socket)
+
+    async def _send(self, socket: trio.socket.SocketType) -> None:
+        while True:
+            await trio.sleep(SEND_INTERVAL_S * self.rng.uniform(0.9, 1.1))
+            data = msgpack.packb(codec.CONVERTER.unstructure(self._notice()))
+            for other in self.listed.others():
+                host, _, port = other.exchange_address.rpartition(":")
+                try:
+                    await socket.sendto(data, (host, int(port)))
+                except OSError as error:
+                    LOGGER.debug("notice to %s not sent: %s", other.entry, error)
+
+    async def _receive(self, socket: trio.socket.SocketType) -> None:
+        while True:
+            try:
+                data, _ = await socket.recvfrom(DATAGRAM_LIMIT_BYTES)
+            except OSError as error:
+                # A refused datagram comes back as an error of the next call.
+                if error.errno not in (errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH):
+                    raise
+                continue
+            self._hear(data)
+
+    def _notice(self) -> Notice:
+        now_s = trio.current_time()
+        self._silent_until_s = {
+            name: until_s for name, until_s in self._silent_until_s.items() if until_s > now_s
+        }
+        own = self.listed.own
+        return Notice(
+            own.entry,
+            own.boot,
+            dict(self.loads.own),
+            list(self._silent_until_s),
+            self.crashes.recent(MAX_CRASHES_SENT),
+        )
+
+    def _hear(self, data: bytes) -> None:
+        try:
+            notice = codec.from_plain_tolerant(msgpack.unpackb(data), Notice)
+        except (codec.CodecError, ValueError, msgpack.UnpackException) as error:
+            LOGGER.warning("a notice could not be read: %s", error)
+            return
+        self.loads.hear(notice.entry, notice.in_flight)
+        for mark, count in notice.crashes:
+            self.crashes.hear(mark, count)
+        for server_id in notice.silent:
+            self.health.avoid(server_id, f"silent at {notice.entry}", SUSPECT_S)
+            self.on_silent(server_id)
--- /dev/null
+++ b/toucanhold/gateway/health.py
@@ -0,0 +1,82 @@
+"""What the outcomes of requests tell of backend servers."""
+
+from __future__ import annotations
+
+import logging
+import math
+
+import attrs
+import trio
+
+from toucanhold import events
+
+# Long enough for some outcomes of each server at the lowest rates (one a second), short enough to
+# forgive a server a few seconds after it has recovered.
+MEMORY_S = 4.0
+# A server that could not be reached, or whose streams all fell silent, is passed over this long.
+AVOID_S = 1.5
+
+LOGGER = logging.getLogger(__name__)
+
+
+@attrs.define
+class _Outcomes:
+    failed: float = 0.0
+    total: float = 0.0
+    at_s: float = 0.0
+
+    def fade(self, now_s: float) -> None:
+        factor = math.exp((self.at_s - now_s) / MEMORY_S)
+        self.failed *= factor
+        self.total *= factor
+        self.at_s = now_s
+
+
+@attrs.define(eq=False)
+class Health:
+    """Failures and silences, by server."""
+
+    _outcomes: dict[str, _Outcomes] = attrs.field(factory=dict, init=False)
+    _avoid_until_s: dict[str, float] = attrs.field(factory=dict, init=False)
+
+    def note(self, server_id: str, failed: bool) -> None:
+        """Count an outcome."""
+        outcomes = self._outcomes.setdefault(server_id, _Outcomes(at_s=trio.current_time()))
+        outcomes.fade(trio.current_time())
+        outcomes.total += 1
+        outcomes.failed += failed
+
+    def failure_share(self, server_id: str) -> float:
+        """Return the share of recent requests that failed; few requests count for little."""
+        outcomes = self._outcomes.get(server_id)
+        if outcomes is None:
+            return 0.0
+        outcomes.fade(trio.current_time())
+        # Two good outcomes are taken for granted: one failure alone must not empty a server.
+        return outcomes.failed / (outcomes.total + 2)
+
+    def avoid(self, server_id: str, reason: str, limit_s: float = AVOID_S) -> None:
+        """Pass a server over for a while, where there are others."""
+        if not self.is_avoided(server_id):
+            events.log(
+                LOGGER,
+                events.Event.SERVER_SUSPECTED,
+                server=server_id,
+                reason=reason,
+                for_s=limit_s,
+            )
+        self._avoid_until_s[server_id] = trio.current_time() + limit_s
+
+    def is_avoided(self, server_id: str) -> bool:
+        """Tell whether a server is passed over now."""
+        until_s = self._avoid_until_s.get(server_id)
+        if until_s is None:
+            return False
+        if until_s <= trio.current_time():
+            del self._avoid_until_s[server_id]
+            return False
+        return True
+
+    def avoided(self) -> list[str]:
+        """Return the servers that are passed over now."""
+        return [name for name in list(self._avoid_until_s) if self.is_avoided(name)]
--- a/toucanhold/membership/permit.py
+++ b/toucanhold/membership/permit.py
@@ -13,8 +13,8 @@
 
 from toucanhold import clock, events
 from toucanhold.configuration import holder, reading
+from toucanhold.coordination import keyvalue
 from toucanhold.membership import roster
-from toucanhold.platform import keyvalue
 
 TICK_INTERVAL_S = 0.2
 # After a longer gap than this the process counts as paused: its peers may have given it up, and
--- a/toucanhold/membership/roster.py
+++ b/toucanhold/membership/roster.py
@@ -6,7 +6,7 @@
 import attrs
 
 from toucanhold import codec
-from toucanhold.platform import keyvalue
+from toucanhold.coordination import keyvalue
 
 ENTRIES_PREFIX = "toucanhold/entries/"
 ENTRY_LEASE_TTL_S = 6
--- a/toucanhold/operators/changes.py
+++ b/toucanhold/operators/changes.py
@@ -7,10 +7,10 @@
 import trio
 
 from toucanhold.configuration import difference, document, holder, holds, store
+from toucanhold.coordination import keyvalue
 from toucanhold.membership import facts, roster
 from toucanhold.operators import messages
 from toucanhold.peers import holds as peer_holds
-from toucanhold.platform import keyvalue
 
 # The operator waits at most this long; what is not known by then is said to be not known.
 DURABLE_WAIT_S = 2.0
--- a/toucanhold/operators/status.py
+++ b/toucanhold/operators/status.py
@@ -6,12 +6,12 @@
 import trio
 
 from toucanhold.configuration import holder, inventory, rules
+from toucanhold.coordination import following
 from toucanhold.membership import facts, roster
 from toucanhold.observing import view
 from toucanhold.operators import messages
 from toucanhold.planning import planner
 from toucanhold.plans import plan
-from toucanhold.platform import following
 from toucanhold.routing import candidates
 
 
--- a/toucanhold/orders/building.py
+++ b/toucanhold/orders/building.py
@@ -4,6 +4,7 @@
 import time
 
 from toucanhold import keyring
+from toucanhold.coordination import keyvalue
 from toucanhold.membership import roster
 from toucanhold.orders import (
     claimed,
@@ -16,7 +17,6 @@
     limits,
     running,
 )
-from toucanhold.platform import keyvalue
 
 # The platform takes several hundred writes a second from everything that uses it.
 CLAIM_CALLS_PER_S = 200.0
--- a/toucanhold/orders/claims.py
+++ b/toucanhold/orders/claims.py
@@ -6,8 +6,8 @@
 import trio
 
 from toucanhold import events
+from toucanhold.coordination import keyvalue
 from toucanhold.orders import commits, leases, records
-from toucanhold.platform import keyvalue
 
 CLAIM_TIMEOUT_S = 3.0
 # A service that refuses connections will hardly take them in three seconds; the caller can be told
--- a/toucanhold/orders/commits.py
+++ b/toucanhold/orders/commits.py
@@ -7,8 +7,8 @@
 import attrs
 import trio
 
+from toucanhold.coordination import keyvalue
 from toucanhold.orders import limits
-from toucanhold.platform import keyvalue
 
 MAX_WAITING = 256
 MAX_COMBINED = 32
--- a/toucanhold/orders/issued.py
+++ b/toucanhold/orders/issued.py
@@ -10,9 +10,9 @@
 import trio
 
 from toucanhold import events
+from toucanhold.coordination import keyvalue
 from toucanhold.membership import roster
 from toucanhold.orders import claims, keys, records, results, running
-from toucanhold.platform import keyvalue
 from toucanhold.routing import requests
 
 MAX_USED_KEYS = 50_000
--- a/toucanhold/orders/leases.py
+++ b/toucanhold/orders/leases.py
@@ -6,7 +6,7 @@
 import attrs
 import trio
 
-from toucanhold.platform import keyvalue
+from toucanhold.coordination import keyvalue
 
 BUCKET_S = 3600.0
 KEPT_S = 24 * 3600.0
--- a/toucanhold/outside.py
+++ b/toucanhold/outside.py
@@ -4,8 +4,8 @@
 
 from toucanhold import serving, settings
 from toucanhold.backends import client, http
+from toucanhold.coordination import etcd, keyvalue, vms
 from toucanhold.peers import transport
-from toucanhold.platform import etcd, keyvalue, vms
 
 
 @attrs.frozen
--- a/toucanhold/peers/holds.py
+++ b/toucanhold/peers/holds.py
@@ -9,8 +9,8 @@
 
 from toucanhold import events
 from toucanhold.configuration import holder, holds, store
+from toucanhold.coordination import keyvalue
 from toucanhold.peers import exchange, messages
-from toucanhold.platform import keyvalue
 
 # The entry that the operator asked goes first; the others step in when it cannot.
 OTHERS_WAIT_S = 2.0
--- a/toucanhold/planning/planner.py
+++ b/toucanhold/planning/planner.py
@@ -9,10 +9,10 @@
 from toucanhold import events
 from toucanhold.backends import client
 from toucanhold.configuration import holder
+from toucanhold.coordination import keyvalue, lease
 from toucanhold.observing import view
 from toucanhold.planning import facts, ordering, placement, substitution, terms, writing
 from toucanhold.plans import plan
-from toucanhold.platform import keyvalue, lease
 
 PLANNER_KEY = writing.PLANNER_KEY
 TICK_INTERVAL_S = 0.25
--- a/toucanhold/planning/substitution.py
+++ b/toucanhold/planning/substitution.py
@@ -7,9 +7,9 @@
 
 from toucanhold import events
 from toucanhold.configuration import holder, inventory
+from toucanhold.coordination import keyvalue, lease
 from toucanhold.planning import facts, writing
 from toucanhold.plans import plan
-from toucanhold.platform import keyvalue, lease
 
 SUBSTITUTE_AFTER_S = 10.0
 
--- a/toucanhold/planning/terms.py
+++ b/toucanhold/planning/terms.py
@@ -8,9 +8,9 @@
 import trio
 
 from toucanhold import codec, events
+from toucanhold.coordination import keyvalue, lease
 from toucanhold.planning import writing
 from toucanhold.plans import plan
-from toucanhold.platform import keyvalue, lease
 
 TERMS_KEY = "toucanhold/planner-terms"
 PAUSE_BOUND_S = 30.0
--- a/toucanhold/planning/writing.py
+++ b/toucanhold/planning/writing.py
@@ -6,8 +6,8 @@
 import attrs
 
 from toucanhold import codec, events
+from toucanhold.coordination import keyvalue, lease
 from toucanhold.plans import plan
-from toucanhold.platform import keyvalue, lease
 
 PLANNER_KEY = "toucanhold/planner"
 
--- a/toucanhold/plans/plan.py
+++ b/toucanhold/plans/plan.py
@@ -7,7 +7,7 @@
 import trio
 
 from toucanhold import codec
-from toucanhold.platform import keyvalue
+from toucanhold.coordination import keyvalue
 
 PLAN_PREFIX = "toucanhold/plan/"
 FORMER_GROUPS_KEPT = 1000
--- a/toucanhold/platform/__init__.py
+++ b/toucanhold/platform/__init__.py
@@ -1,1 +1,4 @@
-"""The platform's services: the key-value service and the list of VMs."""
+"""The users' platform: its settings, store, backend servers and callers.
+
+Nothing outside this package knows the platform's paths, headers, keys or field names.
+"""
--- /dev/null
+++ b/toucanhold/platform/servers.py
@@ -0,0 +1,227 @@
+"""Calls to the platform's backend servers: requests of callers, reports and orders."""
+
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+import json
+import logging
+
+import attrs
+import httpcore
+import trio
+
+from toucanhold import refusals
+from toucanhold.backends import pacing
+from toucanhold.gateway import calls
+from toucanhold.platform import headers, registrations
+from toucanhold.registry import servers
+from toucanhold.replicas import orders
+
+# Between zones a connection takes some milliseconds; the first lost packet is sent again after
+# about a second, in which another server has long answered.
+CONNECT_TIMEOUT_S = 0.3
+# Orders and reports are answered in milliseconds.
+CONTROL_TIMEOUT_S = 0.4
+READ_BYTES = 64 * 1024
+REPORT_LIMIT_BYTES = 1024 * 1024
+
+LOGGER = logging.getLogger(__name__)
+
+CONNECT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout)
+TRANSFER_ERRORS = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
+
+
+@attrs.define(eq=False)
+class PlatformServerClient(calls.ServerClient, orders.EngineClient):
+    """Talks to backend servers, each request over a connection of its own.
+
+    A kept connection may have been closed, or silenced, or may still carry a late second answer;
+    an order that is lost on it can't be repeated. A new one costs a millisecond and a hundredth
+    of the price of a request.
+    """
+
+    @contextlib.asynccontextmanager
+    async def exchange(
+        self, server: servers.Server, forwarded: calls.Forwarded
+    ) -> collections.abc.AsyncIterator[calls.Response]:
+        """See :class:`calls.ServerClient`."""
+        connection = await _connect(server.address, min(CONNECT_TIMEOUT_S, forwarded.remaining_s))
+        try:
+            with _lost_answers(server):
+                request = _request(server, forwarded)
+                response = await connection.handle_async_request(request)
+            _check_refusal(server, response)
+            _check_identity(forwarded.call, response)
+            yield calls.Response(
+                response.status,
+                headers.end_to_end(response.headers),
+                headers.load(response.headers),
+                _chunks(server, response),
+            )
+        finally:
+            with trio.CancelScope(shield=True):
+                await connection.aclose()
+
+    async def give(
+        self, server: servers.Server, order: orders.Order, order_count: int, fence: int
+    ) -> orders.OrderOutcome:
+        """See :class:`orders.EngineClient`."""
+        body = _order_body(order) | {"precondition": order_count, "fence": fence}
+        try:
+            status, _ = await self._control(server, b"POST", b"/order", json.dumps(body).encode())
+        except calls.NotRunError:
+            return orders.OrderOutcome.UNREACHABLE
+        except calls.AnswerLostError:
+            return orders.OrderOutcome.LOST
+        if status == 202:
+            return orders.OrderOutcome.BEGUN
+        return orders.OrderOutcome.HOLDS if status == 200 else orders.OrderOutcome.REFUSED
+
+    async def look(self, server: servers.Server) -> servers.Server | None:
+        """See :class:`orders.EngineClient`."""
+        try:
+            status, content = await self._control(server, b"GET", b"/report", b"")
+            plain = json.loads(content) if status == 200 else None
+        except (calls.ExchangeError, ValueError) as error:
+            LOGGER.debug("%s: no report: %s", server.server_id, error)
+            return None
+        if not isinstance(plain, dict):
+            return None
+        # A report leaves out what only the registration tells.
+        known = {"service": server.service, "address": server.address, "zone": server.zone}
+        state = {"state": registrations.STATE_READY, "born": server.born_ms}
+        found = registrations.from_plain(server.server_id, known | state | plain)
+        # In a report "seq" counts the orders that began something; in a registration the same
+        # name counts the server's own writes.
+        count = plain.get("seq")
+        if found is None or not isinstance(count, int):
+            return None
+        return attrs.evolve(found, order_count=count)
+
+    async def _control(
+        self, server: servers.Server, method: bytes, target: bytes, body: bytes
+    ) -> tuple[int, bytes]:
+        lines = [
+            (b"host", server.address.encode()),
+            (headers.TARGET_INSTANCE, server.server_id.encode()),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        if body:
+            lines.append((b"content-type", b"application/json"))
+        connection = await _connect(server.address, CONTROL_TIMEOUT_S)
+        content = bytearray()
+        try:
+            with _lost_answers(server), trio.fail_after(CONTROL_TIMEOUT_S):
+                request = httpcore.Request(
+                    method, _url(server.address, target), headers=lines, content=body
+                )
+                response = await connection.handle_async_request(request)
+                async for chunk in response.aiter_stream():
+                    content += chunk
+                    if len(content) > REPORT_LIMIT_BYTES:
+                        raise calls.AnswerLostError(f"{server.server_id}: oversized answer")
+            if response.status == 421:
+                raise calls.NotRunError(f"{server.server_id}: another server", is_gone=True)
+            return response.status, bytes(content)
+        except trio.TooSlowError as error:
+            raise calls.AnswerLostError(f"{server.server_id}: no answer in time") from error
+        finally:
+            with trio.CancelScope(shield=True):
+                await connection.aclose()
+
+
+async def _connect(address: str, timeout_s: float) -> httpcore.AsyncHTTP11Connection:
+    host, _, port = address.rpartition(":")
+    origin = httpcore.Origin(b"http", host.encode(), int(port))
+    try:
+        stream = await pacing.connect(host, int(port), timeout_s, _no_pause)
+    except CONNECT_ERRORS as error:
+        is_gone = refusals.is_refusal(error) or isinstance(error, httpcore.ConnectTimeout)
+        raise calls.NotRunError(f"{address}: cannot connect: {error!r}", is_gone) from error
+    return httpcore.AsyncHTTP11Connection(origin, stream)
+
+
+def _no_pause() -> float:
+    return 0.0
+
+
+def _url(address: str, target: bytes) -> httpcore.URL:
+    host, _, port = address.rpartition(":")
+    return httpcore.URL(scheme=b"http", host=host.encode(), port=int(port), target=target)
+
+
+def _request(server: servers.Server, forwarded: calls.Forwarded) -> httpcore.Request:
+    call = forwarded.call
+    lines = [
+        (b"host", call.host.encode()),
+        *call.headers,
+        (headers.CALL_ID, call.call_id.encode()),
+        (headers.REMAINING_MS, str(max(1, int(forwarded.remaining_s * 1000))).encode()),
+        (headers.TARGET_INSTANCE, server.server_id.encode()),
+    ]
+    if call.body or call.method not in ("GET", "HEAD"):
+        lines.append((b"content-length", str(len(call.body)).encode()))
+    if forwarded.workspace:
+        lines.append((headers.WORKSPACE, forwarded.workspace.encode()))
+    if forwarded.last_event_id is not None:
+        lines.append((headers.LAST_EVENT_ID, str(forwarded.last_event_id).encode()))
+    return httpcore.Request(
+        call.method, _url(server.address, call.target), headers=lines, content=call.body
+    )
+
+
+def _check_refusal(server: servers.Server, response: httpcore.Response) -> None:
+    at_fault = headers.find(response.headers, headers.AT_FAULT)
+    if response.status == 421:
+        raise calls.NotRunError(
+            f"{server.server_id}: not this server, or not the head", True, at_fault
+        )
+    if headers.find(response.headers, headers.NOT_RUN):
+        raise calls.NotRunError(
+            f"{server.server_id}: refused with status {response.status}", at_fault=at_fault
+        )
+
+
+def _check_identity(call: calls.Call, response: httpcore.Response) -> None:
+    found = headers.find(response.headers, headers.CALL_ID)
+    if found and found != call.call_id:
+        raise calls.AnswerLostError(f"an answer to another request, {found}")
+    if 200 <= response.status < 300:
+        if not headers.find(response.headers, headers.SEAL):
+            raise calls.AnswerLostError("a success without the server's signature")
+        if headers.find(response.headers, b"content-encoding"):
+            raise calls.AnswerLostError("an encoded answer was not asked for")
+
+
+async def _chunks(
+    server: servers.Server, response: httpcore.Response
+) -> collections.abc.AsyncIterator[bytes]:
+    with _lost_answers(server):
+        async for chunk in response.aiter_stream():
+            yield chunk
+
+
+@contextlib.contextmanager
+def _lost_answers(server: servers.Server) -> collections.abc.Iterator[None]:
+    try:
+        yield
+    except TRANSFER_ERRORS as error:
+        detail = f"{server.server_id}: connection lost: {error!r}"
+        raise calls.AnswerLostError(detail, was_cut=True) from error
+
+
+def _order_body(order: orders.Order) -> dict:
+    match order:
+        case orders.Join():
+            members = list(order.members)
+            fields = {"op": "join", "model": order.model, "members": members}
+        case orders.Open():
+            fields = {"op": "open"}
+        case orders.Close():
+            fields = {"op": "close", "mode": "wait" if order.finishes_work else "abort"}
+        case orders.Leave():
+            fields = {"op": "leave"}
+        case orders.Stage():
+            return {"op": "stage", "model": order.model}
+    return fields | {"group": order.group, "epoch": order.epoch}
--- /dev/null
+++ b/toucanhold/registry/registry.py
@@ -0,0 +1,112 @@
+"""The backend servers that are there now, as they registered."""
+
+from __future__ import annotations
+
+import collections.abc
+import logging
+
+import attrs
+import trio
+
+from toucanhold import events
+from toucanhold.coordination import keyvalue, mirror
+from toucanhold.registry import servers
+
+# Registrations that lapsed in an outage are back about two seconds after its end: the servers
+# write each 1.2 s, and the service needs a moment. What is missing after that is gone.
+LAPSE_GRACE_S = 2.2
+
+LOGGER = logging.getLogger(__name__)
+
+Decoder = collections.abc.Callable[[keyvalue.Item], servers.Server | None]
+
+
+@attrs.define(eq=False)
+class Registry:
+    """Servers by name.
+
+    :ivar prefix: where registrations lie in the key-value service
+    :ivar decode: reads one registration; None for one that names no usable server
+    :ivar servers: those that are there
+    """
+
+    source: mirror.Mirror
+    prefix: str
+    decode: Decoder
+    servers: dict[str, servers.Server] = attrs.field(factory=dict, init=False)
+    _missing_since_s: dict[str, float] = attrs.field(factory=dict, init=False)
+    _listeners: list[collections.abc.Callable[[], None]] = attrs.field(factory=list, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Follow the registrations."""
+        self.source.listen(self.prefix, self._take)
+
+    def listen(self, listener: collections.abc.Callable[[], None]) -> None:
+        """Call ``listener`` after each change."""
+        self._listeners.append(listener)
+
+    def of_service(self, service: str) -> list[servers.Server]:
+        """Return the servers of one service."""
+        return [server for server in self.servers.values() if server.service == service]
+
+    def is_present(self, incarnation: tuple[str, int]) -> bool:
+        """Tell whether this very start of a server is registered."""
+        server = self.servers.get(incarnation[0])
+        return server is not None and server.incarnation == incarnation
+
+    async def run(self) -> None:
+        """Drop registrations that did not come back after an outage, until cancelled."""
+        while True:
+            await trio.sleep(0.1)
+            self._drop_missing()
+
+    def _take(self, keys: frozenset[str]) -> None:
+        for key in keys:
+            name = key.removeprefix(self.prefix)
+            item = self.source.items.get(key)
+            if item is None:
+                self._missing_since_s[name] = trio.current_time()
+                continue
+            self._missing_since_s.pop(name, None)
+            self._put(name, item)
+        self._drop_missing()
+        self._tell()
+
+    def _put(self, name: str, item: keyvalue.Item) -> None:
+        server = self.decode(item)
+        if server is None:
+            # Another writer's bytes must not keep a server in use that this name no longer tells.
+            events.log(LOGGER, events.Event.REGISTRATION_UNREADABLE, server=name)
+            self.servers.pop(name, None)
+            return
+        known = self.servers.get(name)
+        if known is None or known.incarnation != server.incarnation:
+            events.log(
+                LOGGER,
+                events.Event.SERVER_REGISTERED,
+                server=name,
+                service=server.service,
+                availability_zone=server.zone,
+                domain=server.domain,
+                revision=item.mod_revision,
+            )
+        self.servers[name] = server
+
+    def _drop_missing(self) -> None:
+        if not self._missing_since_s or not self._may_drop():
+            return
+        for name, since_s in list(self._missing_since_s.items()):
+            del self._missing_since_s[name]
+            if self.servers.pop(name, None) is not None:
+                age_s = round(trio.current_time() - since_s, 3)
+                events.log(LOGGER, events.Event.SERVER_GONE, server=name, missing_s=age_s)
+        self._tell()
+
+    def _may_drop(self) -> bool:
+        # All leases may lapse while the service is away; to believe that would take every server
+        # out of service at once. The wait after the last failed call lets the living ones return.
+        return self.source.is_answering and self.source.since_failure_s > LAPSE_GRACE_S
+
+    def _tell(self) -> None:
+        for listener in self._listeners:
+            listener()
--- /dev/null
+++ b/toucanhold/replicas/composition.py
@@ -0,0 +1,188 @@
+"""Which groups to form of which servers: a decision without network or clock."""
+
+from __future__ import annotations
+
+import collections.abc
+import math
+
+import attrs
+
+from toucanhold.registry import servers
+from toucanhold.routes import table
+
+# Two groups a domain and two spares are what domains of nine leave over beside groups of four
+# and three. A loss then finds its replacement in the domain, where joining takes 0.2 s.
+SPARE_SHARE = 2 / 9
+# Seconds to join: with the model of the last group, and besides from the host or the store.
+REJOIN_S = 0.2
+
+
+@attrs.frozen
+class Formation:
+    """A group to form; the first member is the head."""
+
+    model: str
+    members: tuple[servers.Server, ...]
+
+
+@attrs.frozen
+class Preparation:
+    """A spare server that is to hold a model ready."""
+
+    model: str
+    server: servers.Server
+
+
+@attrs.frozen
+class Situation:
+    """What a decision is made from.
+
+    :ivar free: servers that belong to no group and may be used, by domain
+    :ivar counts: groups that serve or form, by model
+    :ivar usable: servers of the service that are there, in groups or not
+    :ivar zone_counts: groups by model and availability zone
+    :ivar domain_counts: groups by model and domain
+    :ivar ending: groups by domain that are being taken apart: their servers are soon free
+    """
+
+    engine: table.Engine
+    free: collections.abc.Mapping[str, collections.abc.Sequence[servers.Server]]
+    counts: collections.abc.Mapping[str, int]
+    usable: int
+    zone_counts: collections.abc.Mapping[tuple[str, str], int]
+    domain_counts: collections.abc.Mapping[tuple[str, str], int]
+    ending: collections.abc.Mapping[str, int] = attrs.field(factory=dict)
+
+
+def join_s(server: servers.Server, model: table.Model) -> float:
+    """Return how long the server takes to join a group of the model, in seconds."""
+    if server.model == model.name:
+        return REJOIN_S
+    return model.warm_s if model.name in server.staged else model.load_s
+
+
+def wanted_counts(engine: table.Engine, usable: int) -> dict[str, float]:
+    """Return how many groups of each model the servers should form, spares aside."""
+    total_share = sum(model.share for model in engine.models) or 1.0
+    workable = usable * (1 - SPARE_SHARE)
+    return {
+        model.name: max(1.0, workable * model.share / total_share / model.size)
+        for model in engine.models
+    }
+
+
+@attrs.define
+class Composer:
+    """Decides for one service from one situation.
+
+    A group whose members must first load the model for a quarter of a minute would hold those
+    that need not; so but for the first groups of all, members load one by one as spares, and a
+    group is formed of servers that join within seconds.
+    """
+
+    situation: Situation
+    wanted: dict[str, float] = attrs.field(init=False)
+    counts: dict[str, int] = attrs.field(init=False)
+    _zone_counts: dict[tuple[str, str], int] = attrs.field(init=False)
+    _domain_counts: dict[tuple[str, str], int] = attrs.field(init=False)
+    _free: dict[str, list[servers.Server]] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Copy what changes while groups are chosen."""
+        situation = self.situation
+        self.wanted = wanted_counts(situation.engine, situation.usable)
+        self.counts = dict(situation.counts)
+        self._zone_counts = dict(situation.zone_counts)
+        self._domain_counts = dict(situation.domain_counts)
+        self._free = {domain: list(members) for domain, members in situation.free.items()}
+
+    def formations(self) -> list[Formation]:
+        """Return the groups to form now, most needed first."""
+        chosen: list[Formation] = []
+        while (formation := self._next()) is not None:
+            chosen.append(formation)
+            self._count(formation)
+        return chosen
+
+    def preparations(self) -> list[Preparation]:
+        """Return which of the servers that are left should load which model."""
+        chosen: list[Preparation] = []
+        for members in self._free.values():
+            ready = {
+                model.name: sum(_is_ready(server, model) for server in members)
+                for model in self.situation.engine.models
+            }
+            for server in members:
+                if not server.model and not server.staged:
+                    model = self._most_useful(ready)
+                    ready[model.name] += 1
+                    chosen.append(Preparation(model.name, server))
+                elif not server.model:
+                    # Holding a model in memory saves more than a second when it is needed.
+                    chosen.append(Preparation(server.staged[0], server))
+        return chosen
+
+    def _next(self) -> Formation | None:
+        neediest = sorted(self.situation.engine.models, key=lambda each: self._covered(each.name))
+        for model in neediest:
+            is_short = self.counts.get(model.name, 0) + 0.5 < self.wanted[model.name]
+            fitting = [
+                domain
+                for domain, members in self._free.items()
+                if self._may_form(model, members, is_short)
+            ]
+            if fitting:
+                domain = min(fitting, key=lambda each: self._rank(model, each))
+                return Formation(model.name, tuple(_members(model, self._free[domain])))
+        return None
+
+    def _may_form(self, model: table.Model, members: list[servers.Server], is_short: bool) -> bool:
+        # A group beyond those wanted must leave the spares that replace the next loss.
+        reserve = 0 if is_short else max(2, math.ceil(model.size / 2))
+        if len(members) < model.size + reserve:
+            return False
+        slowest_s = max(join_s(member, model) for member in _members(model, members))
+        is_first = not self.situation.counts and not self.situation.ending
+        return is_first or slowest_s <= max(model.warm_s, REJOIN_S)
+
+    def _rank(self, model: table.Model, domain: str) -> tuple:
+        members = _members(model, self._free[domain])
+        zone = members[0].zone
+        return (
+            round(max(join_s(member, model) for member in members), 1),
+            self._domain_counts.get((model.name, domain), 0),
+            self._zone_counts.get((model.name, zone), 0),
+            -len(self._free[domain]),
+            domain,
+        )
+
+    def _count(self, formation: Formation) -> None:
+        head = formation.members[0]
+        self.counts[formation.model] = self.counts.get(formation.model, 0) + 1
+        for counts, place in ((self._zone_counts, head.zone), (self._domain_counts, head.domain)):
+            key = formation.model, place
+            counts[key] = counts.get(key, 0) + 1
+        for member in formation.members:
+            self._free[head.domain].remove(member)
+
+    def _covered(self, model: str) -> float:
+        return self.counts.get(model, 0) / self.wanted[model]
+
+    def _most_useful(self, ready: collections.abc.Mapping[str, int]) -> table.Model:
+        # The spares of a domain serve to fill a group up: of each model some, and more of that
+        # of which groups are missing.
+        def use(model: table.Model) -> tuple[float, int]:
+            return ready[model.name] / model.size + self._covered(model.name), -model.size
+
+        return min(self.situation.engine.models, key=use)
+
+
+def _members(model: table.Model, free: list[servers.Server]) -> list[servers.Server]:
+    def cost(server: servers.Server) -> tuple:
+        return join_s(server, model), server.cold_until_s, server.server_id
+
+    return sorted(free, key=cost)[: model.size]
+
+
+def _is_ready(server: servers.Server, model: table.Model) -> bool:
+    return server.model == model.name or model.name in server.staged
--- /dev/null
+++ b/toucanhold/replicas/driver.py
@@ -0,0 +1,212 @@
+"""One group's way from its record to serving, and back to free servers."""
+
+from __future__ import annotations
+
+import functools
+import logging
+
+import attrs
+import trio
+
+from toucanhold import events
+from toucanhold.registry import registry, servers
+from toucanhold.replicas import ordering, orders, plan, records, signal
+
+# Orders without an effect are given again after this time; joins of loaded models take 0.2 s.
+ORDER_AGAIN_S = 1.0
+# Above the longest load (16 s) with several loads at once.
+FORMING_LIMIT_S = 45.0
+# Streams of a planned ending may finish for this long: most take under 3 s.
+FINISH_LIMIT_S = 5.0
+# Added to the time after which a head without its members breaks by itself.
+STALL_MARGIN_S = 0.5
+CHECK_INTERVAL_S = 0.25
+
+LOGGER = logging.getLogger(__name__)
+
+JOINED = (servers.GroupState.READY, servers.GroupState.OPEN, servers.GroupState.CLOSING)
+WORKING = (servers.GroupState.OPEN, servers.GroupState.CLOSING)
+
+
+@attrs.define(eq=False)
+class Driver:
+    """Drives one group while this entry is the planner.
+
+    It decides anew from the record and from what the servers report, so it can begin anywhere: a
+    new planner adopts what its predecessor left, whole groups without touching them.
+
+    :ivar stall_s: time after which a head that lacks a member breaks by itself
+    """
+
+    name: str
+    board: records.GroupBoard
+    plan: plan.Plan
+    known: registry.Registry
+    orderer: ordering.Orderer
+    news: signal.Signal
+    stall_s: float
+    _begun_s: float = attrs.field(factory=trio.current_time, init=False)
+    _ordered_s: dict[str, float] = attrs.field(factory=dict, init=False)
+    _ending_s: float = attrs.field(default=0.0, init=False)
+    _left_s: float = attrs.field(default=0.0, init=False)
+    _has_served: bool = attrs.field(default=False, init=False)
+
+    async def run(self) -> None:
+        """Drive until the group is removed, or this entry is no longer the planner."""
+        try:
+            while (group := self.board.groups.get(self.name)) is not None:
+                await self._step(group)
+        except ordering.NotPlannerError:
+            LOGGER.debug("%s: no longer the planner", self.name)
+
+    async def _step(self, group: records.Group) -> None:
+        try:
+            if group.is_ending:
+                if await self._is_taken_apart(group):
+                    await self.plan.remove(group)
+                    events.log(LOGGER, events.Event.GROUP_REMOVED, group=self.name)
+                    return
+            elif reason := self._reason_to_end(group):
+                events.log(
+                    LOGGER,
+                    events.Event.GROUP_ENDING,
+                    group=self.name,
+                    epoch=group.epoch,
+                    model=group.record.model,
+                    reason=reason,
+                )
+                await self.plan.mark_ending(group)
+                return
+            else:
+                await self._advance(group)
+        except plan.PlanWriteError as error:
+            LOGGER.debug("%s: %s", self.name, error)
+            await trio.sleep(CHECK_INTERVAL_S)
+        await self.news.wait(CHECK_INTERVAL_S)
+
+    def _reason_to_end(self, group: records.Group) -> str:
+        for member in group.record.members:
+            if not self.known.is_present(member.incarnation):
+                return f"{member.server_id} is gone"
+            server = self.known.servers[member.server_id]
+            if server.is_leaving:
+                return f"{member.server_id} is leaving"
+            if self.orderer.is_unreachable(member.incarnation):
+                return f"{member.server_id} does not answer"
+            membership = server.membership
+            if membership is not None and membership.epoch > group.epoch:
+                return f"{member.server_id} has joined a later group"
+        if self._head_state(group) is servers.GroupState.BROKEN:
+            return "the head has broken"
+        forming_s = trio.current_time() - self._begun_s
+        if not self._has_served and forming_s > FORMING_LIMIT_S:
+            return "it was not formed in time"
+        return ""
+
+    async def _advance(self, group: records.Group) -> None:
+        states = {
+            member.server_id: self.known.servers[member.server_id].state_in(group.name, group.epoch)
+            for member in group.record.members
+        }
+        missing = [name for name, state in states.items() if state is None]
+        if missing:
+            await self._join(group, missing)
+        elif all(state in JOINED for state in states.values()):
+            await self._open(group)
+
+    async def _join(self, group: records.Group, names: list[str]) -> None:
+        members = tuple(member.server_id for member in group.record.members)
+        order = orders.Join(group.name, group.epoch, group.record.model, members)
+        async with trio.open_nursery() as nursery:
+            for name in names:
+                if self._is_due(name):
+                    nursery.start_soon(self.orderer.give, self.known.servers[name], order)
+
+    async def _open(self, group: records.Group) -> None:
+        # Nobody but the planner checks the other members: each has reported by now that it is
+        # ready under this very name, epoch and list.
+        state = self._head_state(group)
+        if state is servers.GroupState.OPEN:
+            if not self._has_served:
+                self._has_served = True
+                events.log(
+                    LOGGER,
+                    events.Event.GROUP_SERVES,
+                    group=self.name,
+                    epoch=group.epoch,
+                    model=group.record.model,
+                    head=group.head.server_id,
+                    formed_in_s=round(trio.current_time() - self._begun_s, 3),
+                )
+            return
+        if state is servers.GroupState.READY and self._is_due("open"):
+            head = self.known.servers[group.head.server_id]
+            await self.orderer.give(head, orders.Open(group.name, group.epoch))
+
+    def _is_due(self, what: str) -> bool:
+        now_s = trio.current_time()
+        if now_s - self._ordered_s.get(what, float("-inf")) < ORDER_AGAIN_S:
+            return False
+        self._ordered_s[what] = now_s
+        return True
+
+    async def _is_taken_apart(self, group: records.Group) -> bool:
+        """Do the next thing towards free servers; tell whether they are."""
+        self._ending_s = self._ending_s or trio.current_time()
+        if self._is_head_dead(group):
+            return True
+        head = self.known.servers.get(group.head.server_id)
+        if head is None or self.orderer.is_unreachable(head.incarnation):
+            return await self._outlast_head(group)
+        state = head.state_in(group.name, group.epoch)
+        if state in WORKING:
+            await self._close(group, head)
+            return False
+        if state in (None, servers.GroupState.BROKEN):
+            return True
+        return await self._leave_head(group, head)
+
+    def _is_head_dead(self, group: records.Group) -> bool:
+        """Tell whether the head has certainly ended: it has started again since."""
+        head = self.known.servers.get(group.head.server_id)
+        return head is not None and head.incarnation != group.head.incarnation
+
+    async def _close(self, group: records.Group, head: servers.Server) -> None:
+        is_whole = all(
+            self.known.is_present(member.incarnation)
+            and not self.orderer.is_unreachable(member.incarnation)
+            for member in group.record.members
+        )
+        in_time = trio.current_time() - self._ending_s < FINISH_LIMIT_S
+        # Without all its members the head finishes nothing; to wait would hold the others idle.
+        finishes_work = is_whole and in_time
+        if self._is_due(f"close {finishes_work}"):
+            order = orders.Close(group.name, group.epoch, finishes_work)
+            await self.orderer.give(head, order)
+
+    async def _leave_head(self, group: records.Group, head: servers.Server) -> bool:
+        # An order to open whose answer was lost may still be carried out. One more order moves
+        # the count on that the late one expects.
+        outcome = await self.orderer.give(head, orders.Leave(group.name, group.epoch))
+        return outcome in (orders.OrderOutcome.BEGUN, orders.OrderOutcome.HOLDS)
+
+    async def _outlast_head(self, group: records.Group) -> bool:
+        """Take the other members from a head that cannot be asked, and let it break by itself.
+
+        Nobody can tell from here whether the head is dead or only cut off with its group open. A
+        head that lacks a member breaks after a known time; until then its members stay its own.
+        """
+        if not self._left_s:
+            async with trio.open_nursery() as nursery:
+                for member in group.record.members[1:]:
+                    if self.known.is_present(member.incarnation):
+                        leave = functools.partial(
+                            self.orderer.give, self.known.servers[member.server_id]
+                        )
+                        nursery.start_soon(leave, orders.Leave(group.name, group.epoch))
+            self._left_s = trio.current_time()
+        return trio.current_time() - self._left_s > self.stall_s + STALL_MARGIN_S
+
+    def _head_state(self, group: records.Group) -> servers.GroupState | None:
+        head = self.known.servers.get(group.head.server_id)
+        return head.state_in(group.name, group.epoch) if head is not None else None
--- /dev/null
+++ b/toucanhold/replicas/ordering.py
@@ -0,0 +1,96 @@
+"""Giving orders so that a late or doubled one can do no harm."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import logging
+
+import attrs
+import trio
+
+from toucanhold import events
+from toucanhold.registry import registry, servers
+from toucanhold.replicas import orders
+
+# A server that does not answer is not asked again, nor used in a new group, for this long; a
+# registration lapses after three heartbeats of 1.2 s.
+UNREACHABLE_S = 4.0
+
+LOGGER = logging.getLogger(__name__)
+
+
+class NotPlannerError(Exception):
+    """This entry is not, or no longer, the planner."""
+
+
+@attrs.define(eq=False)
+class Orderer:
+    """Gives orders to servers, one at a time each, while this entry is the planner.
+
+    :ivar fence: returns the planner's fencing number; 0 where it may not act
+    """
+
+    engines: orders.EngineClient
+    known: registry.Registry
+    fence: collections.abc.Callable[[], int]
+    _counts: dict[tuple[str, int], int] = attrs.field(factory=dict, init=False)
+    _unreachable_until_s: dict[tuple[str, int], float] = attrs.field(factory=dict, init=False)
+    _locks: dict[str, trio.Lock] = attrs.field(
+        factory=lambda: collections.defaultdict(trio.Lock), init=False
+    )
+
+    def is_unreachable(self, incarnation: tuple[str, int]) -> bool:
+        """Tell whether a server did not answer a moment ago."""
+        return trio.current_time() < self._unreachable_until_s.get(incarnation, 0.0)
+
+    async def give(self, server: servers.Server, order: orders.Order) -> orders.OrderOutcome:
+        """Give one order; one that is refused for its count is given once more.
+
+        :raises NotPlannerError: when this entry may not give orders now
+        """
+        async with self._locks[server.server_id]:
+            if server.incarnation not in self._counts and await self.look(server) is None:
+                return orders.OrderOutcome.UNREACHABLE
+            outcome = await self._give_once(server, order)
+            if outcome is orders.OrderOutcome.REFUSED:
+                # Orders of an earlier planner, or late ones, have moved the count.
+                if await self.look(server) is not None:
+                    outcome = await self._give_once(server, order)
+            return outcome
+
+    async def look(self, server: servers.Server) -> servers.Server | None:
+        """Ask a server for its present state; None where it does not answer."""
+        found = await self.engines.look(server)
+        if found is None or found.incarnation != server.incarnation:
+            self._mark_unreachable(server.incarnation)
+            return None
+        self._unreachable_until_s.pop(server.incarnation, None)
+        self._counts[server.incarnation] = found.order_count or 0
+        return found
+
+    async def _give_once(self, server: servers.Server, order: orders.Order) -> orders.OrderOutcome:
+        # The process may have been paused since the decision; another planner acts by then.
+        fence = self.fence()
+        if not fence:
+            raise NotPlannerError(server.server_id)
+        count = self._counts[server.incarnation]
+        outcome = await self.engines.give(server, order, count, fence)
+        if outcome is orders.OrderOutcome.BEGUN:
+            self._counts[server.incarnation] = count + 1
+        if outcome is orders.OrderOutcome.UNREACHABLE:
+            self._mark_unreachable(server.incarnation)
+        events.log(
+            LOGGER,
+            events.Event.ORDER_ANSWERED,
+            server=server.server_id,
+            order=type(order).__name__.lower(),
+            group=getattr(order, "group", None),
+            epoch=getattr(order, "epoch", None),
+            expected_orders=count,
+            outcome=outcome.value,
+        )
+        return outcome
+
+    def _mark_unreachable(self, incarnation: tuple[str, int]) -> None:
+        self._unreachable_until_s[incarnation] = trio.current_time() + UNREACHABLE_S
--- /dev/null
+++ b/toucanhold/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Routes of callers' requests, services and workspaces."""
--- a/toucanhold/routing/router.py
+++ b/toucanhold/routing/router.py
@@ -10,10 +10,10 @@
 
 from toucanhold.backends import client
 from toucanhold.configuration import holder
+from toucanhold.coordination import keyvalue
 from toucanhold.observing import view
 from toucanhold.peers import exchange
 from toucanhold.plans import plan
-from toucanhold.platform import keyvalue
 from toucanhold.routing import (
     candidates,
     choice,
--- a/toucanhold/routing/slots.py
+++ b/toucanhold/routing/slots.py
@@ -14,7 +14,7 @@
 import trio
 
 from toucanhold import events
-from toucanhold.platform import keyvalue
+from toucanhold.coordination import keyvalue
 
 # All entries must count the same slots: another number needs another prefix.
 SLOTS = 256
--- a/toucanhold/routing/sse.py
+++ b/toucanhold/routing/sse.py
@@ -37,6 +37,11 @@
 
     _buffer: bytearray = attrs.field(factory=bytearray)
 
+    @property
+    def has_rest(self) -> bool:
+        """Whether the bytes so far end within an event."""
+        return bool(self._buffer)
+
     def feed(self, chunk: bytes) -> collections.abc.Iterator[ServerSentEvent]:
         """Yield the events that ``chunk`` completes.
 
