--- a/standins/memory.py
+++ b/standins/memory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import collections
 import collections.abc
 import contextlib
@@ -11,7 +12,7 @@
 import trio.testing
 
 from standins import keyvalue, serving
-from toucanhold.coordination import etcd
+from toucanhold.coordination import etcd, mirror
 from toucanhold.coordination import keyvalue as contract
 from toucanhold.peers import transport
 
@@ -56,6 +57,11 @@
         self.faults.setdefault(name, Faults(self._mode))
         return MemoryClient("http://memory", name, platform=self)
 
+    def mirrored(self, name: str) -> MirroredClient:
+        """Return a client that also tells what has changed."""
+        self.faults.setdefault(name, Faults(self._mode))
+        return MirroredClient("http://memory", name, platform=self)
+
     def set_mode(self, mode: str, *names: str) -> None:
         """Set the mode of the named clients; by default of all, those to come among them."""
         for name in names or list(self.faults):
@@ -145,6 +151,43 @@
             await trio.sleep(delay_s)
 
 
+@attrs.define(eq=False)
+class MirroredClient(MemoryClient, mirror.ChangeSource):
+    """A client that also tells what has changed."""
+
+    async def read_all(self, prefix: str) -> contract.RangeResult:
+        """See :class:`mirror.ChangeSource`."""
+        return await self.read(prefix)
+
+    async def read_changes(self, prefix: str, after_revision: int, wait_s: float) -> mirror.Changes:
+        """See :class:`mirror.ChangeSource`."""
+        self.platform.calls[self.client_name, "watch"] += 1
+        await self._meet_faults()
+        async with self.watch(prefix, after_revision + 1) as revisions:
+            with trio.move_on_after(wait_s):
+                async for _ in revisions:
+                    break
+        return await self._changes(prefix, after_revision)
+
+    async def _changes(self, prefix: str, after_revision: int) -> mirror.Changes:
+        store = self.platform.store
+        if self.faults.silent_watches or self.faults.mode == "silent":
+            return mirror.Changes(after_revision)
+        start = prefix.encode()
+        end = start[:-1] + bytes([start[-1] + 1])
+        touched = {
+            base64.b64decode(event["kv"]["key"]).decode()
+            for _, events in store.events_from(after_revision + 1, start, end)
+            for event in events
+        }
+        present = {item.key: item for item in (await self.read(prefix)).items}
+        return mirror.Changes(
+            store.revision,
+            tuple(present[key] for key in sorted(touched & present.keys())),
+            tuple(sorted(touched - present.keys())),
+        )
+
+
 @attrs.define(eq=False)
 class MemoryNetwork:
     """Streams between named hosts; pairs of hosts can be cut off from each other silently."""
--- /dev/null
+++ b/tests/clocked.py
@@ -0,0 +1,17 @@
+"""Tests on trio's test clock."""
+
+import functools
+
+import trio
+import trio.testing
+
+
+def on_test_clock(function):
+    """Run an async test method on a clock that jumps over waits."""
+
+    @functools.wraps(function)
+    def run(self):
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        trio.run(function, self, clock=clock)
+
+    return run
--- /dev/null
+++ b/tests/platform/test_platform_store.py
@@ -0,0 +1,81 @@
+"""The platform's store as a key-value service of the product."""
+
+import unittest
+
+import trio
+
+from tests.platform import standins
+from toucanhold.coordination import keyvalue
+from toucanhold.platform import store
+
+
+def with_store(function):
+    def run(self):
+        async def main():
+            app = standins.StoreApp()
+            async with standins.served(app) as address:
+                client = store.StoreClient(address)
+                await function(self, app, client)
+                await client.close()
+
+        trio.run(main)
+
+    return run
+
+
+class StoreTest(unittest.TestCase):
+    @with_store
+    async def test_pages_are_read_to_the_end(self, app, client):
+        app.page_size = 2
+        for number in range(5):
+            app.put(f"servers/{number}", b"x")
+        result = await client.read_all("servers/")
+        self.assertEqual(5, len(result.items))
+        self.assertEqual(app.revision, result.revision)
+
+    @with_store
+    async def test_changes_tell_items_and_deletions(self, app, client):
+        app.put("a/1", b"x")
+        start = app.revision
+        app.put("a/2", b"y")
+        await client.commit([], [keyvalue.Write("a/1", None)])
+        changes = await client.read_changes("a/", start, 1.0)
+        self.assertEqual(["a/2"], [item.key for item in changes.items])
+        self.assertEqual(("a/1",), changes.deleted)
+
+    @with_store
+    async def test_history_that_is_gone_is_told(self, app, client):
+        app.put("a/1", b"x")
+        app.forget_history()
+        with self.assertRaises(keyvalue.CompactedError):
+            await client.read_changes("a/", 1, 0.1)
+
+    @with_store
+    async def test_write_takes_effect_only_if_its_conditions_hold(self, app, client):
+        write = keyvalue.Write("k", b"1")
+        first = await client.commit([keyvalue.Condition("k", mod_revision=0)], [write])
+        self.assertTrue(first.succeeded)
+        again = await client.commit([keyvalue.Condition("k", mod_revision=0)], [write])
+        self.assertFalse(again.succeeded)
+        item = await client.read_key("k")
+        self.assertEqual(
+            (first.revision, first.revision), (item.create_revision, item.mod_revision)
+        )
+
+    @with_store
+    async def test_refused_call_did_nothing_and_lost_one_may_have(self, app, client):
+        app.refuse = 503
+        with self.assertRaises(keyvalue.UnavailableError):
+            await client.commit([], [keyvalue.Write("k", b"1")])
+        app.refuse, app.lose_answers = 0, 1
+        with self.assertRaises(keyvalue.UnclearError):
+            await client.commit([], [keyvalue.Write("k", b"1")])
+        self.assertIsNotNone(await client.read_key("k"))
+
+    @with_store
+    async def test_lease_ends(self, app, client):
+        lease = await client.grant_lease(2)
+        self.assertEqual(2000, app.leases[lease])
+        self.assertTrue(await client.keep_alive(lease))
+        await client.revoke_lease(lease)
+        self.assertFalse(await client.keep_alive(lease))
--- /dev/null
+++ b/tests/platform/test_platform_words.py
@@ -0,0 +1,144 @@
+"""Settings, registrations and configurations as the platform writes them."""
+
+import json
+import unittest
+
+import trio
+
+from toucanhold.coordination import keyvalue
+from toucanhold.platform import configuration, registrations, settings
+from toucanhold.registry import servers
+from toucanhold.routes import table
+
+SETTINGS = """
+node = "front-1"
+zone = "zone-a"
+region = "r"
+ip = "10.1.0.40"
+internal_ports = [7340, 7355]
+heartbeat_ms = 1200
+[listen]
+front = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+directory = "10.1.0.40:8224"
+[bounds]
+retry_ratio = 0.2
+retry_slack = 132
+stall_ms = 4000
+grace_s = 8
+[platform]
+address = "10.200.1.7:8223"
+ttl_min_ms = 1000
+"""
+REGISTRATION = {
+    "service": "llm",
+    "address": "10.128.0.9:8080",
+    "zone": "zone-a",
+    "slots": 13,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "models": [{"name": "m0", "version": 1, "adapters": []}],
+    "seq": 4,
+    "born": 17,
+    "domain": "d1",
+    "staged": ["m0"],
+    "group": {"name": "g7", "epoch": 12, "rank": 0, "state": "open"},
+}
+ROUTE = {
+    "name": "r1",
+    "host": "A.example",
+    "path_prefix": "/a/",
+    "kind": "streaming",
+    "timeout_ms": 8000,
+    "goal_ms": 300,
+    "priority": 1,
+    "split": [{"service": "llm", "weight": 90}, {"service": "other", "weight": 0}],
+    "attempts": 2,
+    "public": False,
+    "resumable": True,
+    "gap_target_ms": 300,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [{"name": "llm", "cold_per_s": 36.0}],
+    "limits": {"max_body_bytes": 4194304, "max_header_bytes": 16384, "idle_timeout_ms": 15000},
+    "tenants": [{"name": "w1", "api_keys": ["k1", "k2"], "priority": 1}],
+}
+
+
+def item(key, plain):
+    value = plain if isinstance(plain, bytes) else json.dumps(plain).encode()
+    return keyvalue.Item(key, value, 5, 6)
+
+
+async def decoded(plain):
+    return registrations.decode(item("servers/i-1", plain))
+
+
+class SettingsTest(unittest.TestCase):
+    def test_units_are_turned_into_seconds(self):
+        found = settings.parse(SETTINGS)
+        self.assertEqual("10.1.0.40:7340", found.exchange_address)
+        self.assertEqual(4.0, found.bounds.stall_s)
+
+    def test_every_mistake_is_named(self):
+        text = SETTINGS.replace('node = "front-1"', "node = 3").replace("= 0.2", '= "much"')
+        with self.assertRaises(settings.SettingsError) as caught:
+            settings.parse(text.replace("[7340, 7355]", "[]"))
+        for name in ("node", "bounds.retry_ratio", "internal_ports"):
+            self.assertIn(name, str(caught.exception))
+
+    def test_missing_file_is_an_error_that_says_so(self):
+        with self.assertRaisesRegex(settings.SettingsError, "TOUCANHOLD_SETTINGS"):
+            settings.load({})
+        with self.assertRaisesRegex(settings.SettingsError, "nowhere"):
+            settings.load({settings.FILE_VARIABLE: "/nowhere"})
+
+
+class RegistrationTest(unittest.TestCase):
+    def test_fields_say_what_they_hold(self):
+        server = trio.run(decoded, REGISTRATION)
+        self.assertEqual(
+            ("i-1", 17, "m0", "d1"), (*server.incarnation, server.model, server.domain)
+        )
+        self.assertIs(servers.GroupState.OPEN, server.state_in("g7", 12))
+        self.assertIsNone(server.order_count)
+
+    def test_other_writers_entries_name_no_server(self):
+        broken = [
+            b"\xff",
+            b"[]",
+            b"{}",
+            REGISTRATION | {"address": None},
+            REGISTRATION | {"state": "dancing"},
+            REGISTRATION | {"service": 5},
+        ]
+        for plain in broken:
+            with self.subTest(plain=plain):
+                self.assertIsNone(trio.run(decoded, plain))
+
+    def test_odd_values_in_fields_that_may_lack_do_no_harm(self):
+        odd = REGISTRATION | {"slots": "many", "born": None, "staged": 4, "group": [], "models": 1}
+        server = trio.run(decoded, odd)
+        self.assertEqual((1, 0, (), None), (server.slots, server.born_ms, server.staged, None))
+
+
+class ConfigurationTest(unittest.TestCase):
+    def test_routes_services_and_keys(self):
+        found = configuration.decode(item("op/config", CONFIGURATION))
+        route = found.find("a.example", "/a/b")
+        self.assertIs(table.Repeatability.RESUMABLE, route.repeatability)
+        self.assertEqual([table.ServiceShare("llm", 90)], list(route.split))
+        self.assertEqual((8.0, 0.3), (route.timeout_s, route.objective_s))
+        self.assertEqual("w1", found.workspaces["k2"].name)
+
+    def test_stream_that_may_not_be_resumed_runs_once(self):
+        plain = CONFIGURATION | {"routes": [ROUTE | {"resumable": False}]}
+        found = configuration.decode(item("op/config", plain))
+        self.assertFalse(found.find("a.example", "/a/b").may_repeat)
+
+    def test_unreadable_configuration_is_an_error(self):
+        for plain in (b"{", {"version": 3}, CONFIGURATION | {"routes": [{"name": "x"}]}):
+            with self.subTest(plain=plain), self.assertRaises(configuration.ConfigurationError):
+                configuration.decode(item("op/config", plain))
--- /dev/null
+++ b/tests/test_composition.py
@@ -0,0 +1,111 @@
+"""Which groups are formed of which servers, and which model spares load."""
+
+import collections
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from standins import replicas
+from toucanhold.registry import servers
+from toucanhold.replicas import composition
+from toucanhold.routes import table
+
+
+def new_server(name, domain, model="", staged=()):
+    zone = "zone-" + domain[-1]
+    return servers.Server(
+        name, 1, "writers", f"{name}:80", zone, 13, False, 0.0, domain, model, staged
+    )
+
+
+def new_domain(domain, count, model="", staged=()):
+    names = [f"{domain}-{number}" for number in range(count)]
+    return [new_server(name, domain, model, staged) for name in names]
+
+
+def new_situation(free, counts=None, usable=None, engine=None, ending=None):
+    engine = engine or replicas.new_engine()
+    usable = usable if usable is not None else sum(map(len, free.values()))
+    return composition.Situation(engine, free, counts or {}, usable, {}, {}, ending or {})
+
+
+class StartTest(unittest.TestCase):
+    def test_each_domain_of_nine_gets_both_models_and_keeps_two_spares(self):
+        free = {f"d{number}": new_domain(f"d{number}", 9) for number in range(6)}
+        composer = composition.Composer(new_situation(free))
+        chosen = composer.formations()
+        found = collections.Counter((each.model, each.members[0].domain) for each in chosen)
+        self.assertEqual(12, len(found))
+        self.assertEqual({1}, set(found.values()))
+        prepared = collections.Counter(each.model for each in composer.preparations())
+        self.assertEqual({"large": 6, "small": 6}, prepared)
+
+    def test_members_of_a_group_share_a_domain(self):
+        free = {f"d{number}": new_domain(f"d{number}", 3) for number in range(8)}
+        chosen = composition.Composer(new_situation(free)).formations()
+        self.assertTrue(chosen)
+        for formation in chosen:
+            self.assertEqual(1, len({member.domain for member in formation.members}))
+
+    def test_one_model_of_single_servers_uses_all_but_the_spares(self):
+        model = table.Model("one", 1, 1.0, 1.0, 10.0, 1.0)
+        free = {"d0": new_domain("d0", 9)}
+        situation = new_situation(free, engine=replicas.new_engine(model))
+        self.assertEqual(7, len(composition.Composer(situation).formations()))
+
+
+class RepairTest(unittest.TestCase):
+    def test_survivors_and_a_spare_that_holds_the_model_form_at_once(self):
+        free = {"d0": new_domain("d0", 3, "large") + [new_server("spare", "d0", "large")]}
+        composer = composition.Composer(new_situation(free, {"large": 5, "small": 6}, 54))
+        (formation,) = composer.formations()
+        self.assertEqual("large", formation.model)
+
+    def test_no_group_waits_for_a_member_that_loads_for_a_quarter_of_a_minute(self):
+        """Three survivors hold the model, a new server does not.
+
+        As a group they would wait 16 s for it, bound to each other. Loading by itself it leaves
+        them free for a spare that comes earlier.
+        """
+        free = {"d0": new_domain("d0", 3, "large") + [new_server("new", "d0")]}
+        composer = composition.Composer(new_situation(free, {"large": 5, "small": 6}, 54))
+        self.assertEqual([], composer.formations())
+        (preparation,) = composer.preparations()
+        self.assertEqual("new", preparation.server.server_id)
+
+    def test_extra_groups_leave_spares_for_the_next_loss(self):
+        free = {"d0": new_domain("d0", 4, "large")}
+        situation = new_situation(free, {"large": 7, "small": 7}, 54)
+        self.assertEqual([], composition.Composer(situation).formations())
+
+    def test_model_that_lacks_groups_goes_first(self):
+        free = {"d0": new_domain("d0", 4, "large", ("large", "small"))}
+        situation = new_situation(free, {"large": 6, "small": 1}, 54)
+        (formation,) = composition.Composer(situation).formations()
+        self.assertEqual("small", formation.model)
+
+
+class AnySituationTest(unittest.TestCase):
+    @hypothesis.settings(deadline=None, max_examples=150, derandomize=True)
+    @hypothesis.given(
+        sizes=strategies.lists(strategies.integers(1, 40), min_size=1, max_size=6),
+        models=strategies.lists(
+            strategies.tuples(strategies.integers(1, 16), strategies.floats(0.05, 1.0)),
+            min_size=1,
+            max_size=3,
+        ),
+    )
+    def test_no_server_is_in_two_groups_and_each_group_is_whole(self, sizes, models):
+        engine = replicas.new_engine(
+            *(
+                table.Model(f"m{number}", size, share, 1.0, 10.0, 1.0)
+                for number, (size, share) in enumerate(models)
+            )
+        )
+        free = {f"d{n}": new_domain(f"d{n}", size) for n, size in enumerate(sizes)}
+        chosen = composition.Composer(new_situation(free, engine=engine)).formations()
+        used = [member.server_id for each in chosen for member in each.members]
+        self.assertEqual(len(used), len(set(used)))
+        for formation in chosen:
+            self.assertEqual(engine.model(formation.model).size, len(formation.members))
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,270 @@
+"""What callers get of requests on routes, whatever happens to backend servers."""
+
+import unittest
+
+import attrs
+import trio
+
+from standins import gateways
+from tests import clocked
+from toucanhold.gateway import calls
+from toucanhold.routes import table
+
+
+class RouteTest(unittest.TestCase):
+    @clocked.on_test_clock
+    async def test_longest_prefix_wins(self):
+        scene = gateways.GatewayScene()
+        narrow = attrs.evolve(gateways.LOOKUPS, name="narrow", prefix="/lookups/old/")
+        routes = scene.new_table(1, gateways.LOOKUPS, narrow)
+        self.assertEqual("narrow", routes.find(gateways.HOST, "/lookups/old/1").name)
+        self.assertEqual("lookups", routes.find(gateways.HOST, "/lookups/older").name)
+        self.assertIsNone(routes.find(gateways.HOST, "/lookup"))
+        self.assertIsNone(routes.find("other.example", "/lookups/1"))
+
+    @clocked.on_test_clock
+    async def test_older_version_never_replaces_a_newer_one(self):
+        scene = gateways.GatewayScene()
+        self.assertTrue(scene.routes.put(scene.new_table(7, gateways.LOOKUPS)))
+        self.assertFalse(scene.routes.put(scene.new_table(6, gateways.ORDERS)))
+        self.assertEqual(7, scene.routes.table.version)
+
+    @clocked.on_test_clock
+    async def test_key_that_was_taken_away_is_refused_at_once(self):
+        scene = gateways.GatewayScene()
+        private = attrs.evolve(gateways.LOOKUPS, is_public=False)
+        keys = {"k1": table.Workspace("council", None)}
+        scene.routes.put(scene.new_table(2, private, keys=keys))
+        async with scene.running():
+            reply, error = await scene.ask(gateways.new_call("/lookups/1", key="k1"))
+            self.assertEqual((200, None), (reply.status, error))
+            self.assertEqual("council", scene.desk.arrivals[0][2].workspace)
+            scene.routes.put(scene.new_table(3, private, keys={}))
+            _, error = await scene.ask(gateways.new_call("/lookups/1", key="k1"))
+            self.assertIs(calls.RefusalReason.UNKNOWN_KEY, error.reason)
+
+    @clocked.on_test_clock
+    async def test_without_a_configuration_callers_are_told_to_come_back(self):
+        scene = gateways.GatewayScene()
+        scene.routes.table = None
+        _, error = await scene.ask(gateways.new_call("/lookups/1"))
+        self.assertIs(calls.RefusalReason.NO_ROUTES_YET, error.reason)
+        self.assertGreater(error.retry_after_s, 0)
+
+
+class OnceTest(unittest.TestCase):
+    @clocked.on_test_clock
+    async def test_order_with_a_lost_answer_is_not_sent_again(self):
+        """The caller gets an answer that promises nothing.
+
+        A server runs the order and the connection breaks. Nobody can tell from here whether it
+        ran, so a second server must not get it, and a refusal would be untrue.
+        """
+        scene = gateways.GatewayScene()
+        for name in scene.registered:
+            scene.desk.behaviours[name].loses_answer = True
+        async with scene.running():
+            _, error = await scene.ask(gateways.new_call("/orders/1"))
+        self.assertEqual(1, len(scene.desk.runs))
+        self.assertTrue(error.has_run)
+
+    @clocked.on_test_clock
+    async def test_order_that_a_server_has_not_run_goes_to_another(self):
+        scene = gateways.GatewayScene()
+        scene.desk.behaviours["b0"].refuses = True
+        scene.desk.behaviours["b1"].refuses = True
+        async with scene.running():
+            reply, error = await scene.ask(gateways.new_call("/orders/1"))
+        self.assertEqual((200, None), (reply.status, error))
+        self.assertEqual([("b2", "call-1")], scene.desk.runs)
+
+    @clocked.on_test_clock
+    async def test_order_that_waits_past_its_time_is_not_said_not_to_have_run(self):
+        """The caller hears at the route's timeout that nothing is known of the order.
+
+        A server has the order and is slow. At the timeout the order may be running.
+        """
+        scene = gateways.GatewayScene()
+        for name in scene.registered:
+            scene.desk.behaviours[name].work_s = 10.0
+        async with scene.running():
+            began_s = trio.current_time()
+            _, error = await scene.ask(gateways.new_call("/orders/1"))
+            self.assertAlmostEqual(1.2, trio.current_time() - began_s, delta=0.01)
+        self.assertTrue(error.has_run)
+        self.assertIs(calls.RefusalReason.TOO_LATE, error.reason)
+
+
+class LookupTest(unittest.TestCase):
+    @clocked.on_test_clock
+    async def test_lookup_with_a_lost_answer_is_sent_to_another_server(self):
+        scene = gateways.GatewayScene(gateways.new_servers(2))
+        scene.desk.behaviours["b0"].loses_answer = True
+        scene.loads.add("b1")
+        async with scene.running():
+            reply, error = await scene.ask(gateways.new_call("/lookups/1"))
+        self.assertEqual((200, None), (reply.status, error))
+
+    @clocked.on_test_clock
+    async def test_no_more_servers_run_it_than_its_route_allows(self):
+        scene = gateways.GatewayScene()
+        for name in scene.registered:
+            scene.desk.behaviours[name].loses_answer = True
+        async with scene.running():
+            _, error = await scene.ask(gateways.new_call("/lookups/1"))
+        self.assertEqual(2, len(scene.desk.runs))
+        self.assertTrue(error.has_run)
+
+    @clocked.on_test_clock
+    async def test_retries_stay_within_their_budget(self):
+        """All servers lose all answers. Each lookup could be sent twice.
+
+        The service would get double its load just when it fails. The budget allows 70 in 100 of
+        a fifth of the requests and of the slack.
+        """
+        scene = gateways.GatewayScene(retry_slack=10.0)
+        for name in scene.registered:
+            scene.desk.behaviours[name].loses_answer = True
+        async with scene.running():
+            for number in range(50):
+                await scene.ask(gateways.new_call("/lookups/1", body=str(number).encode()))
+        self.assertLessEqual(len(scene.desk.runs), 50 + 0.7 * (0.2 * 50 + 10))
+
+    @clocked.on_test_clock
+    async def test_failing_server_gets_less_work(self):
+        scene = gateways.GatewayScene()
+        scene.desk.behaviours["b0"].status = 500
+        async with scene.running():
+            for number in range(30):
+                await scene.ask(gateways.new_call("/orders/1", body=str(number).encode()))
+        failed = sum(name == "b0" for name, _ in scene.desk.runs)
+        self.assertLess(failed, 6)
+
+
+class StreamTest(unittest.TestCase):
+    @clocked.on_test_clock
+    async def test_cut_stream_goes_on_at_another_server(self):
+        """The caller gets each event once, in order, and the end.
+
+        The connection breaks in the middle of the fifth event. What has come of that event must
+        not reach the caller, and the second server begins with it.
+        """
+        scene = gateways.GatewayScene()
+        for name in scene.registered:
+            scene.desk.behaviours[name].cut_after = 4
+        async with scene.running() as nursery:
+            nursery.start_soon(self._mend, scene)
+            reply, error = await scene.ask(gateways.new_call("/streams/1"))
+        self.assertIsNone(error)
+        self.assertEqual(list(range(1, 11)), reply.event_ids)
+        self.assertTrue(reply.is_complete)
+
+    async def _mend(self, scene):
+        await trio.sleep(0.1)
+        for behaviour in scene.desk.behaviours.values():
+            behaviour.cut_after = None
+
+    @clocked.on_test_clock
+    async def test_silent_stream_goes_on_at_another_server_within_its_pause(self):
+        """The caller sees a pause of less than 0.4 s.
+
+        A group loses a member: its head keeps the connection and sends nothing more. Nothing
+        breaks, so only the silence tells.
+        """
+        scene = gateways.GatewayScene()
+        async with scene.running() as nursery:
+            nursery.start_soon(self._silence_after, scene, 3)
+            reply, error = await scene.ask(gateways.new_call("/streams/1"))
+        self.assertIsNone(error)
+        self.assertEqual(list(range(1, 11)), reply.event_ids)
+        pauses = [b - a for a, b in zip(reply.arrivals_s, reply.arrivals_s[1:], strict=False)]
+        self.assertLess(max(pauses), 0.4)
+        self.assertEqual(1, len(scene.silent))
+        self.assertEqual(0, sum(scene.desk.working.values()))
+
+    async def _silence_after(self, scene, events):
+        await trio.sleep(0.01)
+        (_, name, _), *_ = scene.desk.arrivals
+        scene.desk.behaviours[name].silent_after = events
+
+    @clocked.on_test_clock
+    async def test_stream_that_cannot_go_on_does_not_look_complete(self):
+        scene = gateways.GatewayScene()
+        for name in scene.registered:
+            scene.desk.behaviours[name].cut_after = 2
+        async with scene.running():
+            reply, error = await scene.ask(gateways.new_call("/streams/1"))
+        self.assertIsInstance(error, calls.AnswerLostError)
+        self.assertFalse(reply.is_complete)
+        self.assertEqual([1, 2, 3, 4], reply.event_ids)
+
+    @clocked.on_test_clock
+    async def test_caller_who_leaves_frees_the_server_at_once(self):
+        scene = gateways.GatewayScene()
+        async with scene.running():
+            with trio.move_on_after(0.2):
+                await scene.ask(gateways.new_call("/streams/1"))
+            self.assertEqual(0, sum(scene.desk.working.values()))
+            self.assertEqual(0, sum(scene.loads.own.values()))
+            self.assertEqual(0, scene.gateway.in_flight)
+
+
+class CrashTest(unittest.TestCase):
+    @clocked.on_test_clock
+    async def test_request_that_crashes_servers_is_refused_after_three(self):
+        """A request crashes every server that begins it, and its caller comes again.
+
+        Each time two servers would be lost to all other callers. The third loss shows that it is
+        the request: from then on it is refused without being sent.
+        """
+        scene = gateways.GatewayScene()
+        for name in scene.registered:
+            scene.desk.behaviours[name].loses_answer = True
+        async with scene.running():
+            for _ in range(4):
+                _, error = await scene.ask(gateways.new_call("/lookups/1", body=b"poison"))
+        self.assertEqual(3, len(scene.desk.runs))
+        self.assertIs(calls.RefusalReason.CRASHES_SERVERS, error.reason)
+        self.assertFalse(error.has_run)
+
+
+class AdmissionTest(unittest.TestCase):
+    @clocked.on_test_clock
+    async def test_urgent_requests_go_first_when_there_is_room_again(self):
+        scene = gateways.GatewayScene(gateways.new_servers(1, slots=1))
+        scene.desk.behaviours["b0"].events = 2
+        async with scene.running() as nursery:
+            for name in ("lookups/first", "lookups/ordinary", "streams/urgent"):
+                nursery.start_soon(scene.ask, gateways.new_call(f"/{name}"))
+                await trio.sleep(0.005)
+            await trio.sleep(1)
+        sent = [forwarded.call.path for _, _, forwarded in scene.desk.arrivals]
+        self.assertEqual(["/lookups/first", "/streams/urgent", "/lookups/ordinary"], sent)
+
+    @clocked.on_test_clock
+    async def test_closed_zone_gets_nothing_and_callers_hear_so_in_time(self):
+        scene = gateways.GatewayScene()
+        scene.closed_zones.add("zone-a")
+        async with scene.running():
+            began_s = trio.current_time()
+            _, error = await scene.ask(gateways.new_call("/lookups/1"))
+            self.assertLess(trio.current_time() - began_s, 0.5)
+        self.assertEqual([], scene.desk.arrivals)
+        self.assertFalse(error.has_run)
+        self.assertGreater(error.retry_after_s, 0)
+
+    @clocked.on_test_clock
+    async def test_cold_server_gets_no_more_than_it_bears(self):
+        """A server has just started and falls over under more than ten requests a second.
+
+        Twenty callers come in the same moment; there is no other server.
+        """
+        cold = attrs.evolve(gateways.new_servers(1, slots=100)["b0"], cold_until_s=1e9)
+        scene = gateways.GatewayScene({"b0": cold})
+        async with scene.running() as nursery:
+            for number in range(40):
+                call = gateways.new_call("/lookups/1", call_id=str(number))
+                nursery.start_soon(scene.ask, call)
+            await trio.sleep(0.9)
+            self.assertLessEqual(len(scene.desk.arrivals), 20)
+            self.assertGreater(len(scene.desk.arrivals), 5)
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,58 @@
+"""Log lines are bounded, and nobody waits for their reader."""
+
+import json
+import logging
+import os
+import time
+import unittest
+
+from toucanhold import events, logs
+
+
+class BoundedTest(unittest.TestCase):
+    def setUp(self):
+        read_end, write_end = os.pipe()
+        self.reader = os.fdopen(read_end)
+        self.writer = os.fdopen(write_end, "w")
+        self.logger = logging.getLogger("toucanhold.test.bounded")
+        self.logger.propagate = False
+        self.logger.setLevel(logging.INFO)
+
+    def _handler(self, **options):
+        handler = logs.BoundedHandler(self.writer, **options)
+        handler.setFormatter(logs.JsonFormatter())
+        self.logger.handlers[:] = [handler]
+        logs.LOGGER.handlers[:] = [handler]
+        return handler
+
+    def tearDown(self):
+        self.logger.handlers.clear()
+        logs.LOGGER.handlers.clear()
+        self.reader.close()
+
+    def test_a_reader_that_does_not_read_holds_nobody_up(self):
+        """Nobody reads the output, and the pipe is full after some hundred lines.
+
+        Whoever writes then waits for ever. Requests must go on; the lines are left out.
+        """
+        handler = self._handler(lines_per_s=1e9, lines=100)
+        began_s = time.monotonic()
+        for number in range(5000):
+            events.log(self.logger, events.Event.SERVER_GONE, server="s" * 100, number=number)
+        self.assertLess(time.monotonic() - began_s, 5)
+        self.assertGreater(handler.dropped, 3000)
+
+    def test_a_flood_is_cut_to_its_rate_and_the_gap_is_told(self):
+        handler = self._handler(lines_per_s=50)
+        for number in range(500):
+            events.log(self.logger, events.Event.SERVER_GONE, server="s", number=number)
+        self.assertGreater(handler.dropped, 400)
+        time.sleep(0.3)
+        events.log(self.logger, events.Event.SERVER_GONE, server="last")
+        handler.close()
+        self.writer.close()
+        lines = [json.loads(line) for line in self.reader]
+        self.assertLess(len(lines), 100)
+        self.assertEqual("last", lines[-1]["server"])
+        told = sum(line["count"] for line in lines if line["name"] == "LINES_DROPPED")
+        self.assertEqual(501, told + sum(line["name"] == "SERVER_GONE" for line in lines))
--- a/toucanhold/logs.py
+++ b/toucanhold/logs.py
@@ -80,7 +80,7 @@
         if not self._may_write(record):
             self.dropped += 1
             return
-        if self.dropped:
+        if self.dropped and self._has_room():
             dropped, self.dropped = self.dropped, 0
             events.log(LOGGER, events.Event.LINES_DROPPED, count=dropped)
         try:
@@ -110,12 +110,21 @@
         self._allowed -= 1
         return True
 
+    def _has_room(self) -> bool:
+        # The line that tells of the gap must not fall into it, or its count is lost.
+        return not self._queue.full() and self._allowed > self._lines_per_s / 10 + 1
+
     def _write(self, stream: typing.TextIO) -> None:
-        while (line := self._queue.get()) is not None:
-            stream.write(line + "\n")
-            if self._queue.empty():
-                stream.flush()
-        stream.flush()
+        try:
+            while (line := self._queue.get()) is not None:
+                stream.write(line + "\n")
+                if self._queue.empty():
+                    stream.flush()
+            stream.flush()
+        except (OSError, ValueError):
+            # The output itself is gone, so there is nowhere to tell it; the queue fills up and
+            # further lines are counted as dropped.
+            return
 
 
 def set_up(stream: typing.TextIO, log_format: str, level: str) -> None:
