Write the plan of a large site in parts that the store takes

Cause: on a site of 300 servers the first plan was one write of 62 rows; the store takes 32 and refused it, anew each time, so no group ever formed. Ruled out: lost leases (none), a plan that had changed meanwhile (no 412). Change: at most 24 groups a write. A test plans 306 servers and counts rows.

--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -2,9 +2,11 @@
 
 import collections
 import unittest
+import unittest.mock
 
 import trio
 
+from standins import memory
 from tests import clocked, replica_scenes
 from toucanhold.registry import servers
 from toucanhold.replicas import orders
@@ -40,6 +42,29 @@
             self.assertEqual([], scene.fleet.broken)
             nursery.cancel_scope.cancel()
 
+    @clocked.on_test_clock
+    async def test_large_site_is_planned_in_writes_that_the_store_takes(self):
+        """No group forms, and every request is refused.
+
+        The plan of three hundred servers was one write of 62 rows; the store takes 32 and refuses
+        the whole, each time anew.
+        """
+        async with trio.open_nursery() as nursery:
+            scene = replica_scenes.Scene(nursery, domains=34)
+            sizes = []
+            commit = memory.MirroredClient.commit
+
+            async def counted(client, conditions, writes):
+                sizes.append(len(conditions) + len(writes))
+                return await commit(client, conditions, writes)
+
+            await scene.add_servers()
+            with unittest.mock.patch.object(memory.MirroredClient, "commit", counted):
+                node = scene.start("entry-1")
+                await scene.wait_for(lambda: len(node.board.groups) >= 60, 60)
+            self.assertLessEqual(max(sizes), 32)
+            nursery.cancel_scope.cancel()
+
     @clocked.on_test_clock
     async def test_heads_are_opened_only_when_every_member_is_ready(self):
         """A head serves requests whatever its members do: nobody but the planner checks them.
--- a/toucanhold/replicas/plan.py
+++ b/toucanhold/replicas/plan.py
@@ -17,6 +17,9 @@
 # The shortest lease that survives one lost renewal: it is renewed four times in this time.
 PLANNER_LEASE_S = 2
 
+# The key-value service takes 32 rows in one write; two are conditions and one the plan's mark.
+MAX_GROUPS_A_WRITE = 24
+
 LOGGER = logging.getLogger(__name__)
 
 
@@ -41,7 +44,7 @@
     _lock: trio.Lock = attrs.field(factory=trio.Lock, init=False)
 
     async def create(self, drafts: list[records.GroupRecord]) -> list[records.Group]:
-        """Write new groups.
+        """Write new groups, at most :data:`MAX_GROUPS_A_WRITE`.
 
         :raises PlanWriteError: when that failed
         """
--- a/toucanhold/replicas/planner.py
+++ b/toucanhold/replicas/planner.py
@@ -129,8 +129,8 @@
         for service in routes.engines():
             composer = composition.Composer(self._situation(service))
             drafts = [self._draft(service, each) for each in composer.formations()]
-            if drafts:
-                await self._write(drafts)
+            for begin in range(0, len(drafts), plan.MAX_GROUPS_A_WRITE):
+                await self._write(drafts[begin : begin + plan.MAX_GROUPS_A_WRITE])
             self._prepare(service, composer.preparations(), nursery)
 
     async def _write(self, drafts: list[records.GroupRecord]) -> None:
