--- a/toucanhold/platform/front.py
+++ b/toucanhold/platform/front.py
@@ -36,6 +36,8 @@
     """An answer on its way to the caller.
 
     :ivar is_last: whether the connection is to be closed after it
+    :ivar first_s: time of the run's clock at which its first part was sent
+    :ivar longest_pause_s: between two parts
     """
 
     send_message: asgi.Send
@@ -43,6 +45,9 @@
     timer: metrics.RequestTimer
     status: int = 0
     is_complete: bool = False
+    first_s: float | None = None
+    longest_pause_s: float = 0.0
+    _last_s: float = 0.0
 
     async def start(self, status: int, lines: calls.Headers, length_bytes: int | None) -> None:
         """See :class:`calls.Reply`."""
@@ -58,9 +63,18 @@
     async def send(self, chunk: bytes) -> None:
         """See :class:`calls.Reply`."""
         self.timer.note_events(1)
+        self._note_time()
         with _uncut():
             await asgi.write(self.send_message, chunk, True)
 
+    def _note_time(self) -> None:
+        now_s = trio.current_time()
+        if self.first_s is None:
+            self.first_s = now_s
+        else:
+            self.longest_pause_s = max(self.longest_pause_s, now_s - self._last_s)
+        self._last_s = now_s
+
     async def finish(self) -> None:
         """See :class:`calls.Reply`."""
         self.is_complete = True
@@ -111,6 +125,8 @@
             request_id=call.call_id,
             status=reply.status or None,
             outcome=outcome,
+            first_s=round(reply.first_s - arrived_s, 3) if reply.first_s is not None else None,
+            longest_pause_s=round(reply.longest_pause_s, 3),
             took_s=round(trio.current_time() - arrived_s, 3),
         )
 
