--- a/standins/memory.py
+++ b/standins/memory.py
@@ -175,6 +175,8 @@
             return mirror.Changes(after_revision)
         start = prefix.encode()
         end = start[:-1] + bytes([start[-1] + 1])
+        # What happens while the items are read belongs to the next answer.
+        revision = store.revision
         touched = {
             base64.b64decode(event["kv"]["key"]).decode()
             for _, events in store.events_from(after_revision + 1, start, end)
@@ -182,7 +184,7 @@
         }
         present = {item.key: item for item in (await self.read(prefix)).items}
         return mirror.Changes(
-            store.revision,
+            revision,
             tuple(present[key] for key in sorted(touched & present.keys())),
             tuple(sorted(touched - present.keys())),
         )
--- a/standins/replicas.py
+++ b/standins/replicas.py
@@ -78,6 +78,7 @@
     order_count: int = 0
     membership: servers.Membership | None = None
     members: tuple[str, ...] = ()
+    left: tuple[servers.Membership | None, tuple[str, ...]] = (None, ())
     stalled_at_s: float = float("inf")
     counted: list[tuple[float, int]] = attrs.field(factory=list)
     ready_names: set[tuple[str, int]] = attrs.field(factory=set)
@@ -149,6 +150,7 @@
         server.born_ms += 1
         server.mode, server.order_count, server.is_leaving = "up", 0, False
         server.membership, server.members, server.model = None, (), ""
+        server.left = None, ()
         server.stalled_at_s = float("inf")
         server.ready_names.clear()
         await self.publish(server)
@@ -283,6 +285,7 @@
         if isinstance(order, orders.Leave):
             # Done by the time of the answer, which therefore says that it holds; it counts.
             target.order_count += 1
+            target.left = target.membership, target.members
             target.membership, target.members = None, ()
             self._stall_heads_of(target.name)
             await self.publish(target)
@@ -313,13 +316,18 @@
         await self.publish(target)
 
     def _check_head_of(self, target: MemoryServer) -> None:
-        """Note a join of a server whose head still serves, or stands still but isn't broken."""
-        if target.membership is None or not target.members:
+        """Note a join of a server whose head still serves, or stands still but isn't broken.
+
+        A server that has left its group is still missed by the head for a while.
+        """
+        membership, members = target.left
+        if target.membership is not None:
+            membership, members = target.membership, target.members
+        if membership is None or not members:
             return
-        head = self.servers[target.members[0]]
+        head = self.servers[members[0]]
         same = head.membership is not None and (
-            (head.membership.group, head.membership.epoch)
-            == (target.membership.group, target.membership.epoch)
+            (head.membership.group, head.membership.epoch) == (membership.group, membership.epoch)
         )
         working = (servers.GroupState.OPEN, servers.GroupState.CLOSING)
         if head.mode == "dark" or not same or head.membership.state not in working:
