Name the gateway's count of calls in its description as the code does

Cause: the description named a field that does not exist. Change: the description alone. Conclusion: found while reading the change as a newcomer.

--- a/toucanhold/gateway/gateway.py
+++ b/toucanhold/gateway/gateway.py
@@ -37,7 +37,7 @@
 class Gateway:
     """Serves calls by the newest routes.
 
-    :ivar has_work: calls in flight
+    :ivar in_flight: calls that have no final answer yet
     """
 
     routes: table.RouteTableHolder
