--- a/toucanhold/gateway/exchange.py
+++ b/toucanhold/gateway/exchange.py
@@ -23,8 +23,8 @@
 # would send two entries to the same head.
 SEND_INTERVAL_S = 0.1
 # Each entry sends to so many others at a time, in turn. At seven entries that is everyone; at
-# sixty each hears of each other in less than a second, and the cost stays that of seven: 0.1 ms a
-# datagram each way, about one part in a hundred of a core.
+# sixty each hears of each other in less than a second, and the number of datagrams stays that of
+# seven.
 SENDS_AT_A_TIME = 7
 DATAGRAM_LIMIT_BYTES = 16 * 1024
 # An entry that has said nothing for so many rounds is taken to have ended, and its requests with
