Translate errors of calls to key-value services in one place

Cause: the platform's store client repeated the etcd client's translation to the letter. Change: coordination/transfer holds it; both call it. No behaviour changes. Ruled out: one client for both; their calls and answers differ. Conclusion: one copy.

--- a/toucanhold/coordination/etcd.py
+++ b/toucanhold/coordination/etcd.py
@@ -9,7 +9,7 @@
 import httpcore
 import trio
 
-from toucanhold.coordination import keyvalue
+from toucanhold.coordination import keyvalue, transfer
 
 CALL_TIMEOUT_S = 2.0
 WATCH_IDLE_TIMEOUT_S = 60.0
@@ -87,7 +87,7 @@
             "start_revision": str(start_revision),
         }
         request = self._request("/v3/watch", {"create_request": create}, WATCH_IDLE_TIMEOUT_S)
-        with _translated_errors():
+        with transfer.translated_errors():
             response = await self._pool.handle_async_request(request)
         try:
             yield _watch_revisions(response)
@@ -96,7 +96,7 @@
                 await response.aclose()
 
     async def _call(self, path: str, body: dict) -> dict:
-        with _translated_errors(), trio.fail_after(self.call_timeout_s):
+        with transfer.translated_errors(), trio.fail_after(self.call_timeout_s):
             request = self._request(path, body, self.call_timeout_s)
             response = await self._pool.handle_async_request(request)
             try:
@@ -129,21 +129,9 @@
         )
 
 
-@contextlib.contextmanager
-def _translated_errors() -> collections.abc.Iterator[None]:
-    try:
-        yield
-    except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout) as error:
-        raise keyvalue.UnavailableError(f"cannot connect: {error!r}") from error
-    except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
-        raise keyvalue.UnclearError(f"answer lost: {error!r}") from error
-    except trio.TooSlowError as error:
-        raise keyvalue.UnclearError("no answer in time") from error
-
-
 async def _watch_revisions(response: httpcore.Response) -> collections.abc.AsyncIterator[int]:
     buffer = bytearray()
-    with _translated_errors():
+    with transfer.translated_errors():
         async for chunk in response.aiter_stream():
             buffer += chunk
             if len(buffer) > WATCH_LINE_LIMIT_BYTES:
--- a/toucanhold/platform/store.py
+++ b/toucanhold/platform/store.py
@@ -14,7 +14,7 @@
 import httpcore
 import trio
 
-from toucanhold.coordination import keyvalue, mirror
+from toucanhold.coordination import keyvalue, mirror, transfer
 
 # The store answers in 4 ms, in 240 ms when it is slow, and else not at all; a call that waits
 # longer than this delays what could be tried on another connection.
@@ -177,7 +177,7 @@
             headers.append(("content-type", "application/json"))
         timeouts = {"connect": CALL_TIMEOUT_S, "pool": CALL_TIMEOUT_S}
         timeouts |= {"read": timeout_s, "write": CALL_TIMEOUT_S}
-        with _translated_errors(), trio.fail_after(timeout_s + CALL_TIMEOUT_S):
+        with transfer.translated_errors(), trio.fail_after(timeout_s + CALL_TIMEOUT_S):
             response = await self._pool.request(
                 method,
                 f"http://{self.address}{target}",
@@ -190,18 +190,6 @@
         return response.status, _plain(path, response.content)
 
 
-@contextlib.contextmanager
-def _translated_errors() -> collections.abc.Iterator[None]:
-    try:
-        yield
-    except (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout) as error:
-        raise keyvalue.UnavailableError(f"cannot connect: {error!r}") from error
-    except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
-        raise keyvalue.UnclearError(f"answer lost: {error!r}") from error
-    except trio.TooSlowError as error:
-        raise keyvalue.UnclearError("no answer in time") from error
-
-
 def _expect(status: int, wanted: int, answer: dict) -> None:
     if status != wanted:
         raise keyvalue.UnclearError(f"status {status}: {answer}")
