Pass changes of the store on between entries

Ruled out: one watch in place of three alone (a third of it), longer pauses between watches (news late at every entry).

Change: one entry a zone watches, the planner first; the others follow one of their zone by a msgpack stream, with heartbeats that tell how old its knowledge is, and turn to other zones or to the store itself when it falls silent or has lost the store. One watch with an empty prefix takes the place of three.

--- a/standins/memory.py
+++ b/standins/memory.py
@@ -12,11 +12,12 @@
 import trio.testing
 
 from standins import keyvalue, serving
-from toucanhold.coordination import etcd, mirror
+from toucanhold.coordination import etcd, mirror, watching
 from toucanhold.coordination import keyvalue as contract
 from toucanhold.peers import transport
 
 EXPIRY_INTERVAL_S = 0.1
+EVERYTHING = ""
 LOSABLE = ("kv/txn", "lease/grant", "lease/revoke", "lease/keepalive")
 
 
@@ -105,7 +106,7 @@
 
     async def _revisions(self, prefix: str, following: int):
         store = self.platform.store
-        start = prefix.encode()
+        start, end = etcd.prefix_range(prefix)
         while True:
             self.platform.expire()
             if self.faults.mode == "down":
@@ -114,7 +115,7 @@
                 raise contract.CompactedError("compacted")
             changed, latest = store.changed, store.revision
             if self.faults.mode != "silent" and not self.faults.silent_watches:
-                for revision, _ in store.events_from(following, start, start[:-1] + b"0"):
+                for revision, _ in store.events_from(following, start, end):
                     yield revision
                 following = max(following, latest + 1)
             with trio.move_on_after(EXPIRY_INTERVAL_S):
@@ -152,41 +153,47 @@
 
 
 @attrs.define(eq=False)
-class MirroredClient(MemoryClient, mirror.ChangeSource):
+class MirroredClient(MemoryClient, watching.ChangeSource):
     """A client that also tells what has changed."""
 
-    async def read_all(self, prefix: str) -> contract.RangeResult:
-        """See :class:`mirror.ChangeSource`."""
-        return await self.read(prefix)
+    async def read_all(self, may_be_old: bool) -> contract.RangeResult:
+        """See :class:`watching.ChangeSource`."""
+        return await self.read(EVERYTHING)
 
-    async def read_changes(self, prefix: str, after_revision: int, wait_s: float) -> mirror.Changes:
-        """See :class:`mirror.ChangeSource`."""
+    async def read_changes(self, after_revision: int, wait_s: float) -> mirror.Changes:
+        """See :class:`watching.ChangeSource`."""
         self.platform.calls[self.client_name, "watch"] += 1
         await self._meet_faults()
-        async with self.watch(prefix, after_revision + 1) as revisions:
+        async with self.watch(EVERYTHING, after_revision + 1) as revisions:
             with trio.move_on_after(wait_s):
                 async for _ in revisions:
                     break
-        return await self._changes(prefix, after_revision)
+        return await self._changes(after_revision)
 
-    async def _changes(self, prefix: str, after_revision: int) -> mirror.Changes:
+    async def _changes(self, after_revision: int) -> mirror.Changes:
         store = self.platform.store
-        if self.faults.silent_watches or self.faults.mode == "silent":
-            return mirror.Changes(after_revision)
-        start = prefix.encode()
-        end = start[:-1] + bytes([start[-1] + 1])
+        if self.faults.mode == "silent":
+            raise contract.UnclearError("no answer in time")
+        if self.faults.silent_watches:
+            return mirror.Changes(after_revision, after_revision)
         # What happens while the items are read belongs to the next answer.
         revision = store.revision
         touched = {
-            base64.b64decode(event["kv"]["key"]).decode()
-            for _, events in store.events_from(after_revision + 1, start, end)
+            base64.b64decode(event["kv"]["key"]).decode(): changed
+            for changed, events in store.events_from(
+                after_revision + 1, *etcd.prefix_range(EVERYTHING)
+            )
             for event in events
         }
-        present = {item.key: item for item in (await self.read(prefix)).items}
+        present = {item.key: item for item in (await self.read(EVERYTHING)).items}
         return mirror.Changes(
+            after_revision,
             revision,
-            tuple(present[key] for key in sorted(touched & present.keys())),
-            tuple(sorted(touched - present.keys())),
+            tuple(present[key] for key in sorted(touched.keys() & present.keys())),
+            tuple(
+                mirror.Deletion(key, touched[key])
+                for key in sorted(touched.keys() - present.keys())
+            ),
         )
 
 
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -55,7 +55,7 @@
             await asgi.acknowledge_lifespan(receive, send)
             return
         body = await asgi.read_body(receive, 10_000_000)
-        query = dict(urllib.parse.parse_qsl(scope["query_string"].decode()))
+        query = dict(urllib.parse.parse_qsl(scope["query_string"].decode(), keep_blank_values=True))
         plain = json.loads(body) if body else {}
         if self.refuse:
             await asgi.respond(send, self.refuse, [], b"")
--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -5,7 +5,7 @@
 import trio
 
 from tests.platform import standins
-from toucanhold.coordination import keyvalue
+from toucanhold.coordination import keyvalue, mirror
 from toucanhold.platform import store
 
 
@@ -29,7 +29,7 @@
         app.page_size = 2
         for number in range(5):
             app.put(f"servers/{number}", b"x")
-        result = await client.read_all("servers/")
+        result = await client.read_all(may_be_old=False)
         self.assertEqual(5, len(result.items))
         self.assertEqual(app.revision, result.revision)
 
@@ -39,16 +39,17 @@
         start = app.revision
         app.put("a/2", b"y")
         await client.commit([], [keyvalue.Write("a/1", None)])
-        changes = await client.read_changes("a/", start, 1.0)
+        changes = await client.read_changes(start, 1.0)
         self.assertEqual(["a/2"], [item.key for item in changes.items])
-        self.assertEqual(("a/1",), changes.deleted)
+        self.assertEqual((mirror.Deletion("a/1", app.revision),), changes.deleted)
+        self.assertEqual((start, app.revision), (changes.after, changes.revision))
 
     @with_store
     async def test_history_that_is_gone_is_told(self, app, client):
         app.put("a/1", b"x")
         app.forget_history()
         with self.assertRaises(keyvalue.CompactedError):
-            await client.read_changes("a/", 1, 0.1)
+            await client.read_changes(1, 0.1)
 
     @with_store
     async def test_write_takes_effect_only_if_its_conditions_hold(self, app, client):
--- a/tests/replica_scenes.py
+++ b/tests/replica_scenes.py
@@ -6,7 +6,7 @@
 import trio
 
 from standins import memory, replicas
-from toucanhold.coordination import lease, mirror
+from toucanhold.coordination import lease, mirror, watching
 from toucanhold.registry import registry
 from toucanhold.replicas import plan, planner, records
 from toucanhold.routes import table
@@ -25,8 +25,8 @@
     def __attrs_post_init__(self):
         rng = random.Random(self.name)
         self.client = self.platform.mirrored(self.name)
-        prefixes = ("toucanhold/", replicas.REGISTRATIONS_PREFIX)
-        self.mirror = mirror.Mirror(self.client, prefixes, lambda: 0.02, rng)
+        self.mirror = mirror.Mirror()
+        self.watch = watching.ServiceWatch(self.client, self.mirror, lambda: 0.02, rng)
         self.registry = registry.Registry(
             self.mirror, replicas.REGISTRATIONS_PREFIX, replicas.decode
         )
@@ -56,7 +56,7 @@
     async def run(self):
         with self.scope:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self.mirror.run)
+                nursery.start_soon(self.watch.run)
                 nursery.start_soon(self.registry.run)
                 nursery.start_soon(self.lease.run)
                 nursery.start_soon(self.planner.run)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -8,7 +8,7 @@
 
 from standins import memory, replicas
 from tests import clocked
-from toucanhold.coordination import keyvalue, mirror
+from toucanhold.coordination import keyvalue, mirror, watching
 from toucanhold.registry import registry
 
 
@@ -21,12 +21,13 @@
         self.writer = self.platform.client("writer")
         client = self.platform.mirrored("entry-1")
         prefix = replicas.REGISTRATIONS_PREFIX
-        self.mirror = mirror.Mirror(client, (prefix,), lambda: 0.05, random.Random(1))
+        self.mirror = mirror.Mirror()
+        self.watch = watching.ServiceWatch(client, self.mirror, lambda: 0.05, random.Random(1))
         self.registry = registry.Registry(self.mirror, prefix, replicas.decode)
 
     async def run(self):
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.mirror.run)
+            nursery.start_soon(self.watch.run)
             nursery.start_soon(self.registry.run)
 
     async def write(self, name, value):
--- a/toucanhold/coordination/etcd.py
+++ b/toucanhold/coordination/etcd.py
@@ -37,7 +37,8 @@
 
     async def read(self, prefix: str, min_mod_revision: int = 0) -> keyvalue.RangeResult:
         """See :class:`keyvalue.KeyValueClient`."""
-        request = {"key": _encode(prefix.encode()), "range_end": _encode(_prefix_end(prefix))}
+        start, end = prefix_range(prefix)
+        request = {"key": _encode(start), "range_end": _encode(end)}
         if min_mod_revision:
             request["min_mod_revision"] = str(min_mod_revision)
         answer = await self._call("/v3/kv/range", request)
@@ -81,9 +82,10 @@
         self, prefix: str, start_revision: int
     ) -> collections.abc.AsyncIterator[collections.abc.AsyncIterator[int]]:
         """See :class:`keyvalue.KeyValueClient`."""
+        start, end = prefix_range(prefix)
         create = {
-            "key": _encode(prefix.encode()),
-            "range_end": _encode(_prefix_end(prefix)),
+            "key": _encode(start),
+            "range_end": _encode(end),
             "start_revision": str(start_revision),
         }
         request = self._request("/v3/watch", {"create_request": create}, WATCH_IDLE_TIMEOUT_S)
@@ -194,6 +196,9 @@
     return base64.b64encode(data).decode()
 
 
-def _prefix_end(prefix: str) -> bytes:
+def prefix_range(prefix: str) -> tuple[bytes, bytes]:
+    """Return the first key of a prefix, and the first one after it; all keys for an empty one."""
     data = prefix.encode()
-    return data[:-1] + bytes([data[-1] + 1])
+    if not data:
+        return b"\0", b"\0"
+    return data, data[:-1] + bytes([data[-1] + 1])
--- a/toucanhold/coordination/mirror.py
+++ b/toucanhold/coordination/mirror.py
@@ -1,92 +1,97 @@
-"""A copy of the key-value service's items, kept up to date by one watch."""
+"""A copy of the key-value service's items, and what keeps it up to date."""
 
 from __future__ import annotations
 
-import abc
+import collections
 import collections.abc
 import logging
-import random
 
 import attrs
-import trio
 
-from toucanhold import clock, events
+from toucanhold import clock, events, waking
 from toucanhold.coordination import keyvalue
 
-# A connection that went silent is noticed this much later than the watch should have returned.
-WATCH_WAIT_S = 2.0
-FIRST_BACKOFF_S = 0.05
-# An outage ends unannounced; the copy is behind by at most this after it.
-MAX_BACKOFF_S = 0.4
+# Changes that are kept for entries that follow this copy; some ten batches come in a second at
+# most, and one that was away for longer than half a minute reads everything anew.
+HISTORY_BATCHES = 300
 
 LOGGER = logging.getLogger(__name__)
 
 Listener = collections.abc.Callable[[frozenset[str]], None]
 
 
+@attrs.frozen
+class Deletion:
+    """A key that no longer exists.
+
+    :ivar revision: revision of its deletion
+    """
+
+    key: str
+    revision: int
+
+
 @attrs.frozen
 class Changes:
-    """What changed after a revision.
+    """All that changed between two revisions.
 
-    :ivar revision: the service's revision up to which this tells everything
-    :ivar items: items as they were written, oldest first
-    :ivar deleted: keys that no longer exist, unless a later item says otherwise
+    :ivar after: the revision from which this tells everything
+    :ivar revision: the revision up to which it does
     """
 
+    after: int
     revision: int
     items: tuple[keyvalue.Item, ...] = ()
-    deleted: tuple[str, ...] = ()
+    deleted: tuple[Deletion, ...] = ()
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing changed."""
+        return not self.items and not self.deleted
 
-class ChangeSource(abc.ABC):
-    """Reads everything once, then what changes."""
-
-    @abc.abstractmethod
-    async def read_all(self, prefix: str) -> keyvalue.RangeResult:
-        """Return the items under ``prefix``, and a revision from which to follow them.
 
-        :raises keyvalue.KeyValueError: when the service does not answer
-        """
+@attrs.frozen
+class Standing:
+    """How far a copy can be relied on.
 
-    @abc.abstractmethod
-    async def read_changes(self, prefix: str, after_revision: int, wait_s: float) -> Changes:
-        """Return the changes after a revision, waiting for the first of them.
+    :ivar confirmed: when it certainly held all that the service had
+    :ivar is_answering: whether the last call to the service was answered, here or at the entry
+        that this copy follows
+    :ivar last_failure: when a call last failed
+    """
 
-        :raises keyvalue.CompactedError: when that history is no longer kept
-        :raises keyvalue.KeyValueError: when the service does not answer
-        """
+    confirmed: clock.Instant = clock.LONG_AGO
+    is_answering: bool = False
+    last_failure: clock.Instant = clock.LONG_AGO
 
 
 @attrs.define(eq=False)
 class Mirror:
-    """The items under some prefixes, and who wants to hear of changes.
+    """All items of the service, and who wants to hear of changes.
 
-    :ivar prefixes: one watch each
-    :ivar gather_s: pause before the next watch, in which further changes gather: each return of a
-        watch is a call that the platform counts
     :ivar items: key to item
-    :ivar revision: the newest revision seen of any prefix
+    :ivar revision: the revision up to which everything is known
+    :ivar changed: wakes those that wait for news of any kind
     """
 
-    source: ChangeSource
-    prefixes: tuple[str, ...]
-    gather_s: collections.abc.Callable[[], float]
-    rng: random.Random
     items: dict[str, keyvalue.Item] = attrs.field(factory=dict, init=False)
     revision: int = attrs.field(default=0, init=False)
-    _answering: dict[str, bool] = attrs.field(factory=dict, init=False)
-    _last_failure: clock.Instant = attrs.field(default=clock.LONG_AGO, init=False)
+    standing: Standing = attrs.field(factory=Standing, init=False)
+    changed: waking.Signal = attrs.field(factory=waking.Signal, init=False)
+    _history: collections.deque[Changes] = attrs.field(
+        factory=lambda: collections.deque(maxlen=HISTORY_BATCHES), init=False
+    )
     _listeners: list[tuple[str, Listener]] = attrs.field(factory=list, init=False)
 
     @property
     def is_answering(self) -> bool:
-        """Whether each prefix was read and its last call was answered."""
-        return all(self._answering.get(prefix, False) for prefix in self.prefixes)
+        """Whether the service's last call was answered."""
+        return self.standing.is_answering
 
     @property
     def since_failure_s(self) -> float:
         """Time since the last call that failed, in seconds."""
-        return self._last_failure.age_s()
+        return self.standing.last_failure.age_s()
 
     def under(self, prefix: str) -> list[keyvalue.Item]:
         """Return the items whose keys begin with ``prefix``."""
@@ -96,71 +101,80 @@
         """Call ``listener`` with the changed keys under ``prefix`` after each batch."""
         self._listeners.append((prefix, listener))
 
-    async def run(self) -> None:
-        """Follow all prefixes until cancelled."""
-        async with trio.open_nursery() as nursery:
-            for prefix in self.prefixes:
-                nursery.start_soon(self._follow, prefix)
-
-    async def _follow(self, prefix: str) -> None:
-        backoff_s = FIRST_BACKOFF_S
-        revision = 0
-        while True:
-            try:
-                revision = await self._advance(prefix, revision)
-                backoff_s = FIRST_BACKOFF_S
-                continue
-            except keyvalue.CompactedError:
-                revision = 0
-                events.log(LOGGER, events.Event.HISTORY_LOST, prefix=prefix)
-                continue
-            except keyvalue.KeyValueError as error:
-                self._note(prefix, False, str(error))
-            # Jitter keeps all entries from calling at once when the service returns.
-            await trio.sleep(backoff_s * self.rng.uniform(0.5, 1.5))
-            backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
-
-    async def _advance(self, prefix: str, revision: int) -> int:
-        if not revision:
-            result = await self.source.read_all(prefix)
-            self._note(prefix, True, "")
-            self._replace(prefix, result)
-            return result.revision
-        changes = await self.source.read_changes(prefix, revision, WATCH_WAIT_S)
-        self._note(prefix, True, "")
-        self._apply(changes)
-        if changes.items or changes.deleted:
-            await trio.sleep(self.gather_s())
-        return max(revision, changes.revision)
-
-    def _replace(self, prefix: str, result: keyvalue.RangeResult) -> None:
+    def changes_since(self, revision: int) -> Changes | None:
+        """Return what changed after a revision, or None where that is no longer known."""
+        if revision >= self.revision:
+            return Changes(revision, revision)
+        if not self._history or self._history[0].after > revision:
+            return None
+        items: dict[str, keyvalue.Item] = {}
+        deleted: dict[str, Deletion] = {}
+        for batch in self._history:
+            for deletion in batch.deleted:
+                if deletion.revision > revision:
+                    deleted[deletion.key] = deletion
+                    items.pop(deletion.key, None)
+            for item in batch.items:
+                if item.mod_revision > revision:
+                    items[item.key] = item
+                    deleted.pop(item.key, None)
+        return Changes(revision, self.revision, tuple(items.values()), tuple(deleted.values()))
+
+    def replace(self, result: keyvalue.RangeResult) -> None:
+        """Take in all items as of one revision; older ones than this copy's are passed over."""
+        if result.revision < self.revision:
+            return
         present = {item.key: item for item in result.items}
-        gone = {key for key in self.items if key.startswith(prefix)} - present.keys()
+        gone = self.items.keys() - present.keys()
         changed = {key for key, item in present.items() if self.items.get(key) != item}
-        for key in gone:
-            del self.items[key]
-        self.items.update(present)
-        self.revision = max(self.revision, result.revision)
+        self.items = present
+        self.revision = result.revision
+        self._history.clear()
         self._tell(gone | changed)
 
-    def _apply(self, changes: Changes) -> None:
-        touched = set(changes.deleted) | {item.key for item in changes.items}
-        for key in changes.deleted:
-            self.items.pop(key, None)
-        self.items.update({item.key: item for item in changes.items})
-        self.revision = max(self.revision, changes.revision)
+    def apply(self, changes: Changes) -> None:
+        """Take in changes that follow on this copy's revision, or overlap it."""
+        if changes.after > self.revision or changes.revision <= self.revision:
+            return
+        touched = {deletion.key for deletion in changes.deleted if self._delete(deletion)}
+        touched |= {item.key for item in changes.items if self._put(item)}
+        self.revision = changes.revision
+        self._history.append(changes)
         self._tell(touched)
 
+    def note_standing(self, standing: Standing, source: str, reason: str = "") -> None:
+        """Take note of how far this copy can be relied on.
+
+        :param source: where it comes from
+        :param reason: why the service does not answer
+        """
+        was_answering = self.standing.is_answering
+        self.standing = standing
+        if standing.is_answering == was_answering:
+            return
+        event = events.Event.PLATFORM_BACK if standing.is_answering else events.Event.PLATFORM_LOST
+        events.log(LOGGER, event, source=source, reason=reason, revision=self.revision)
+        self.changed.wake()
+
+    def _put(self, item: keyvalue.Item) -> bool:
+        # Pages of a first read may hold later changes than the revision that they begin at; the
+        # changes that follow tell those once more, and older ones before them.
+        known = self.items.get(item.key)
+        if known is not None and known.mod_revision >= item.mod_revision:
+            return False
+        self.items[item.key] = item
+        return True
+
+    def _delete(self, deletion: Deletion) -> bool:
+        known = self.items.get(deletion.key)
+        if known is None or known.mod_revision > deletion.revision:
+            return False
+        del self.items[deletion.key]
+        return True
+
     def _tell(self, keys: set[str]) -> None:
         for prefix, listener in self._listeners:
             concerned = frozenset(key for key in keys if key.startswith(prefix))
             if concerned:
                 listener(concerned)
-
-    def _note(self, prefix: str, answering: bool, reason: str) -> None:
-        if not answering:
-            self._last_failure = clock.read()
-        if answering != self._answering.get(prefix, False):
-            event = events.Event.PLATFORM_BACK if answering else events.Event.PLATFORM_LOST
-            events.log(LOGGER, event, prefix=prefix, reason=reason, revision=self.revision)
-        self._answering[prefix] = answering
+        self.changed.wake()
--- a/toucanhold/gateway/entries.py
+++ b/toucanhold/gateway/entries.py
@@ -28,6 +28,7 @@
     :ivar callers_address: where callers connect
     :ivar exchange_address: where other entries send to
     :ivar boot: tells its starts apart
+    :ivar cores: its processor, in cores of usual speed
     """
 
     entry: str
@@ -36,17 +37,22 @@
     callers_address: str
     exchange_address: str
     boot: str
+    cores: float = 1.0
 
 
 @attrs.define(eq=False)
 class EntryList:
-    """This entry's own record, and the others'."""
+    """This entry's own record, and the others'.
+
+    :ivar version: grows with each change of the others
+    """
 
     own: Entry
     client: keyvalue.KeyValueClient
     source: mirror.Mirror
     rng: random.Random
     is_stopping: bool = attrs.field(default=False, init=False)
+    version: int = attrs.field(default=0, init=False)
     _others: dict[str, Entry] = attrs.field(factory=dict, init=False)
     _held: lease.LeasedKey = attrs.field(init=False)
 
@@ -105,6 +111,7 @@
             events.log(LOGGER, events.Event.ENTRY_JOINED, entry=name, zone=found[name].zone)
         for name in self._others.keys() - found.keys():
             events.log(LOGGER, events.Event.ENTRY_LEFT, entry=name)
+        self.version += self._others != found
         self._others = found
 
     async def watch(self) -> None:
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -12,7 +12,7 @@
 import trio
 
 from toucanhold import application, events, metrics, serving
-from toucanhold.coordination import lease, mirror
+from toucanhold.coordination import lease, mirror, watching
 from toucanhold.gateway import (
     admission,
     budget,
@@ -21,10 +21,12 @@
     exchange,
     gateway,
     health,
+    hierarchy,
     load,
     silence,
     targets,
 )
+from toucanhold.peers import transport
 from toucanhold.platform import (
     configuration,
     directory,
@@ -35,10 +37,10 @@
     store,
 )
 from toucanhold.registry import registry
+from toucanhold.relay import giving, taking
 from toucanhold.replicas import plan, planner, records
 from toucanhold.routes import table
 
-PREFIXES = ("toucanhold/", registrations.PREFIX, configuration.PREFIX)
 # Changes of some servers at once come within this time; each return of a watch is paid for.
 GATHER_S = 0.1
 # The planner waits for reports of servers that join, which delay the group by this much.
@@ -70,7 +72,7 @@
         self.rng = random.Random()
         self.metrics = metrics.Metrics(own.entry)
         self.store = store.StoreClient(own.store_address)
-        self.mirror = mirror.Mirror(self.store, PREFIXES, self._gather_s, self.rng)
+        self.mirror = mirror.Mirror()
         self.registry = registry.Registry(self.mirror, registrations.PREFIX, registrations.decode)
         self.board = records.GroupBoard(self.mirror)
         self.routes = table.RouteTableHolder()
@@ -78,14 +80,16 @@
         self.mirror.listen(configuration.PREFIX, self._take_operators_words)
         self.entries = entries.EntryList(self._own_entry(), self.store, self.mirror, self.rng)
         self.servers = servers.PlatformServerClient()
+        self._build_relay()
         self._build_planner()
         self._build_gateway()
 
     async def start(self, nursery: trio.Nursery) -> None:
         """See :class:`application.Application`."""
         own = self.settings
+        await nursery.start(self.giver.run)
         for run in (
-            self.mirror.run,
+            self.taker.run,
             self.registry.run,
             self.entries.run,
             self.entries.watch,
@@ -143,8 +147,25 @@
             own.callers_address,
             own.exchange_address,
             uuid.uuid4().hex[:12],
+            own.cores,
         )
 
+    def _build_relay(self) -> None:
+        peers = transport.TcpTransport()
+        watch = watching.ServiceWatch(self.store, self.mirror, self._gather_s, self.rng)
+        self.hierarchy = hierarchy.Hierarchy(self.entries, self._planner_name)
+        self.giver = giving.Giver(self.mirror, self.entries.own.exchange_address, peers)
+        self.taker = taking.Taker(self.mirror, watch, peers, self.hierarchy.sources, self.rng)
+
+    def _planner_name(self) -> str:
+        item = self.mirror.items.get(plan.PLANNER_KEY)
+        return item.value.decode(errors="replace") if item is not None else ""
+
+    def _is_planner_wanted(self) -> bool:
+        # Where all entries tried, each change of planner would cost as many calls as there are
+        # entries. Those that follow others hear of it late, too.
+        return self.taker.is_watching and plan.PLANNER_KEY not in self.mirror.items
+
     def _build_planner(self) -> None:
         self.planner_lease = lease.LeasedKey(
             self.store,
@@ -152,7 +173,7 @@
             self.settings.entry.encode(),
             plan.PLANNER_LEASE_S,
             self.rng,
-            is_taken=lambda: plan.PLANNER_KEY in self.mirror.items,
+            is_taken=lambda: not self._is_planner_wanted(),
         )
         self.planner = planner.Planner(
             self.mirror,
--- a/toucanhold/platform/settings.py
+++ b/toucanhold/platform/settings.py
@@ -47,6 +47,7 @@
     :ivar exchange_address: where other entries send to; the first of the ports between machines
     :ivar store_address: ``IP:port`` of the platform's store
     :ivar least_lease_s: shortest lease that the store grants
+    :ivar cores: the processor's share, in cores of usual speed
     """
 
     entry: str
@@ -58,6 +59,7 @@
     exchange_address: str
     store_address: str
     least_lease_s: float
+    cores: float
     bounds: Bounds
 
 
@@ -132,6 +134,8 @@
         exchange_address=f"{reader.text('ip')}:{reader.first_port('internal_ports')}",
         store_address=reader.text("platform.address"),
         least_lease_s=reader.number("platform.ttl_min_ms", 1.0, 0.001),
+        # The wire's "cores" tells how many times as fast the one core is of which a share is had.
+        cores=reader.number("limits.cpu_share", 1.0) * reader.number("limits.cores", 1.0),
         bounds=_bounds(reader),
     )
     if reader.mistakes:
--- a/toucanhold/platform/store.py
+++ b/toucanhold/platform/store.py
@@ -14,20 +14,20 @@
 import httpcore
 import trio
 
-from toucanhold.coordination import keyvalue, mirror, transfer
+from toucanhold.coordination import keyvalue, mirror, transfer, watching
 
 # The store answers in 4 ms, in 240 ms when it is slow, and else not at all; a call that waits
 # longer than this delays what could be tried on another connection.
 CALL_TIMEOUT_S = 1.0
 # How much later than asked a watch may return before its connection is taken for dead.
-WATCH_MARGIN_S = 0.7
+WATCH_MARGIN_S = 0.4
 # A connection that went silent for good must not hold the kernel's buffers for minutes.
 UNACKNOWLEDGED_LIMIT_MS = 3000
 MAX_CONNECTIONS = 16
 
 
 @attrs.define(eq=False)
-class StoreClient(keyvalue.KeyValueClient, mirror.ChangeSource):
+class StoreClient(keyvalue.KeyValueClient, watching.ChangeSource):
     """Calls to the store at ``IP:port``."""
 
     address: str
@@ -54,11 +54,22 @@
         The revision is that of the first page, so a watch from there repeats what changed between
         the pages.
         """
+        result = await self._read_pages(prefix, may_be_old=False)
+        kept = tuple(item for item in result.items if item.mod_revision >= min_mod_revision)
+        return keyvalue.RangeResult(result.revision, kept)
+
+    async def read_all(self, may_be_old: bool) -> keyvalue.RangeResult:
+        """See :class:`watching.ChangeSource`."""
+        return await self._read_pages("", may_be_old)
+
+    async def _read_pages(self, prefix: str, may_be_old: bool) -> keyvalue.RangeResult:
         items: list[keyvalue.Item] = []
         first_revision = 0
         after = ""
         while True:
             query = {"path_prefix": prefix} | ({"after": after} if after else {})
+            if may_be_old:
+                query["serializable"] = "1"
             status, answer = await self._call("GET", "/kv-range", query=query)
             _expect(status, 200, answer)
             first_revision = first_revision or _number(answer, "store_revision")
@@ -67,12 +78,7 @@
             if not answer.get("has_more") or not page:
                 break
             after = page[-1].key
-        kept = tuple(item for item in items if item.mod_revision >= min_mod_revision)
-        return keyvalue.RangeResult(first_revision, kept)
-
-    async def read_all(self, prefix: str) -> keyvalue.RangeResult:
-        """See :class:`mirror.ChangeSource`."""
-        return await self.read(prefix)
+        return keyvalue.RangeResult(first_revision, tuple(items))
 
     async def read_key(self, key: str) -> keyvalue.Item | None:
         """See :class:`keyvalue.KeyValueClient`."""
@@ -82,8 +88,11 @@
         _expect(status, 200, answer)
         return _item(answer)
 
-    async def read_changes(self, prefix: str, after_revision: int, wait_s: float) -> mirror.Changes:
-        """See :class:`mirror.ChangeSource`."""
+    async def read_changes(self, after_revision: int, wait_s: float) -> mirror.Changes:
+        """See :class:`watching.ChangeSource`."""
+        return await self._watch("", after_revision, wait_s)
+
+    async def _watch(self, prefix: str, after_revision: int, wait_s: float) -> mirror.Changes:
         query = {
             "path_prefix": prefix,
             "after": str(after_revision),
@@ -94,14 +103,16 @@
         if status == 410:
             raise keyvalue.CompactedError(prefix)
         _expect(status, 200, answer)
-        newest: dict[str, keyvalue.Item | None] = {}
+        newest: dict[str, keyvalue.Item | mirror.Deletion] = {}
         for plain in _list(answer, "events"):
-            is_deletion = bool(plain.get("tombstone"))
-            newest[plain.get("key", "")] = None if is_deletion else _item(plain)
+            change = _deletion(plain) if plain.get("tombstone") else _item(plain)
+            newest[change.key] = change
+        found = newest.values()
         return mirror.Changes(
-            _number(answer, "store_revision"),
-            tuple(item for item in newest.values() if item is not None),
-            tuple(key for key, item in newest.items() if item is None),
+            after_revision,
+            max(after_revision, _number(answer, "store_revision")),
+            tuple(change for change in found if isinstance(change, keyvalue.Item)),
+            tuple(change for change in found if isinstance(change, mirror.Deletion)),
         )
 
     async def commit(
@@ -152,10 +163,10 @@
         self, prefix: str, after_revision: int
     ) -> collections.abc.AsyncIterator[int]:
         while True:
-            changes = await self.read_changes(prefix, after_revision, mirror.WATCH_WAIT_S)
-            if changes.items or changes.deleted:
+            changes = await self._watch(prefix, after_revision, watching.WATCH_WAIT_S)
+            if not changes.is_empty:
                 yield changes.revision
-            after_revision = max(after_revision, changes.revision)
+            after_revision = changes.revision
 
     async def _call(
         self,
@@ -237,6 +248,10 @@
     )
 
 
+def _deletion(plain: dict) -> mirror.Deletion:
+    return mirror.Deletion(str(plain.get("key", "")), int(plain.get("revision") or 0))
+
+
 def _precondition(condition: keyvalue.Condition) -> dict:
     revision = condition.mod_revision
     if revision is None and condition.create_revision == 0:
--- a/toucanhold/replicas/driver.py
+++ b/toucanhold/replicas/driver.py
@@ -8,9 +8,9 @@
 import attrs
 import trio
 
-from toucanhold import events
+from toucanhold import events, waking
 from toucanhold.registry import registry, servers
-from toucanhold.replicas import ordering, orders, plan, records, signal
+from toucanhold.replicas import ordering, orders, plan, records
 
 # Orders without an effect are given again after this time; joins of loaded models take 0.2 s.
 ORDER_AGAIN_S = 1.0
@@ -43,7 +43,7 @@
     plan: plan.Plan
     known: registry.Registry
     orderer: ordering.Orderer
-    news: signal.Signal
+    news: waking.Signal
     stall_s: float
     _begun_s: float = attrs.field(factory=trio.current_time, init=False)
     _ordered_s: dict[str, float] = attrs.field(factory=dict, init=False)
--- a/toucanhold/replicas/planner.py
+++ b/toucanhold/replicas/planner.py
@@ -9,10 +9,10 @@
 import attrs
 import trio
 
-from toucanhold import events
+from toucanhold import events, waking
 from toucanhold.coordination import lease, mirror
 from toucanhold.registry import registry, servers
-from toucanhold.replicas import composition, driver, ordering, orders, plan, records, signal
+from toucanhold.replicas import composition, driver, ordering, orders, plan, records
 from toucanhold.routes import table
 
 TICK_S = 0.25
@@ -47,7 +47,7 @@
     closed_zones: collections.abc.Callable[[], frozenset[str]]
     stall_s: float
     orderer: ordering.Orderer = attrs.field(init=False)
-    _news: signal.Signal = attrs.field(factory=signal.Signal, init=False)
+    _news: waking.Signal = attrs.field(factory=waking.Signal, init=False)
     _driven: set[str] = attrs.field(factory=set, init=False)
     _prepared_s: dict[tuple[str, int], float] = attrs.field(factory=dict, init=False)
     _last_arrival_s: float = attrs.field(default=0.0, init=False)
