Tell silence at once; share callers and bounds by the size of entries

Cause: with sixty entries most have one stream or none at a head, not yet begun, and gave it 0.7 s; what another entry knew came within 0.9 s and moved no stream. Parts of common bounds were a sixtieth for each entry, whatever it serves; entries of half a core got as many callers as those of two.

Change: a silent head is told to all others in one round, and moves their streams after 0.15 s without a sign, unless streams there go on.

--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -2,13 +2,16 @@
 
 import random
 import unittest
+import unittest.mock
 
 import attrs
 import msgpack
 import trio
 
 from tests.platform import standins
-from toucanhold.gateway import crashes, entries, exchange, health, load
+from toucanhold.gateway import crashes, entries, exchange, health, load, silence
+
+SLOW_INTERVAL_S = 5.0
 
 
 @attrs.define(eq=False)
@@ -35,15 +38,15 @@
         self.health = health.Health()
         self.crashes = crashes.CrashMemory()
         self.silent = []
+        self.watch = silence.SilenceWatch(self.health, self.silent.append)
         self.exchange = exchange.Exchange(
-            self.listed,
-            self.loads,
-            self.health,
-            self.crashes,
-            self.silent.append,
-            random.Random(1),
+            self.listed, self.loads, self.crashes, self._hear_silent, random.Random(1)
         )
 
+    def _hear_silent(self, server_id, entry):
+        if self.watch.hear(server_id, entry):
+            self.silent.append(server_id)
+
 
 class ExchangeTest(unittest.TestCase):
     def test_entries_hear_what_the_others_have_in_flight_and_avoid(self):
@@ -90,6 +93,29 @@
                     await trio.sleep(0.02)
             nursery.cancel_scope.cancel()
 
+    def test_a_silent_server_is_told_to_all_others_at_once(self):
+        """A head dies that sixty entries send to; most have no stream there that has begun.
+
+        The first to notice tells all others before its next round.
+        """
+        with unittest.mock.patch.object(exchange, "SEND_INTERVAL_S", SLOW_INTERVAL_S):
+            trio.run(self._tell_everyone)
+
+    async def _tell_everyone(self):
+        sides = [Side(f"e{n}") for n in range(20)]
+        for side in sides:
+            side.listed.known += [each.listed.own for each in sides if each is not side]
+        async with trio.open_nursery() as nursery:
+            for side in sides:
+                nursery.start_soon(side.exchange.run)
+            await trio.sleep(0.15)
+            sides[0].exchange.note_silent("s9")
+            # In turn it would take three rounds.
+            with trio.fail_after(2 * SLOW_INTERVAL_S):
+                while not all(side.silent for side in sides[1:]):
+                    await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+
     def test_sixty_entries_cost_as_much_as_seven(self):
         side = Side("e00")
         for number in range(1, 60):
--- a/toucanhold/gateway/budget.py
+++ b/toucanhold/gateway/budget.py
@@ -47,11 +47,11 @@
 class RetryBudget:
     """This entry's part of the repeats to each service.
 
-    :ivar entries: returns how many entries there are
+    :ivar share: returns this entry's part of all callers
     """
 
     bound: RetryBound
-    entries: collections.abc.Callable[[], int]
+    share: collections.abc.Callable[[], float]
     _requests: dict[str, _Window] = attrs.field(factory=dict, init=False)
     _repeats: dict[str, _Window] = attrs.field(factory=dict, init=False)
 
@@ -70,7 +70,7 @@
         """Tell whether a repeat is left."""
         repeats = self._window(self._repeats, service).total()
         requests = self._window(self._requests, service).total()
-        slack = self.bound.slack / max(1, self.entries())
+        slack = self.bound.slack * self.share()
         return repeats + 1 <= USED_PART * (self.bound.ratio * requests + slack)
 
     def _window(self, windows: dict[str, _Window], service: str) -> _Window:
@@ -85,16 +85,17 @@
 
     :ivar overage: factor on what a server says that it bears
     :ivar slack: requests a second beyond that, over all entries
+    :ivar share: returns this entry's part of all callers
     """
 
     overage: float
     slack: float
-    entries: collections.abc.Callable[[], int]
+    share: collections.abc.Callable[[], float]
     _sent_s: dict[str, collections.deque[float]] = attrs.field(factory=dict, init=False)
 
     def may_send(self, server_id: str, bears_per_s: float) -> bool:
         """Tell whether one more request may go to a cold server."""
-        part = USED_PART * (bears_per_s * self.overage + self.slack) / max(1, self.entries())
+        part = USED_PART * (bears_per_s * self.overage + self.slack) * self.share()
         return len(self._recent(server_id)) + 1 <= part
 
     def note(self, server_id: str) -> None:
--- a/toucanhold/gateway/entries.py
+++ b/toucanhold/gateway/entries.py
@@ -80,10 +80,6 @@
         """Return the entries that callers may be sent to."""
         return self.others() + ([] if self.is_stopping else [self.own])
 
-    def count(self) -> int:
-        """Return the number of entries, this one included."""
-        return len(self._others) + 1
-
     @property
     def _own_key(self) -> str:
         return f"{ENTRIES_PREFIX}{self.own.entry}/{self.own.boot}"
--- a/toucanhold/gateway/exchange.py
+++ b/toucanhold/gateway/exchange.py
@@ -16,8 +16,8 @@
 import msgpack
 import trio
 
-from toucanhold import codec
-from toucanhold.gateway import crashes, entries, health, load
+from toucanhold import codec, waking
+from toucanhold.gateway import crashes, entries, load
 
 # Each head gets about one request in this time from all entries together; counts that are older
 # would send two entries to the same head.
@@ -31,8 +31,6 @@
 # it.
 MISSED_ROUNDS = 8
 MAX_CRASHES_SENT = 32
-# Longest time for which another entry's word on a silent server holds here.
-SUSPECT_S = 1.0
 
 LOGGER = logging.getLogger(__name__)
 
@@ -57,21 +55,25 @@
 class Exchange:
     """Tells the other entries, and hears them.
 
-    :ivar on_silent: told servers that another entry found silent
+    :ivar on_silent: told servers that another entry found silent, and that entry's name
     """
 
     listed: entries.EntryList
     loads: load.LoadBoard
-    health: health.Health
     crashes: crashes.CrashMemory
-    on_silent: collections.abc.Callable[[str], None]
+    on_silent: collections.abc.Callable[[str, str], None]
     rng: random.Random
+    _urgent: waking.Signal = attrs.field(factory=waking.Signal, init=False)
+    _is_urgent: bool = attrs.field(default=False, init=False)
     _silent_until_s: dict[str, float] = attrs.field(factory=dict, init=False)
     _next_receiver: int = attrs.field(default=0, init=False)
 
     def note_silent(self, server_id: str) -> None:
-        """Tell the others of a silent server, a few times."""
-        self._silent_until_s[server_id] = trio.current_time() + 2 * self._round_s()
+        """Tell all others of a silent server at once, and once more in turn."""
+        # Each tenth of a second that they go on sending to it, their callers wait for nothing.
+        self._silent_until_s[server_id] = trio.current_time() + self._round_s()
+        self._is_urgent = True
+        self._urgent.wake()
 
     def _round_s(self) -> float:
         """Return the time in which each other entry is sent to once."""
@@ -89,9 +91,12 @@
 
     async def _send(self, socket: trio.socket.SocketType) -> None:
         while True:
-            await trio.sleep(SEND_INTERVAL_S * self.rng.uniform(0.9, 1.1))
+            if not self._is_urgent:
+                await self._urgent.wait(SEND_INTERVAL_S * self.rng.uniform(0.9, 1.1))
+            receivers = self.listed.others() if self._is_urgent else self._next_receivers()
+            self._is_urgent = False
             data = msgpack.packb(codec.CONVERTER.unstructure(self._notice()))
-            for other in self._next_receivers():
+            for other in receivers:
                 host, _, port = other.exchange_address.rpartition(":")
                 try:
                     await socket.sendto(data, (host, int(port)))
@@ -142,5 +147,4 @@
         for mark, count in notice.crashes:
             self.crashes.hear(mark, count)
         for server_id in notice.silent:
-            self.health.avoid(server_id, f"silent at {notice.entry}", SUSPECT_S)
-            self.on_silent(server_id)
+            self.on_silent(server_id, notice.entry)
--- a/toucanhold/gateway/silence.py
+++ b/toucanhold/gateway/silence.py
@@ -24,6 +24,11 @@
 NEWEST_WEIGHT = 0.1
 # Before the first event a request may also wait for its turn at the server.
 UNBEGUN_SILENCE_S = 0.7
+# What is enough once another entry has found the server silent: a pass and a long prompt between
+# its steps. With sixty entries most have one stream or none at a head, not yet begun.
+TOLD_SILENCE_S = 0.15
+# How long another entry's word counts, and the server is passed over for it.
+TOLD_S = 1.0
 
 LOGGER = logging.getLogger(__name__)
 
@@ -82,6 +87,7 @@
     health: health.Health
     on_silent: collections.abc.Callable[[str], None]
     _pauses: dict[str, _UsualPauses] = attrs.field(factory=dict, init=False)
+    _told_until_s: dict[str, float] = attrs.field(factory=dict, init=False)
     _watched: trio.Event = attrs.field(factory=trio.Event, init=False)
     _streams: dict[str, list[WatchedStream]] = attrs.field(
         factory=lambda: collections.defaultdict(list), init=False
@@ -100,6 +106,19 @@
         if not streams:
             del self._streams[stream.server_id]
 
+    def hear(self, server_id: str, entry: str) -> bool:
+        """Take another entry's word that a server is silent.
+
+        :return: whether it is believed: streams here may show otherwise
+        """
+        now_s = trio.current_time()
+        streams = self._streams.get(server_id, ())
+        if any(each.has_begun and now_s - each.last_sign_s < TOLD_SILENCE_S for each in streams):
+            return False
+        self.health.avoid(server_id, f"silent at {entry}", TOLD_S)
+        self._told_until_s[server_id] = now_s + TOLD_S
+        return True
+
     async def run(self) -> None:
         """Watch until cancelled."""
         before_s = trio.current_time()
@@ -117,12 +136,17 @@
 
     def _look(self, now_s: float) -> None:
         for server_id, streams in list(self._streams.items()):
-            has_begun = any(stream.has_begun for stream in streams)
-            limit_s = self._pauses[server_id].limit_s() if has_begun else UNBEGUN_SILENCE_S
             silent_s = now_s - max(stream.last_sign_s for stream in streams)
-            if silent_s > limit_s:
+            if silent_s > self._limit_s(server_id, streams, now_s):
                 self._abandon(server_id, streams, silent_s)
 
+    def _limit_s(self, server_id: str, streams: list[WatchedStream], now_s: float) -> float:
+        if self._told_until_s.get(server_id, 0.0) > now_s:
+            return TOLD_SILENCE_S
+        if any(stream.has_begun for stream in streams):
+            return self._pauses[server_id].limit_s()
+        return UNBEGUN_SILENCE_S
+
     def _abandon(self, server_id: str, streams: list[WatchedStream], silent_s: float) -> None:
         if not self.health.is_avoided(server_id):
             events.log(
@@ -134,6 +158,7 @@
                 usual_s=round(self._pauses[server_id].mean_s, 3),
             )
             self.health.avoid(server_id, "all its streams are silent")
+            self._told_until_s.pop(server_id, None)
             self.on_silent(server_id)
         for stream in streams:
             # A stream that nobody else can go on with is better left: the head may yet speak.
--- a/toucanhold/platform/directory.py
+++ b/toucanhold/platform/directory.py
@@ -4,12 +4,13 @@
 
 import collections.abc
 import random
+import time
 import urllib.parse
 
 import attrs
 
 from toucanhold import asgi, metrics
-from toucanhold.gateway import entries
+from toucanhold.gateway import entries, sharing
 
 RESOLVE_PATH = "/resolve"
 READY_PATH = "/ready"
@@ -47,9 +48,9 @@
 
     def addresses(self, zone: str) -> list[str]:
         """Return where a caller of a zone may connect, in no order."""
-        serving = self.listed.serving()
-        self.rng.shuffle(serving)
-        return [entry.callers_address for entry in serving[:MAX_ADDRESSES]]
+        chosen = sharing.named(self.listed.serving(), zone, time.time())
+        self.rng.shuffle(chosen)
+        return [entry.callers_address for entry in chosen[:MAX_ADDRESSES]]
 
 
 @attrs.define(eq=False)
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -23,6 +23,7 @@
     health,
     hierarchy,
     load,
+    sharing,
     silence,
     targets,
 )
@@ -193,9 +194,10 @@
         self.loads = load.LoadBoard()
         self.crashes = crashes.CrashMemory()
         self.exchange = exchange.Exchange(
-            self.entries, self.loads, self.health, self.crashes, self.planner.suspect, self.rng
+            self.entries, self.loads, self.crashes, self._hear_silent, self.rng
         )
-        self.cold = budget.ColdBudget(bounds.cold_overage, bounds.cold_slack, self.entries.count)
+        self.silence = silence.SilenceWatch(self.health, self._note_silent)
+        self.cold = budget.ColdBudget(bounds.cold_overage, bounds.cold_slack, self._share)
         found = targets.Targets(
             self.registry,
             self.board,
@@ -210,10 +212,10 @@
             self.routes,
             self.servers,
             admission.Admission(found),
-            budget.RetryBudget(_retry_bound(bounds), self.entries.count),
+            budget.RetryBudget(_retry_bound(bounds), self._share),
             self.health,
             self.crashes,
-            silence.SilenceWatch(self.health, self._note_silent),
+            self.silence,
             self.rng,
         )
 
@@ -242,6 +244,13 @@
         self.exchange.note_silent(server_id)
         self.planner.suspect(server_id)
 
+    def _share(self) -> float:
+        return sharing.share(self.entries.own, self.entries.others())
+
+    def _hear_silent(self, server_id: str, entry_name: str) -> None:
+        if self.silence.hear(server_id, entry_name):
+            self.planner.suspect(server_id)
+
     def _gather_s(self) -> float:
         return PLANNER_GATHER_S if self.planner.may_act() else GATHER_S
 
