Remove what nobody uses; name path and model in the last line of a request

Loads told in answers, the work of a request in tokens and the order to stage had no reader. A refusal's last log line named neither route nor model.

--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -159,7 +159,7 @@
             chunks = self._events(behaviour, forwarded)
             if not forwarded.is_stream or behaviour.status != 200:
                 chunks = self._whole()
-            yield calls.Response(behaviour.status, (), None, chunks)
+            yield calls.Response(behaviour.status, (), chunks)
         finally:
             self.working[name] -= 1
 
--- a/standins/replicas.py
+++ b/standins/replicas.py
@@ -236,12 +236,8 @@
             return orders.OrderOutcome.HOLDS
         if order_count != target.order_count:
             return orders.OrderOutcome.REFUSED
-        match order:
-            case orders.Join():
-                return await self._join(target, order)
-            case orders.Stage():
-                target.order_count += 1
-                return orders.OrderOutcome.BEGUN
+        if isinstance(order, orders.Join):
+            return await self._join(target, order)
         membership = target.membership
         if membership is None or (membership.group, membership.epoch) != (order.group, order.epoch):
             return orders.OrderOutcome.REFUSED
--- a/tests/platform/test_platform_calls.py
+++ b/tests/platform/test_platform_calls.py
@@ -181,7 +181,7 @@
             server = gateways.new_servers(1)["b0"]
             gone = attrs.evolve(server, address=standins.free_address())
             client = servers.PlatformServerClient()
-            outcome = await client.give(gone, orders.Stage("m0"), 0, 1)
+            outcome = await client.give(gone, orders.Leave("g1", 1), 0, 1)
             self.assertIs(orders.OrderOutcome.UNREACHABLE, outcome)
             with self.assertRaises(calls.NotRunError) as caught:
                 forwarded = calls.Forwarded(gateways.new_call("/"), "", 1.0, None, False)
--- a/toucanhold/gateway/calls.py
+++ b/toucanhold/gateway/calls.py
@@ -82,7 +82,6 @@
     :ivar deadline_s: time of the run's clock at which the caller leaves
     :ivar model: the model asked for; empty for plain services
     :ivar last_event_id: the event after which a stream is to go on; None from its start
-    :ivar work_tokens: what it will cost about, in tokens; 0 where unknown
     """
 
     call_id: str
@@ -97,7 +96,6 @@
     deadline_s: float
     model: str = ""
     last_event_id: int | None = None
-    work_tokens: float = 0.0
 
 
 @attrs.frozen
@@ -115,22 +113,12 @@
     is_stream: bool
 
 
-@attrs.frozen
-class Load:
-    """What a backend server says of its load."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @attrs.frozen
 class Response:
     """The head of a server's answer; ``chunks`` raises :class:`AnswerLostError`."""
 
     status: int
     headers: Headers
-    load: Load | None
     chunks: collections.abc.AsyncIterator[bytes]
 
 
--- a/toucanhold/platform/front.py
+++ b/toucanhold/platform/front.py
@@ -123,6 +123,8 @@
             LOGGER,
             events.Event.CALL_ENDED,
             request_id=call.call_id,
+            path=call.path,
+            model=call.model or None,
             status=reply.status or None,
             outcome=outcome,
             first_s=round(reply.first_s - arrived_s, 3) if reply.first_s is not None else None,
@@ -167,7 +169,6 @@
         deadline_s=arrived_s + _wait_s(headers.find(lines, headers.REMAINING_MS)),
         model=headers.find(lines, headers.MODEL),
         last_event_id=int(last_event_id) if last_event_id.isdigit() else None,
-        work_tokens=headers.work_tokens(lines),
     )
 
 
--- a/toucanhold/platform/headers.py
+++ b/toucanhold/platform/headers.py
@@ -4,8 +4,6 @@
 
 import collections.abc
 
-from toucanhold.gateway import calls
-
 # Names one attempt of a caller, not the request that it repeats.
 CALL_ID = b"x-attempt-id"
 REMAINING_MS = b"x-deadline-remaining-ms"
@@ -15,13 +13,9 @@
 KEY = b"x-credential"
 LAST_EVENT_ID = b"last-event-id"
 MODEL = b"x-model"
-# Tokens of the prompt and the most tokens of the answer.
-TOKENS = b"x-token-usage"
-LENGTH_HINT = b"x-length-hint"
 # The server's signature of an answer.
 SEAL = b"x-server-seal"
 NOT_RUN = b"x-not-executed"
-LOAD = b"x-instance-load"
 # The member that keeps a group's head from working.
 AT_FAULT = b"at-server"
 
@@ -78,25 +72,6 @@
     return tuple((key, value) for key, value in found if key not in dropped)
 
 
-def load(lines: Lines) -> calls.Load | None:
-    """Return what a server tells of its load, or None."""
-    try:
-        running, waiting, slots = (int(part) for part in find(lines, LOAD).split(","))
-    except ValueError:
-        return None
-    return calls.Load(running, waiting, slots)
-
-
-def work_tokens(lines: Lines) -> float:
-    """Return the tokens that a request will cost about: those read, and those written."""
-    try:
-        prompt, most = (int(part) for part in find(lines, TOKENS).split(","))
-    except ValueError:
-        return 0.0
-    hint = find(lines, LENGTH_HINT)
-    return prompt + (min(most, int(hint)) if hint.isdigit() else most)
-
-
 def _named_by_connection(lines: list[tuple[bytes, bytes]]) -> set[bytes]:
     return {
         token.strip().lower()
--- a/toucanhold/platform/servers.py
+++ b/toucanhold/platform/servers.py
@@ -56,7 +56,6 @@
             yield calls.Response(
                 response.status,
                 headers.end_to_end(response.headers),
-                headers.load(response.headers),
                 _chunks(server, response),
             )
         finally:
@@ -222,6 +221,4 @@
             fields = {"op": "close", "mode": "wait" if order.finishes_work else "abort"}
         case orders.Leave():
             fields = {"op": "leave"}
-        case orders.Stage():
-            return {"op": "stage", "model": order.model}
     return fields | {"group": order.group, "epoch": order.epoch}
--- a/toucanhold/replicas/orders.py
+++ b/toucanhold/replicas/orders.py
@@ -61,14 +61,7 @@
     epoch: int
 
 
-@attrs.frozen
-class Stage:
-    """Load a model onto the host, beside all other work."""
-
-    model: str
-
-
-Order = Join | Open | Close | Leave | Stage
+Order = Join | Open | Close | Leave
 
 
 class EngineClient(abc.ABC):
