--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,10 @@
 # Sets of names are ordered by hash: the same order in each run gives the same verdicts.
 export PYTHONHASHSEED = 0
 
-.PHONY: venv test lint format demo binary measure capacity matrix
+FIRST ?= 1
+SEEDS ?= 10
+
+.PHONY: venv test lint format demo binary measure capacity matrix soak
 
 venv: $(STAMP)
 
@@ -32,3 +35,6 @@
 
 demo binary measure capacity matrix: $(STAMP)
 	@$(PYTHON) -m tools.$@
+
+soak: $(STAMP)
+	@$(PYTHON) -m tests.platform.soak --first $(FIRST) --seeds $(SEEDS)
