Close streams to entries that have no store either

Cause: found on reading. Ruled out: the giver's side, which ends with the stream.

Change: a stream that is not taken is closed at once. A watch may come 0.6 s late, twice what a slow store takes, not 0.4 s.

Conclusion: the test fails on the state before.

--- a/standins/memory.py
+++ b/standins/memory.py
@@ -223,6 +223,10 @@
             if other != name:
                 self.cut(name, other)
 
+    def streams(self) -> list[_CuttableStream]:
+        """Return both ends of each stream that was ever opened."""
+        return list(self._streams)
+
     def refuse(self, source: str, destination: str) -> None:
         """Let no new connection from ``source`` to ``destination`` through."""
         self._one_way.add((source, destination))
@@ -267,6 +271,7 @@
     inner: trio.abc.Stream
     pair: frozenset[str]
     lossy: bool = False
+    is_closed: bool = False
 
     async def send_all(self, data: bytes) -> None:
         """Send, or lose."""
@@ -287,6 +292,7 @@
 
     async def aclose(self) -> None:
         """Close."""
+        self.is_closed = True
         await self.inner.aclose()
 
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,5 +1,6 @@
 """Changes of the key-value service, passed on from entry to entry."""
 
+import functools
 import random
 import unittest
 
@@ -90,6 +91,7 @@
     """Run a test method with a site whose entries follow each other, on the test clock."""
 
     @clocked.on_test_clock
+    @functools.wraps(function)
     async def run(self):
         async with trio.open_nursery() as nursery:
             site = Site(nursery)
@@ -163,6 +165,19 @@
         await site.seconds_until(lambda: site["f2"].copy.is_answering, 3)
         self.assertLess(site["f2"].copy.since_failure_s, 3)
 
+    @with_site
+    async def test_looks_for_a_source_in_an_outage_leave_no_streams_behind(self, site):
+        """An outage lasts; a follower looks for an entry that has the service, time and again.
+
+        Each look opens a stream to each entry, which tells that it has lost the service too. Left
+        open, dozens of them would each get a heartbeat four times a second.
+        """
+        site.platform.set_mode("down")
+        await trio.sleep(20)
+        open_streams = sum(not stream.is_closed for stream in site.network.streams())
+        # Both ends of at most the two streams of a look that is under way at each follower.
+        self.assertLessEqual(open_streams, 8)
+
     @with_site
     async def test_an_entry_that_was_away_for_long_gets_everything_anew(self, site):
         site["f1"].scope.cancel()
--- a/toucanhold/platform/store.py
+++ b/toucanhold/platform/store.py
@@ -19,8 +19,9 @@
 # The store answers in 4 ms, in 240 ms when it is slow, and else not at all; a call that waits
 # longer than this delays what could be tried on another connection.
 CALL_TIMEOUT_S = 1.0
-# How much later than asked a watch may return before its connection is taken for dead.
-WATCH_MARGIN_S = 0.4
+# How much later than asked a watch may return before its connection is taken for dead: twice what a
+# slow store takes.
+WATCH_MARGIN_S = 0.6
 # A connection that went silent for good must not hold the kernel's buffers for minutes.
 UNACKNOWLEDGED_LIMIT_MS = 3000
 MAX_CONNECTIONS = 16
--- a/toucanhold/relay/giving.py
+++ b/toucanhold/relay/giving.py
@@ -35,7 +35,6 @@
     copy: mirror.Mirror
     address: str
     transport: transport.PeerTransport
-    followers: int = attrs.field(default=0, init=False)
     _encoded: tuple[tuple[int, int], bytes] = attrs.field(default=((0, 0), b""), init=False)
 
     async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
@@ -48,13 +47,10 @@
     async def _serve(self, stream: trio.abc.Stream) -> None:
         framed = frames.FrameStream(stream, SUBSCRIBE_LIMIT_BYTES, SUBSCRIBE_TIMEOUT_S)
         async with stream:
-            self.followers += 1
             try:
                 await self._give(framed)
             except (frames.FrameError, messages.MessageError, trio.TooSlowError) as error:
                 events.log(LOGGER, events.Event.FOLLOWER_LOST, reason=repr(error))
-            finally:
-                self.followers -= 1
 
     async def _give(self, framed: frames.FrameStream) -> None:
         asked = messages.decode(await framed.receive())
--- a/toucanhold/relay/taking.py
+++ b/toucanhold/relay/taking.py
@@ -18,9 +18,9 @@
 # Within a region a connection takes some milliseconds; an entry that was killed refuses at once.
 CONNECT_TIMEOUT_S = 0.3
 SILENCE_TIMEOUT_S = 2.4 * giving.HEARTBEAT_INTERVAL_S
-# A watch tells nothing for up to its longest wait; beyond that and some hops its entry has lost
-# the service, though it may not know yet.
-STALE_S = watching.WATCH_WAIT_S + 0.6
+# A watch tells nothing for up to its longest wait; a slow service answers it half a second
+# later. A copy that is older has come in a circle, or by an entry that was paused.
+STALE_S = watching.WATCH_WAIT_S + 1.0
 # How often an entry that must watch for itself looks for one to follow.
 LOOK_AGAIN_S = 2.0
 # How long an entry stays with its second choice before it tries its first one again.
@@ -115,14 +115,17 @@
                 stream = await self.transport.connect(address)
         except trio.TooSlowError as error:
             raise SourceLostError("no connection in time") from error
-        await streams.enter_async_context(stream)
-        framed = frames.FrameStream(stream, FRAME_LIMIT_BYTES, SILENCE_TIMEOUT_S)
-        source = _Source(address, framed)
-        with _translated_errors():
-            await framed.send([messages.encode(messages.Subscribe(self.copy.revision))])
-        # Its first word tells whether it has the service itself.
-        await self._take(source)
-        return source
+        async with contextlib.AsyncExitStack() as opened:
+            await opened.enter_async_context(stream)
+            framed = frames.FrameStream(stream, FRAME_LIMIT_BYTES, SILENCE_TIMEOUT_S)
+            source = _Source(address, framed)
+            with _translated_errors():
+                await framed.send([messages.encode(messages.Subscribe(self.copy.revision))])
+            # Its first word tells whether it has the service itself. If not, its stream is closed
+            # here: through an outage it would otherwise go on beside those of later looks.
+            await self._take(source)
+            streams.push_async_exit(opened.pop_all())
+            return source
 
     async def _follow(self, source: _Source) -> None:
         events.log(LOGGER, events.Event.SOURCE_FOLLOWED, source=source.address)
