Count groups in zones that are out when asking whether any group exists

A zone was out, and with it the head of the only large group; the small group lost a member. As no group counted, the next one was taken for the first of all, which may load for long: the small group's survivors loaded the large model, and from then on nobody served the small one. Ruled out: loads that failed, orders that were lost (the log shows each one begun).

Change: groups in zones that are out count as well. The soak waits until both models serve before it begins, and tells an entry that does not answer as a violation.

The new test fails on the state before.

Open: a model that has lost all its groups while others hold the servers is given none back.

--- a/tests/platform/soak/running.py
+++ b/tests/platform/soak/running.py
@@ -16,7 +16,8 @@
 # 3 s, and a server that was passed over several times comes back after 12 s.
 RECOVERY_S = 16.0
 CHECKED_S = 4.0
-START_S = 8.0
+# Imports take seconds where many processes start beside other work.
+START_LIMIT_S = 60.0
 
 
 @attrs.define(eq=False)
@@ -43,9 +44,8 @@
         record = callers.Record()
         drawn = faults.Faults(site)
         async with trio.open_nursery() as nursery:
-            for entry in site.entries:
-                await processes.wait_listening(site.address(entry, "front"))
-            await trio.sleep(START_S)
+            with trio.fail_after(START_LIMIT_S):
+                await _wait_until_all_serve(site)
             for number in range(callers.CALLERS):
                 nursery.start_soon(callers.Caller(site, record, f"c{seed}-{number}").run)
             await trio.sleep(2)
@@ -60,6 +60,14 @@
         return Result(seed, violations, drawn.told, ends)
 
 
+async def _wait_until_all_serve(site):
+    for entry in site.entries:
+        await processes.wait_listening(site.address(entry, "front"))
+    names = {model.name for model in sites.MODELS}
+    while {head.model for head in site.fleet.open_groups().values()} != names:
+        await trio.sleep(0.2)
+
+
 def _check_history(site, record):
     found = [f"group: {text}" for text in site.fleet.broken]
     found += [f"answer: {text}" for text in record.wrong]
@@ -94,7 +102,10 @@
     async with httpcore.AsyncConnectionPool(retries=0) as pool:
         for entry in site.entries:
             url = f"http://{site.address(entry, 'front')}{newest}check"
-            answer = await pool.request("GET", url, headers=lines)
-            if answer.status != 200:
-                found.append(f"configuration: {entry} answers {answer.status} on the newest route")
+            try:
+                status = (await pool.request("GET", url, headers=lines)).status
+            except callers.ERRORS as error:
+                status = repr(error)
+            if status != 200:
+                found.append(f"configuration: {entry} answers {status} on the newest route")
     return found
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -12,9 +12,11 @@
 from tests.platform.soak import running
 
 SHORT_FAULTS_S = 8.0
-SHORT_SEEDS = (21,)
+SHORT_SEEDS = (30,)
 # Seed 8 stopped an entry that was still starting; it ended by the signal, with nothing to finish.
-KEPT_SEEDS = (8,)
+# In seed 21 a group lost a member while the other model's zone was out; its survivors loaded that
+# model, and nobody served their own any more.
+KEPT_SEEDS = (8, 21)
 
 
 class SoakTest(unittest.TestCase):
--- a/tests/test_composition.py
+++ b/tests/test_composition.py
@@ -3,6 +3,7 @@
 import collections
 import unittest
 
+import attrs
 import hypothesis
 from hypothesis import strategies
 
@@ -27,7 +28,10 @@
 def new_situation(free, counts=None, usable=None, engine=None, ending=None):
     engine = engine or replicas.new_engine()
     usable = usable if usable is not None else sum(map(len, free.values()))
-    return composition.Situation(engine, free, counts or {}, usable, {}, {}, ending or {})
+    counts = counts or {}
+    # Where the groups are makes no difference to these decisions; that there are some does.
+    zone_counts = {(model, "zone-z"): count for model, count in counts.items()}
+    return composition.Situation(engine, free, counts, usable, zone_counts, {}, ending or {})
 
 
 class StartTest(unittest.TestCase):
@@ -74,6 +78,18 @@
         (preparation,) = composer.preparations()
         self.assertEqual("new", preparation.server.server_id)
 
+    def test_survivors_keep_their_model_while_the_other_groups_are_in_a_zone_that_is_out(self):
+        """Callers of the small model are refused for good, though its servers live.
+
+        The zone of the only large group's head is out. The small group loses a member; its three
+        survivors and a spare of the large model are free. They could form a large group by loading
+        it for a quarter of a minute, and no server would be left for the small one.
+        """
+        free = {"d0": [new_server("spare", "d0", "large")] + new_domain("d0", 3, "small")}
+        situation = attrs.evolve(new_situation(free, {}, 9), zone_counts={("large", "zone-a"): 1})
+        (formation,) = composition.Composer(situation).formations()
+        self.assertEqual("small", formation.model)
+
     def test_extra_groups_leave_spares_for_the_next_loss(self):
         free = {"d0": new_domain("d0", 4, "large")}
         situation = new_situation(free, {"large": 7, "small": 7}, 54)
--- a/toucanhold/replicas/composition.py
+++ b/toucanhold/replicas/composition.py
@@ -146,7 +146,10 @@
         if len(members) < model.size + reserve:
             return False
         slowest_s = max(join_s(member, model) for member in _members(model, members))
-        is_first = not self.situation.counts and not self.situation.ending
+        # Groups in zones that are out count as well. Without them a group that lost a member while
+        # its zone's neighbour was out was taken for the first of all: its survivors loaded the
+        # other model, and their own was served by nobody from then on.
+        is_first = not self.situation.zone_counts and not self.situation.ending
         return is_first or slowest_s <= max(model.warm_s, REJOIN_S)
 
     def _rank(self, model: table.Model, domain: str) -> tuple:
