--- a/tests/test_composition.py
+++ b/tests/test_composition.py
@@ -102,6 +102,20 @@
         self.assertEqual("small", formation.model)
 
 
+class StarvedModelTest(unittest.TestCase):
+    def test_spares_are_loaded_anew_for_a_model_that_has_no_group(self):
+        """Callers of the small model are refused for good, beside four idle servers.
+
+        After a zone was out the large model has its group and four spares, the small one nothing
+        but one spare. Spares that hold a model load no other, so its group never forms.
+        """
+        free = {"d0": new_domain("d0", 4, "large") + [new_server("last", "d0", "small")]}
+        composer = composition.Composer(new_situation(free, {"large": 1}, 9))
+        self.assertEqual([], composer.formations())
+        prepared = [each.model for each in composer.preparations()]
+        self.assertGreaterEqual(prepared.count("small"), 2)
+
+
 class SpanningTest(unittest.TestCase):
     def test_spares_of_several_domains_form_no_group(self):
         free = {f"d{n}": new_domain(f"d{n}", 1, "large") for n in range(6)}
