Give no address twice to tests that bind several at once

Cause: test_a_silent_server_is_told_to_all_others_at_once failed once with EADDRINUSE. Ruled out: another program on the port; it came with one test run alone. Change: addresses that were handed out are remembered.

--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -13,10 +13,19 @@
 from toucanhold import asgi, serving
 
 
+# A port that was found free is free again until it is listened on, and may be found twice.
+_found_ports = set()
+
+
 def free_address():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return an address that nobody listens on and that was not returned before."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            port = probe.getsockname()[1]
+        if port not in _found_ports:
+            _found_ports.add(port)
+            return f"127.0.0.1:{port}"
 
 
 @contextlib.asynccontextmanager
