Import only the command that is asked for

Cause: an entry that has been killed is away until its imports are done, and half of what the program imported served other commands (operators' client, the product's own entry). Ruled out: compiling at each start; the byte code is kept.

--- a/toucanhold/cli/command.py
+++ b/toucanhold/cli/command.py
@@ -6,21 +6,9 @@
 import math
 
 import cleo.commands.command
-import trio
 
 from toucanhold import codec, environment, exitstatus
 from toucanhold.cli import definitions
-from toucanhold.configuration import document
-from toucanhold.operators import client
-
-STATUS_OF_KIND = {
-    "invalid": exitstatus.ExitStatus.INVALID,
-    "conflict": exitstatus.ExitStatus.CONFLICT,
-    "unavailable": exitstatus.ExitStatus.UNAVAILABLE,
-    "unreachable": exitstatus.ExitStatus.UNAVAILABLE,
-    "not-drainable": exitstatus.ExitStatus.CONFLICT,
-    "unknown-outcome": exitstatus.ExitStatus.UNKNOWN,
-}
 
 
 class UsageError(Exception):
@@ -50,12 +38,6 @@
             return int(self.execute_command())
         except UsageError as error:
             return self.fail(exitstatus.ExitStatus.USAGE, str(error))
-        except client.OperatorsClientError as error:
-            status = STATUS_OF_KIND.get(error.kind, exitstatus.ExitStatus.ERROR)
-            return self.fail(status, f"{error.kind}: {error}", *error.mistakes)
-        except document.InvalidDocumentError as error:
-            mistakes = [str(mistake) for mistake in error.exceptions]
-            return self.fail(exitstatus.ExitStatus.INVALID, error.message, *mistakes)
 
     @abc.abstractmethod
     def execute_command(self) -> exitstatus.ExitStatus:
@@ -98,26 +80,3 @@
         if not low <= value < math.inf:
             raise UsageError(f"--{name} must be a number of {low} or more")
         return value
-
-
-class OperatorCommand(Command):
-    """A command that calls an entry's operators' interface."""
-
-    def execute_command(self) -> exitstatus.ExitStatus:
-        """See :class:`Command`."""
-        return trio.run(self.call_entry, self._client())
-
-    @abc.abstractmethod
-    async def call_entry(self, entry: client.OperatorsClient) -> exitstatus.ExitStatus:
-        """Do the command's work against an entry."""
-
-    def _client(self) -> client.OperatorsClient:
-        variables = self.env.variables
-        url = self.option("entry-url") or variables.get(definitions.ENTRY_URL_VARIABLE)
-        token = variables.get(definitions.OPERATOR_TOKEN_VARIABLE, "")
-        authority = self.option("ca") or variables.get(definitions.CA_VARIABLE, "")
-        if not token:
-            raise UsageError(f"{definitions.OPERATOR_TOKEN_VARIABLE} is not set")
-        return client.OperatorsClient(
-            (url or definitions.DEFAULT_ENTRY_URL).rstrip("/"), token, authority
-        )
--- a/toucanhold/cli/documents.py
+++ b/toucanhold/cli/documents.py
@@ -5,14 +5,14 @@
 import pathlib
 
 from toucanhold import codec, exitstatus
-from toucanhold.cli import command, definitions, waiting
+from toucanhold.cli import command, definitions, operating, waiting
 from toucanhold.configuration import document, snapshot
 from toucanhold.operators import client, messages
 from toucanhold.output import text
 from toucanhold.planning import placement, spreading
 
 
-class CheckCommand(command.Command):
+class CheckCommand(operating.OperatingCommand):
     """Check a document."""
 
     shown = definitions.CHECK
@@ -24,13 +24,13 @@
         return exitstatus.ExitStatus.OK
 
 
-class ApplyCommand(command.OperatorCommand):
+class ApplyCommand(operating.OperatorCommand):
     """Apply a document."""
 
     shown = definitions.APPLY
 
     async def call_entry(self, entry: client.OperatorsClient) -> exitstatus.ExitStatus:
-        """See :class:`command.OperatorCommand`."""
+        """See :class:`operating.OperatorCommand`."""
         wanted = document.load(pathlib.Path(self.argument("file")))
         wait_s = self.number_option("wait-s", float)
         if self.option("expected") is None:
@@ -45,19 +45,19 @@
         return await show_in_force(self, entry, answer, wait_s)
 
 
-class DocumentCommand(command.OperatorCommand):
+class DocumentCommand(operating.OperatorCommand):
     """Print the document in force."""
 
     shown = definitions.DOCUMENT
 
     async def call_entry(self, entry: client.OperatorsClient) -> exitstatus.ExitStatus:
-        """See :class:`command.OperatorCommand`."""
+        """See :class:`operating.OperatorCommand`."""
         found = await entry.document()
         self.write_plain(json.dumps(codec.CONVERTER.unstructure(found), indent=2))
         return exitstatus.ExitStatus.OK
 
 
-class ExplainCommand(command.Command):
+class ExplainCommand(operating.OperatingCommand):
     """Tell what a planner would do with a document."""
 
     shown = definitions.EXPLAIN
--- a/toucanhold/cli/queries.py
+++ b/toucanhold/cli/queries.py
@@ -7,26 +7,26 @@
 
 from toucanhold import exitstatus
 from toucanhold.callers import app
-from toucanhold.cli import command, definitions
+from toucanhold.cli import definitions, operating
 from toucanhold.operators import client
 from toucanhold.output import text
 
 CALL_TIMEOUT_S = 5.0
 
 
-class StatusCommand(command.OperatorCommand):
+class StatusCommand(operating.OperatorCommand):
     """Show the system's state."""
 
     shown = definitions.STATUS
 
     async def call_entry(self, entry: client.OperatorsClient) -> exitstatus.ExitStatus:
-        """See :class:`command.OperatorCommand`."""
+        """See :class:`operating.OperatorCommand`."""
         seen = await entry.status()
         self.show(seen, text.status(seen))
         return exitstatus.ExitStatus.OK
 
 
-class AddressesCommand(command.Command):
+class AddressesCommand(operating.OperatingCommand):
     """Ask the directory."""
 
     shown = definitions.ADDRESSES
--- a/toucanhold/cli/zones.py
+++ b/toucanhold/cli/zones.py
@@ -1,18 +1,18 @@
 """Commands that take availability zones out and return them."""
 
 from toucanhold import exitstatus
-from toucanhold.cli import command, definitions, documents, waiting
+from toucanhold.cli import definitions, documents, operating, waiting
 from toucanhold.operators import client, messages
 from toucanhold.output import text
 
 
-class ZoneOutCommand(command.OperatorCommand):
+class ZoneOutCommand(operating.OperatorCommand):
     """Take an availability zone out."""
 
     shown = definitions.ZONE_OUT
 
     async def call_entry(self, entry: client.OperatorsClient) -> exitstatus.ExitStatus:
-        """See :class:`command.OperatorCommand`."""
+        """See :class:`operating.OperatorCommand`."""
         zone = self.argument("zone")
         wait_s = self.number_option("wait-s", float)
         for line in text.preview(await entry.preview_zones([zone])):
@@ -39,13 +39,13 @@
         return done is not None
 
 
-class ZoneInCommand(command.OperatorCommand):
+class ZoneInCommand(operating.OperatorCommand):
     """Return an availability zone."""
 
     shown = definitions.ZONE_IN
 
     async def call_entry(self, entry: client.OperatorsClient) -> exitstatus.ExitStatus:
-        """See :class:`command.OperatorCommand`."""
+        """See :class:`operating.OperatorCommand`."""
         wait_s = self.number_option("wait-s", float)
         request = messages.ZoneRequest(False, self.option("author"))
         answer = await entry.set_zone(self.argument("zone"), request)
