--- /dev/null
+++ b/tests/platform/test_paired.py
@@ -0,0 +1,99 @@
+"""The comparison of two checkouts over played days."""
+
+import json
+import math
+import pathlib
+import stat
+import tempfile
+import unittest
+
+import trio
+
+from tests.platform.paired import pairing, playing, reports
+
+BENCH = """#!/bin/sh
+while [ "$1" != --report ]; do shift; done
+cat report.json > "$2"
+"""
+
+
+def new_day(worth, kinds=None, seconds=None):
+    return reports.Day(worth, kinds or {}, seconds or {}, ())
+
+
+def new_report(worth):
+    return {
+        "G": worth,
+        "breaks": {},
+        "fault": None,
+        "classes": [{"name": "notes", "worth": 0.5}],
+        "windows": [{"name": "2", "worth": 0.75}],
+    }
+
+
+def new_days(worths):
+    return {pairing.Play("site", "day", seed): new_day(each) for seed, each in enumerate(worths)}
+
+
+class DifferenceTest(unittest.TestCase):
+    def test_only_what_was_played_with_both_counts(self):
+        before, after = new_days([0.5, 0.6]), new_days([0.6])
+        found = pairing.differences(before, after, lambda play: play.site)["site"]
+        self.assertEqual(1, found.plays)
+        self.assertAlmostEqual(0.1, found.mean)
+        self.assertTrue(math.isnan(found.error))
+        self.assertFalse(found.is_told_from_luck)
+
+    def test_a_gain_in_each_pair_is_told_from_luck(self):
+        before, after = new_days([0.4, 0.5, 0.6]), new_days([0.5, 0.61, 0.7])
+        found = pairing.differences(before, after, lambda play: play.site)["site"]
+        self.assertTrue(found.is_told_from_luck)
+
+    def test_a_mean_that_one_lucky_pair_makes_is_not(self):
+        before, after = new_days([0.5, 0.5, 0.5]), new_days([0.5, 0.49, 0.8])
+        found = pairing.differences(before, after, lambda play: play.site)["site"]
+        self.assertFalse(found.is_told_from_luck)
+        self.assertIn("luck?", pairing.table({"site": found}))
+
+    def test_kinds_and_seconds_are_averaged_over_seeds(self):
+        days = {
+            pairing.Play("site", "day", 1): new_day(0.5, {"notes": 0.4}, {0: 1.0, 2: 0.5}),
+            pairing.Play("site", "day", 2): new_day(0.5, {"notes": 0.6}, {0: 0.5}),
+        }
+        self.assertAlmostEqual(0.5, pairing.by_kind(days, days, "site")["notes"].before)
+        self.assertEqual({0: 0.75, 2: 0.5}, pairing.course(days, "site", "day"))
+
+
+class ReportTest(unittest.TestCase):
+    def setUp(self):
+        scratch = tempfile.TemporaryDirectory()
+        self.addCleanup(scratch.cleanup)
+        self.folder = pathlib.Path(scratch.name)
+
+    def test_broken_rules_and_faults_are_told(self):
+        path = self.folder / "report.json"
+        path.write_text(json.dumps(new_report(0.5) | {"breaks": {"RULE": 1}, "fault": "ended"}))
+        self.assertEqual(("RULE", "ended"), reports.read(path).broken)
+
+    def test_a_report_of_another_shape_is_a_clear_error(self):
+        path = self.folder / "report.json"
+        for content in ("", "[]", "{}", '{"G": "much"}'):
+            path.write_text(content)
+            with self.assertRaisesRegex(reports.ReportError, "report.json"):
+                reports.read(path)
+
+    def test_days_are_played_once_and_read(self):
+        program = self.folder / "bench"
+        program.write_text(BENCH)
+        program.chmod(program.stat().st_mode | stat.S_IXUSR)
+        (self.folder / "report.json").write_text(json.dumps(new_report(0.5)))
+        bench = playing.Bench(program, 2, "test")
+        plays = [pairing.Play("site", "day", seed) for seed in (1, 2)]
+        sites = {"site": pathlib.Path("site.toml")}
+        for _ in range(2):
+            found = trio.run(
+                playing.play_all, bench, self.folder, sites, plays, self.folder / "reports"
+            )
+            (self.folder / "report.json").write_text(json.dumps(new_report(0.9)))
+        self.assertEqual([0.5, 0.5], [day.worth for day in found.values()])
+        self.assertEqual({"notes": 0.5}, found[plays[0]].by_kind)
