Take no head for silent that reads long prompts between its steps

Cause: a head was taken for silent after 0.2 s without an event. Its streams then began anew on the other heads, which read their prompts once more, paused for as long and were taken for silent next, and it got no work for 1.5 s. Ruled out: a machine's own pauses (they are left out already), servers that are slow (their usual pauses count already), the restart of entries alone (most came before it). Change: a head is silent after the longest pause that a sound group makes by its engine's figures (stride, step, places, pace of reading, largest piece), 0.2 s at least; another entry's word is believed after 0.7 of that pause.

--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -11,12 +11,12 @@
 class SilenceTest(unittest.TestCase):
     """Groups have streams at many entries; one entry's may say more than another's."""
 
-    async def _watched(self, nursery):
+    async def _watched(self, nursery, longest_pause_s=0.0):
         self.health = health.Health()
         self.found = []
         watch = silence.SilenceWatch(self.health, self.found.append)
         nursery.start_soon(watch.run)
-        stream = silence.WatchedStream("s1", lambda: True)
+        stream = silence.WatchedStream("s1", lambda: True, longest_pause_s)
         watch.add(stream)
         await trio.sleep(0)
         return watch, stream
@@ -52,3 +52,40 @@
             self.assertFalse(stream.scope.cancel_called)
             self.assertFalse(self.health.is_avoided("s1"))
             nursery.cancel_scope.cancel()
+
+    @clocked.on_test_clock
+    async def test_a_head_that_reads_long_prompts_is_not_taken_for_silent(self):
+        """Callers press, and all streams of a sound head pause for a quarter of a second.
+
+        The head reads a full piece of waiting prompts in each step of a pass. When it was taken
+        for silent its streams began anew elsewhere, with their prompts, and the heads that got
+        them paused for as long.
+        """
+        async with trio.open_nursery() as nursery:
+            _, stream = await self._watched(nursery, longest_pause_s=0.285)
+            for _ in range(10):
+                stream.note_event()
+                await trio.sleep(0.05)
+            for _ in range(4):
+                stream.note_event()
+                await trio.sleep(0.28)
+            self.assertFalse(stream.scope.cancel_called)
+            self.assertEqual([], self.found)
+            await trio.sleep(0.3)
+            self.assertTrue(stream.scope.cancel_called)
+            self.assertEqual(["s1"], self.found)
+            nursery.cancel_scope.cancel()
+
+    @clocked.on_test_clock
+    async def test_two_entries_do_not_confirm_each_others_mistake(self):
+        """Two entries have streams at a head that reads long prompts; one takes it for silent.
+
+        The other one's streams have paused for as long as they do at sound heads.
+        """
+        async with trio.open_nursery() as nursery:
+            watch, stream = await self._watched(nursery, longest_pause_s=0.285)
+            stream.note_event()
+            await trio.sleep(0.18)
+            self.assertFalse(watch.hear("s1", "e2"))
+            self.assertFalse(self.health.is_avoided("s1"))
+            nursery.cancel_scope.cancel()
--- a/toucanhold/gateway/attempt.py
+++ b/toucanhold/gateway/attempt.py
@@ -66,6 +66,13 @@
         allowed_s = WAITING_PART * self.route.objective_s - max(0.0, waited_before_s)
         return self.call.arrived_s + allowed_s
 
+    @property
+    def longest_pause_s(self) -> float:
+        """The longest pause between events of a sound server; 0 where nothing tells."""
+        engine = self.service.engine
+        model = engine.model(self.call.model) if engine is not None else None
+        return engine.longest_pause_s(model) if engine is not None and model is not None else 0.0
+
     def note_lost(self) -> None:
         """Take note that the last server's answer was lost."""
         nothing_came = self.last_event_id == self._events_before
@@ -131,7 +138,7 @@
     outcomes: health.Health,
     may_move: collections.abc.Callable[[], bool],
 ) -> int:
-    watched = silence.WatchedStream(server.server_id, may_move)
+    watched = silence.WatchedStream(server.server_id, may_move, run.longest_pause_s)
     if run.route.may_repeat:
         watch.add(watched)
     status = 0
@@ -202,8 +209,7 @@
             raise calls.AnswerLostError("the answer is larger than allowed")
     failed = response.status >= SERVER_ERROR
     if failed and run.route.may_repeat and may_move():
-        # One lookup in seven got a failure of its server's own, and another server answers it in
-        # time: 0.89 of their worth was earned without this (one heavy day, 278 lookups).
+        # Servers fail a part of what they could answer; another one answers it in time.
         raise calls.AnswerLostError(f"the server answered with status {response.status}")
     outcomes.note(run.server_id, failed)
     if run.has_replied:
--- a/toucanhold/gateway/silence.py
+++ b/toucanhold/gateway/silence.py
@@ -13,10 +13,11 @@
 from toucanhold.gateway import health
 
 LOOK_INTERVAL_S = 0.02
-# A pass takes about 50 ms, and up to 120 ms while a long prompt is read between its steps: of 703
-# streams at sound heads 38 paused for longer than 0.15 s, 3 for longer than 0.2 s (one run). Going
-# on elsewhere takes 0.07 s more, so streams that may pause for 0.3 s come in time.
+# Streams of sound heads pause for less, whatever the engine, unless long prompts are read between
+# their steps.
 BEGUN_SILENCE_S = 0.2
+# What the way to the entry may add to the longest pause of a sound head.
+PASSING_S = 0.03
 # Groups that span domains, and slow servers, pause for longer between events. A head is silent
 # only after several of its own usual pauses; else every long prompt before it would move all its
 # streams, and with them the load that made it slow.
@@ -26,9 +27,12 @@
 NEWEST_WEIGHT = 0.1
 # Before the first event a request may also wait for its turn at the server.
 UNBEGUN_SILENCE_S = 0.7
-# What is enough once another entry has found the server silent: a pass and a long prompt between
-# its steps. With sixty entries most have one stream or none at a head, not yet begun.
+# What is enough once another entry has found the server silent. With sixty entries most have one
+# stream or none at a head, not yet begun.
 TOLD_SILENCE_S = 0.15
+# That, as a part of a sound head's longest pause: two entries that mistake one long pause for
+# silence would confirm each other.
+TOLD_PART = 0.7
 # How long another entry's word counts, and the server is passed over for it.
 TOLD_S = 1.0
 
@@ -44,8 +48,9 @@
     def note(self, pause_s: float) -> None:
         self.mean_s += NEWEST_WEIGHT * (pause_s - self.mean_s)
 
-    def limit_s(self) -> float:
-        return min(MAX_BEGUN_SILENCE_S, max(BEGUN_SILENCE_S, USUAL_PAUSES * self.mean_s))
+    def limit_s(self, longest_pause_s: float) -> float:
+        least_s = max(BEGUN_SILENCE_S, longest_pause_s + PASSING_S)
+        return max(least_s, min(MAX_BEGUN_SILENCE_S, USUAL_PAUSES * self.mean_s))
 
 
 @attrs.define(eq=False)
@@ -53,11 +58,13 @@
     """One stream at one server.
 
     :ivar may_move: tells whether another server could go on with the stream now
+    :ivar longest_pause_s: between two events of a sound head that reads long prompts meanwhile
     :ivar scope: cancelled when the server has fallen silent
     """
 
     server_id: str
     may_move: collections.abc.Callable[[], bool]
+    longest_pause_s: float = 0.0
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     has_begun: bool = False
     last_sign_s: float = attrs.field(factory=trio.current_time)
@@ -81,7 +88,10 @@
     """Watches all streams of this entry.
 
     A group that has lost a member goes on accepting requests, and nothing moves. Its registration
-    tells so seconds later; its streams tell it within a quarter of a second, for free.
+    tells so seconds later; its streams tell it within a third of a second, for free.
+
+    A sound head must not be taken for silent: its streams begin anew on the other heads, which
+    read their prompts once more, pause for longer themselves, and are taken for silent next.
 
     :ivar on_silent: told the server's name
     """
@@ -115,7 +125,7 @@
         """
         now_s = trio.current_time()
         streams = self._streams.get(server_id, ())
-        if any(each.has_begun and now_s - each.last_sign_s < TOLD_SILENCE_S for each in streams):
+        if any(each.has_begun and now_s - each.last_sign_s < _told_s(streams) for each in streams):
             return False
         self.health.avoid(server_id, f"silent at {entry}", TOLD_S)
         self._told_until_s[server_id] = now_s + TOLD_S
@@ -144,9 +154,9 @@
 
     def _limit_s(self, server_id: str, streams: list[WatchedStream], now_s: float) -> float:
         if self._told_until_s.get(server_id, 0.0) > now_s:
-            return TOLD_SILENCE_S
+            return _told_s(streams)
         if any(stream.has_begun for stream in streams):
-            return self._pauses[server_id].limit_s()
+            return self._pauses[server_id].limit_s(_longest_pause_s(streams))
         return UNBEGUN_SILENCE_S
 
     def _abandon(self, server_id: str, streams: list[WatchedStream], silent_s: float) -> None:
@@ -166,3 +176,11 @@
             # A stream that nobody else can go on with is better left: the head may yet speak.
             if stream.may_move():
                 stream.scope.cancel()
+
+
+def _longest_pause_s(streams: collections.abc.Iterable[WatchedStream]) -> float:
+    return max((stream.longest_pause_s for stream in streams), default=0.0)
+
+
+def _told_s(streams: collections.abc.Iterable[WatchedStream]) -> float:
+    return max(TOLD_SILENCE_S, TOLD_PART * _longest_pause_s(streams))
--- a/toucanhold/platform/configuration.py
+++ b/toucanhold/platform/configuration.py
@@ -105,6 +105,8 @@
         form_s=(plain.get("form_ms") or 0) / 1000,
         loads_per_s=plain.get("loads_per_s") or 0.0,
         loads_at_once=int(plain.get("loads_at_once") or 1),
+        step_per_request_s=(plain.get("per_seq_ms") or 0) / 1000,
+        prefill_step_tokens=int(plain.get("chunk") or 0),
     )
 
 
--- a/toucanhold/routes/table.py
+++ b/toucanhold/routes/table.py
@@ -100,8 +100,10 @@
     :ivar slots: requests that a group runs at once
     :ivar memory_tokens: tokens that a group's memory holds
     :ivar step_s: least time of one step, each of which makes one token a request
+    :ivar step_per_request_s: what each request adds to that
     :ivar stride: steps of one pass
     :ivar prefill_tokens_per_s: pace of reading prompts
+    :ivar prefill_step_tokens: most tokens of prompts that are read in one step
     :ivar form_s: time from the order to open to serving
     :ivar loads_per_s: loads that the weight store lets begin in a second
     :ivar loads_at_once: loads that it serves at full pace
@@ -116,6 +118,23 @@
     form_s: float
     loads_per_s: float
     loads_at_once: int
+    step_per_request_s: float = 0.0
+    prefill_step_tokens: int = 0
+
+    @property
+    def full_step_s(self) -> float:
+        """Time of a step that makes a token for a request in each place."""
+        return self.step_s + self.slots * self.step_per_request_s
+
+    def longest_pause_s(self, model: Model) -> float:
+        """Return the longest time between two events of a stream that a sound group makes.
+
+        Each step of a pass may read as much of waiting prompts as a step reads at most.
+        """
+        reading_s = 0.0
+        if self.prefill_tokens_per_s > 0:
+            reading_s = self.prefill_step_tokens / self.prefill_tokens_per_s
+        return model.pace * self.stride * (self.full_step_s + reading_s)
 
     def model(self, name: str) -> Model | None:
         """Return a model by name."""
