--- a/toucanhold/replicas/composition.py
+++ b/toucanhold/replicas/composition.py
@@ -77,9 +77,8 @@
 class Composer:
     """Decides for one service from one situation.
 
-    A group stays within a fabric domain. One that spans several is 2.5 times slower, and what it
-    takes on slowly it also keeps: on a heavy day the model's callers waited 722 ms for their first
-    event, not 181 ms, and a third as many came in time (133 and 416 of 874, one run each).
+    A group stays within a fabric domain. One that spans several is slower by far, and what it
+    takes on slowly it also keeps: its callers wait for longer than they would for a free place.
 
     A group whose members must first load the model for a quarter of a minute would hold those
     that need not; so but for the first groups of all, members load one by one as spares, and a
