Bound the silence that a dead head is given, whatever its engine tells

Cause: since a head's silence follows its engine's figures, an engine that tells wrong ones (a pace of reading that is ten times too low) would let a dead head keep its callers for as long. Change: the limit ends at 1 s, as it did; callers leave a stream after about two. A test fails before (nothing found after 1.1 s) and passes after.

--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -89,3 +89,16 @@
             self.assertFalse(watch.hear("s1", "e2"))
             self.assertFalse(self.health.is_avoided("s1"))
             nursery.cancel_scope.cancel()
+
+    @clocked.on_test_clock
+    async def test_a_dead_head_is_found_whatever_its_engine_tells_of_pauses(self):
+        """An engine's figures are wrong by a factor of ten, and a head of it dies.
+
+        Its callers would leave before the head was taken for silent.
+        """
+        async with trio.open_nursery() as nursery:
+            _, stream = await self._watched(nursery, longest_pause_s=3.0)
+            stream.note_event()
+            await trio.sleep(1.1)
+            self.assertTrue(stream.scope.cancel_called)
+            nursery.cancel_scope.cancel()
--- a/toucanhold/gateway/silence.py
+++ b/toucanhold/gateway/silence.py
@@ -22,6 +22,7 @@
 # only after several of its own usual pauses; else every long prompt before it would move all its
 # streams, and with them the load that made it slow.
 USUAL_PAUSES = 4.0
+# Callers leave a stream after about twice this, also where an engine tells of longer pauses.
 MAX_BEGUN_SILENCE_S = 1.0
 # Weight of the newest pause in what is usual: some ten events, about half a second of one stream.
 NEWEST_WEIGHT = 0.1
@@ -50,7 +51,7 @@
 
     def limit_s(self, longest_pause_s: float) -> float:
         least_s = max(BEGUN_SILENCE_S, longest_pause_s + PASSING_S)
-        return max(least_s, min(MAX_BEGUN_SILENCE_S, USUAL_PAUSES * self.mean_s))
+        return min(MAX_BEGUN_SILENCE_S, max(least_s, USUAL_PAUSES * self.mean_s))
 
 
 @attrs.define(eq=False)
@@ -183,4 +184,5 @@
 
 
 def _told_s(streams: collections.abc.Iterable[WatchedStream]) -> float:
-    return max(TOLD_SILENCE_S, TOLD_PART * _longest_pause_s(streams))
+    longest_s = min(MAX_BEGUN_SILENCE_S, _longest_pause_s(streams))
+    return max(TOLD_SILENCE_S, TOLD_PART * longest_s)
