Load nothing for a starved model in a zone that is out

Cause: a model whose only group is in a zone that is out counts as served by nobody, and the spares that load it were sought in that zone as well, where they serve nobody either. Change: domains of zones that are out are passed over. A new test fails before and passes after.

--- a/tests/test_composition.py
+++ b/tests/test_composition.py
@@ -131,6 +131,19 @@
         loading = attrs.evolve(situation, loading={domain: 3})
         self.assertEqual([], composition.Composer(loading).preparations())
 
+    def test_spares_of_a_zone_that_is_out_are_left_alone(self):
+        """A model's only group is in a zone that is out, and spares there are as near as others.
+
+        What they load serves nobody before the zone is back, and callers are refused until then.
+        """
+        free = {name: new_domain(name, 5, "large") for name in ("da", "db")}
+        situation = attrs.evolve(
+            new_situation(free, {"large": 1}, 9), closed_zones=frozenset({"zone-a"})
+        )
+        found = composition.Composer(situation).preparations()
+        self.assertEqual({"zone-b"}, {each.server.zone for each in found})
+        self.assertEqual(3, len(found))
+
     def test_spares_wait_for_the_servers_of_a_group_that_is_taken_apart(self):
         free = {"d0": new_domain("d0", 5, "large")}
         situation = new_situation(free, {"large": 1}, 13, ending={"d0": 1})
--- a/toucanhold/gateway/silence.py
+++ b/toucanhold/gateway/silence.py
@@ -31,8 +31,8 @@
 # What is enough once another entry has found the server silent. With sixty entries most have one
 # stream or none at a head, not yet begun.
 TOLD_SILENCE_S = 0.15
-# That, as a part of a sound head's longest pause: two entries that mistake one long pause for
-# silence would confirm each other.
+# The same for heads that may pause for longer, as a part of their longest pause: with less, two
+# entries that mistake one long pause for silence would confirm each other.
 TOLD_PART = 0.7
 # How long another entry's word counts, and the server is passed over for it.
 TOLD_S = 1.0
--- a/toucanhold/replicas/composition.py
+++ b/toucanhold/replicas/composition.py
@@ -44,6 +44,7 @@
     :ivar domain_counts: groups by model and domain
     :ivar ending: groups by domain that are being taken apart: their servers are soon free
     :ivar loading: spares by domain that load a model
+    :ivar closed_zones: availability zones that get no work
     """
 
     engine: table.Engine
@@ -54,6 +55,7 @@
     domain_counts: collections.abc.Mapping[tuple[str, str], int]
     ending: collections.abc.Mapping[str, int] = attrs.field(factory=dict)
     loading: collections.abc.Mapping[str, int] = attrs.field(factory=dict)
+    closed_zones: collections.abc.Set[str] = frozenset()
 
 
 def join_s(server: servers.Server, model: table.Model) -> float:
@@ -147,6 +149,7 @@
             domain
             for domain, members in self._free.items()
             if len(members) + loading.get(domain, 0) >= model.size
+            and not any(server.zone in self.situation.closed_zones for server in members)
         ]
 
         def missing(domain: str) -> int:
--- a/toucanhold/replicas/planner.py
+++ b/toucanhold/replicas/planner.py
@@ -237,6 +237,7 @@
             domain_counts,
             ending,
             loading,
+            closed,
         )
 
     def _usable(self, service: table.Service) -> list[servers.Server]:
