Outlast a head only once one of its members has left

Cause: a head that cannot be asked was outlasted for the time after which it breaks by itself, counted from when its members were told to leave, whether one had or not. Change: the wait begins with the first leave that is answered; orders to leave are given again each second. A group of which nobody is reached keeps its record for up to a minute. A test fails before (two members join beside an open head) and passes after.

--- a/standins/replicas.py
+++ b/standins/replicas.py
@@ -153,6 +153,12 @@
             self._stall_heads_of(name)
         self.nursery.start_soon(self._lapse, server)
 
+    async def cut_off_together(self, names: list[str]) -> None:
+        """Cut servers off that go on reaching each other; their groups miss nobody."""
+        for name in names:
+            self.servers[name].mode = "apart"
+            self.nursery.start_soon(self._lapse, self.servers[name])
+
     async def restart(self, name: str) -> None:
         """Start a dead server again under its name."""
         server = self.servers[name]
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -146,6 +146,27 @@
             self.assertGreaterEqual(len(node.serving("large")), 1)
             nursery.cancel_scope.cancel()
 
+    @clocked.on_test_clock
+    async def test_group_that_is_cut_off_whole_is_not_taken_apart_behind_the_cut(self):
+        """A zone is cut off from everyone for ten seconds, with a group that is open in it.
+
+        No order to leave reaches the members, and the head lacks none of them: it does not break
+        by itself. When the zone is back, members that joined other groups would be in two.
+        """
+        async with trio.open_nursery() as nursery:
+            scene, node = await formed(nursery)
+            group = node.serving("large")[0]
+            names = [member.server_id for member in group.record.members]
+            await scene.fleet.cut_off_together(names)
+            node.planner.suspect(group.head.server_id)
+            await trio.sleep(10)
+            for name in names:
+                await scene.fleet.reconnect(name)
+            await scene.wait_for(lambda: group.name not in node.board.groups, 10)
+            await scene.wait_for(lambda: len(node.serving("large")) == 2, 10)
+            self.assertEqual([], scene.fleet.broken)
+            nursery.cancel_scope.cancel()
+
     @clocked.on_test_clock
     async def test_group_goes_on_with_a_member_that_is_cut_off_from_the_store(self):
         """A fifth of all servers are cut off from the store, and requests still reach them.
--- a/toucanhold/replicas/driver.py
+++ b/toucanhold/replicas/driver.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import functools
 import logging
 
 import attrs
@@ -20,6 +19,8 @@
 FINISH_LIMIT_S = 5.0
 # Added to the time after which a head without its members breaks by itself.
 STALL_MARGIN_S = 0.5
+# Servers of a group that nobody has reached for so long are taken for dead. Cuts are over sooner.
+CUT_LIMIT_S = 60.0
 CHECK_INTERVAL_S = 0.25
 
 LOGGER = logging.getLogger(__name__)
@@ -203,15 +204,30 @@
         Nobody can tell from here whether the head is dead or only cut off with its group open. A
         head that lacks a member breaks after a known time; until then its members stay its own.
         """
-        if not self._left_s:
-            async with trio.open_nursery() as nursery:
-                for member in group.record.members[1:]:
-                    server = self.known.find(member.incarnation)
-                    if server is not None:
-                        leave = functools.partial(self.orderer.give, server)
-                        nursery.start_soon(leave, orders.Leave(group.name, group.epoch))
+        if not self._left_s and self._is_due("take members") and await self._take_members(group):
             self._left_s = trio.current_time()
-        return trio.current_time() - self._left_s > self.stall_s + STALL_MARGIN_S
+        now_s = trio.current_time()
+        if self._left_s:
+            return now_s - self._left_s > self.stall_s + STALL_MARGIN_S
+        # Where a whole zone is cut off, head and members work on as a group. Once they are reached
+        # again they would join other groups beside it, if its record were gone by then.
+        return now_s - self._ending_s > CUT_LIMIT_S
+
+    async def _take_members(self, group: records.Group) -> bool:
+        """Tell all members but the head to leave; return whether one has left."""
+        outcomes: list[orders.OrderOutcome] = []
+
+        async def take(server: servers.Server) -> None:
+            leave = orders.Leave(group.name, group.epoch)
+            outcomes.append(await self.orderer.give(server, leave))
+
+        async with trio.open_nursery() as nursery:
+            for member in group.record.members[1:]:
+                server = self.known.find(member.incarnation)
+                if server is not None:
+                    nursery.start_soon(take, server)
+        taken = (orders.OrderOutcome.BEGUN, orders.OrderOutcome.HOLDS)
+        return any(outcome in taken for outcome in outcomes)
 
     def _state(self, member: records.Member, group: records.Group) -> servers.GroupState | None:
         server = self.known.find(member.incarnation)
