--- a/tests/platform/paired/__main__.py
+++ b/tests/platform/paired/__main__.py
@@ -4,15 +4,14 @@
 import pathlib
 import sys
 
-import cleo.application
 import cleo.commands.command
 import cleo.helpers
-import cleo.io.inputs.argv_input
 import matplotlib
 import matplotlib.figure
 import trio
 
 from tests.platform.paired import pairing, playing
+from tools import commandline
 
 STANDARD_DAYS = "trouble-1,trouble-2,trouble-3,scale-1,scale-2"
 
@@ -103,13 +102,5 @@
     figure.savefig(path)
 
 
-def main() -> int:
-    """Run the command and return its status."""
-    app = cleo.application.Application("paired")
-    app.auto_exits(False)
-    app.add(PairedCommand())
-    return app.run(cleo.io.inputs.argv_input.ArgvInput(["paired", "paired", *sys.argv[1:]]))
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(commandline.run(PairedCommand()))
--- a/tests/platform/soak/__main__.py
+++ b/tests/platform/soak/__main__.py
@@ -4,14 +4,13 @@
 import sys
 import tempfile
 
-import cleo.application
 import cleo.commands.command
 import cleo.helpers
-import cleo.io.inputs.argv_input
 import trio
 
 from standins import processes
 from tests.platform.soak import running
+from tools import commandline
 
 
 class SoakCommand(cleo.commands.command.Command):
@@ -75,14 +74,5 @@
         print(text if seed in failed else text.partition("\n")[0], flush=True)
 
 
-def main() -> int:
-    """Run the command line."""
-    app = cleo.application.Application("soak")
-    app.auto_exits(False)
-    app.add(SoakCommand())
-    words = ["soak", SoakCommand.name, *sys.argv[1:]]
-    return app.run(cleo.io.inputs.argv_input.ArgvInput(words))
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(commandline.run(SoakCommand()))
--- a/tools/measure/__main__.py
+++ b/tools/measure/__main__.py
@@ -5,12 +5,11 @@
 import pkgutil
 import sys
 
-import cleo.application
 import cleo.commands.command
 import cleo.helpers
-import cleo.io.inputs.argv_input
 
 import tools.measure
+from tools import commandline
 from tools.measure import table
 
 NOT_MEASUREMENTS = ("__main__", "sites", "table")
@@ -56,14 +55,5 @@
     return sorted(name for name in found if name not in NOT_MEASUREMENTS)
 
 
-def main() -> int:
-    """Run the command line."""
-    app = cleo.application.Application("measure")
-    app.auto_exits(False)
-    app.add(MeasureCommand())
-    words = ["measure", MeasureCommand.name, *sys.argv[1:]]
-    return app.run(cleo.io.inputs.argv_input.ArgvInput(words))
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(commandline.run(MeasureCommand()))
--- a/toucanhold/cli/application.py
+++ b/toucanhold/cli/application.py
@@ -16,7 +16,7 @@
 
 PROGRAM = "toucanhold"
 # Where each command lives. Only the one that is asked for is imported: an entry that has been
-# killed would otherwise be away for half as long again, while callers press.
+# killed is away for as long as its imports take, while callers press.
 COMMANDS = (
     (definitions.ENTRY, "running", "EntryCommand"),
     (definitions.PLATFORM_ENTRY, "platform", "PlatformEntryCommand"),
--- a/toucanhold/gateway/attempt.py
+++ b/toucanhold/gateway/attempt.py
@@ -70,8 +70,10 @@
     def longest_pause_s(self) -> float:
         """The longest pause between events of a sound server; 0 where nothing tells."""
         engine = self.service.engine
-        model = engine.model(self.call.model) if engine is not None else None
-        return engine.longest_pause_s(model) if engine is not None and model is not None else 0.0
+        if engine is None:
+            return 0.0
+        model = engine.model(self.call.model)
+        return engine.longest_pause_s(model) if model is not None else 0.0
 
     def note_lost(self) -> None:
         """Take note that the last server's answer was lost."""
--- a/toucanhold/gateway/silence.py
+++ b/toucanhold/gateway/silence.py
@@ -126,7 +126,8 @@
         """
         now_s = trio.current_time()
         streams = self._streams.get(server_id, ())
-        if any(each.has_begun and now_s - each.last_sign_s < _told_s(streams) for each in streams):
+        told_s = _told_s(streams)
+        if any(each.has_begun and now_s - each.last_sign_s < told_s for each in streams):
             return False
         self.health.avoid(server_id, f"silent at {entry}", TOLD_S)
         self._told_until_s[server_id] = now_s + TOLD_S
