Exchange load by aggregators within availability zones

Cause: each entry sent its counts to seven others at a time, in turn, over all zones. At 195 entries half of the bytes between zones were such datagrams, each other entry was heard every 2.8 s, and an estimate added up all entries anew.

Change: an entry reports to the first aggregator of its zone that answers and gets a digest of all others in return; aggregators send each other summaries of their zones. Totals are kept by difference, so an estimate costs the same however many entries there are.

--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -15,6 +15,7 @@
     budget,
     calls,
     crashes,
+    entries,
     gateway,
     health,
     load,
@@ -209,6 +210,29 @@
     }
 
 
+def new_entry(name: str, zone: str = "zone-a", cores: float = 1.0) -> entries.Entry:
+    """Return an entry without addresses."""
+    return entries.Entry(name, zone, "r", "", "", "b1", cores)
+
+
+@attrs.define(eq=False)
+class FixedList:
+    """Entries that are always there."""
+
+    own: entries.Entry
+    known: list[entries.Entry] = attrs.field(factory=list)
+    version: int = 0
+
+    def others(self) -> list[entries.Entry]:
+        """See :class:`entries.EntryList`."""
+        return list(self.known)
+
+    def find(self, name: str, boot: str) -> entries.Entry | None:
+        """See :class:`entries.EntryList`."""
+        found = (each for each in self.known if (each.entry, each.boot) == (name, boot))
+        return next(found, None)
+
+
 @attrs.define(eq=False, slots=False)
 class GatewayScene:
     """A gateway before servers in memory."""
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -32,7 +32,7 @@
             watch, stream = await self._watched(nursery)
             await trio.sleep(0.2)
             self.assertFalse(stream.scope.cancel_called)
-            self.assertTrue(watch.hear("s1", "e2"))
+            self.assertTrue(watch.confirm("s1", "e2"))
             await trio.sleep(0.1)
             self.assertTrue(stream.scope.cancel_called)
             self.assertTrue(self.health.is_avoided("s1"))
@@ -48,7 +48,7 @@
             for _ in range(20):
                 stream.note_event()
                 await trio.sleep(0.05)
-                self.assertFalse(watch.hear("s1", "e2"))
+                self.assertFalse(watch.confirm("s1", "e2"))
             self.assertFalse(stream.scope.cancel_called)
             self.assertFalse(self.health.is_avoided("s1"))
             nursery.cancel_scope.cancel()
@@ -86,7 +86,7 @@
             watch, stream = await self._watched(nursery, longest_pause_s=0.285)
             stream.note_event()
             await trio.sleep(0.18)
-            self.assertFalse(watch.hear("s1", "e2"))
+            self.assertFalse(watch.confirm("s1", "e2"))
             self.assertFalse(self.health.is_avoided("s1"))
             nursery.cancel_scope.cancel()
 
--- a/toucanhold/gateway/crashes.py
+++ b/toucanhold/gateway/crashes.py
@@ -46,7 +46,7 @@
         record.count += count
         record.last_s = trio.current_time()
 
-    def hear(self, mark: str, count: int) -> None:
+    def merge(self, mark: str, count: int) -> None:
         """Take in what another entry has counted in all."""
         self._forget_old()
         record = self._records.setdefault(mark, _Record())
@@ -64,9 +64,11 @@
             return False
         return record.count >= CRASHES_LIMIT
 
-    def recent(self, limit: int) -> list[tuple[str, int]]:
+    def recent(self, limit: int, max_age_s: float = MEMORY_S) -> list[tuple[str, int]]:
         """Return the newest counts, for other entries."""
-        return [(mark, record.count) for mark, record in list(self._records.items())[-limit:]]
+        oldest_s = trio.current_time() - max_age_s
+        newest = list(self._records.items())[-limit:]
+        return [(mark, record.count) for mark, record in newest if record.last_s >= oldest_s]
 
     def _forget_old(self) -> None:
         oldest_s = trio.current_time() - MEMORY_S
--- a/toucanhold/gateway/entries.py
+++ b/toucanhold/gateway/entries.py
@@ -83,6 +83,11 @@
         """Return the other entries that are there."""
         return list(self._others.values())
 
+    def find(self, name: str, boot: str) -> Entry | None:
+        """Return another entry, unless it is unknown or has started again since."""
+        found = self._others.get(name)
+        return found if found is not None and found.boot == boot else None
+
     def serving(self) -> list[Entry]:
         """Return the entries that callers may be sent to."""
         return self.others() + ([] if self.is_stopping else [self.own])
--- a/toucanhold/gateway/hierarchy.py
+++ b/toucanhold/gateway/hierarchy.py
@@ -1,4 +1,4 @@
-"""Who watches the key-value service, and who follows whom."""
+"""Who watches the key-value service, who follows whom, and who sums up what entries report."""
 
 from __future__ import annotations
 
@@ -14,6 +14,8 @@
 FOLLOWERS = 16
 # Entries of other zones to turn to when the own zone's are lost: zones fail by themselves.
 OTHER_ZONES = 3
+# Entries of a zone that may sum up: the second one takes over when the first does not answer.
+AGGREGATORS = 2
 
 
 @attrs.define(eq=False)
@@ -48,9 +50,7 @@
     :param planner: name of the entry that plans; it is the first of its zone, since it acts on
         what it sees
     """
-    zones: dict[str, list[entries.Entry]] = {}
-    for entry in sorted([own, *others], key=lambda each: _rank(each, planner)):
-        zones.setdefault(entry.zone, []).append(entry)
+    zones = by_zone([own, *others], planner)
     zone = zones[own.zone]
     place = zone.index(own)
     if not place:
@@ -65,6 +65,24 @@
     return [entry.exchange_address for entry in chosen]
 
 
+def aggregators(
+    own: entries.Entry, others: collections.abc.Iterable[entries.Entry]
+) -> dict[str, list[entries.Entry]]:
+    """Return the entries that sum up, by availability zone, the first choice first."""
+    zones = by_zone([own, *others])
+    return {zone: members[:AGGREGATORS] for zone, members in zones.items()}
+
+
+def by_zone(
+    known: collections.abc.Iterable[entries.Entry], planner: str = ""
+) -> dict[str, list[entries.Entry]]:
+    """Return the entries of each availability zone, by rank."""
+    zones: dict[str, list[entries.Entry]] = {}
+    for entry in sorted(known, key=lambda each: _rank(each, planner)):
+        zones.setdefault(entry.zone, []).append(entry)
+    return zones
+
+
 def _rank(entry: entries.Entry, planner: str) -> tuple:
     # Large machines first: whoever passes changes on spends processor time and bandwidth on it.
     spread = hashlib.blake2b(f"{entry.entry}/{entry.boot}".encode(), digest_size=8).digest()
--- a/toucanhold/gateway/load.py
+++ b/toucanhold/gateway/load.py
@@ -1,28 +1,37 @@
-"""How busy each backend server is, put together from what all entries have in flight."""
+"""How busy each backend server is: this entry's requests in flight, and those of the others."""
 
 from __future__ import annotations
 
 import collections
 import collections.abc
+import math
 
 import attrs
 import trio
 
+Counts = collections.abc.Mapping[str, int]
 
-@attrs.frozen
-class PeerCounts:
-    """Requests in flight of another entry, by server."""
 
-    counts: collections.abc.Mapping[str, int]
+@attrs.frozen
+class _Source:
+    counts: Counts
     valid_until_s: float
+    is_local: bool
 
 
 @attrs.define(eq=False)
 class LoadBoard:
-    """Requests in flight: this entry's own, and the others' as last heard."""
+    """Requests in flight by server, kept as totals that are updated by difference.
+
+    An estimate costs the same however many entries there are.
+
+    :ivar own: this entry's requests
+    """
 
     own: collections.Counter[str] = attrs.field(factory=collections.Counter, init=False)
-    _peers: dict[str, PeerCounts] = attrs.field(factory=dict, init=False)
+    _sources: dict[str, _Source] = attrs.field(factory=dict, init=False)
+    _others: collections.Counter[str] = attrs.field(factory=collections.Counter, init=False)
+    _next_expiry_s: float = attrs.field(default=math.inf, init=False)
 
     def add(self, server_id: str) -> None:
         """Count a request that is sent."""
@@ -30,23 +39,64 @@
 
     def remove(self, server_id: str) -> None:
         """Count a request that has ended."""
-        self.own[server_id] -= 1
-        if self.own[server_id] <= 0:
-            del self.own[server_id]
+        _subtract(self.own, {server_id: 1})
 
-    def hear(self, entry: str, counts: collections.abc.Mapping[str, int], valid_s: float) -> None:
-        """Take in another entry's counts.
+    def put(self, source: str, counts: Counts, valid_s: float, is_local: bool = False) -> None:
+        """Replace what one source reported.
 
-        :param valid_s: time after which they say nothing any more
+        :param source: an entry, or an availability zone whose entries were summed
+        :param valid_s: time after which it says nothing any more
+        :param is_local: whether the source reports to this entry and to no other
         """
-        self._peers[entry] = PeerCounts(counts, trio.current_time() + valid_s)
+        self.drop(source)
+        valid_until_s = trio.current_time() + valid_s
+        self._sources[source] = _Source(counts, valid_until_s, is_local)
+        self._others.update(counts)
+        self._next_expiry_s = min(self._next_expiry_s, valid_until_s)
+
+    def drop(self, source: str) -> None:
+        """Forget what one source reported."""
+        old = self._sources.pop(source, None)
+        if old is not None:
+            _subtract(self._others, old.counts)
 
     def estimate(self, server_id: str) -> int:
         """Return the requests that all entries have in flight there."""
+        self._expire()
+        return self.own.get(server_id, 0) + self._others.get(server_id, 0)
+
+    def local(self) -> dict[str, int]:
+        """Return this entry's requests and those of its local sources."""
+        self._expire()
+        total = collections.Counter(self.own)
+        for source in self._sources.values():
+            if source.is_local:
+                total.update(source.counts)
+        return dict(total)
+
+    def without(self, source: str) -> dict[str, int]:
+        """Return the requests of all entries but one source's."""
+        self._expire()
+        total = self._others + self.own
+        if source in self._sources:
+            _subtract(total, self._sources[source].counts)
+        return dict(total)
+
+    def _expire(self) -> None:
         now_s = trio.current_time()
-        others = sum(
-            peer.counts.get(server_id, 0)
-            for peer in self._peers.values()
-            if peer.valid_until_s >= now_s
-        )
-        return self.own[server_id] + others if server_id in self.own else others
+        if now_s < self._next_expiry_s:
+            return
+        for name, source in list(self._sources.items()):
+            if source.valid_until_s <= now_s:
+                self.drop(name)
+        left = (source.valid_until_s for source in self._sources.values())
+        self._next_expiry_s = min(left, default=math.inf)
+
+
+def _subtract(total: collections.Counter[str], counts: Counts) -> None:
+    for server_id, count in counts.items():
+        left = total[server_id] - count
+        if left > 0:
+            total[server_id] = left
+        else:
+            del total[server_id]
--- a/toucanhold/gateway/silence.py
+++ b/toucanhold/gateway/silence.py
@@ -119,8 +119,8 @@
         if not streams:
             del self._streams[stream.server_id]
 
-    def hear(self, server_id: str, entry: str) -> bool:
-        """Take another entry's word that a server is silent.
+    def confirm(self, server_id: str, entry: str) -> bool:
+        """Take in that another entry found a server silent.
 
         :return: whether it is believed: streams here may show otherwise
         """
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -194,7 +194,7 @@
         self.loads = load.LoadBoard()
         self.crashes = crashes.CrashMemory()
         self.exchange = exchange.Exchange(
-            self.entries, self.loads, self.crashes, self._hear_silent, self.rng
+            self.entries, self.loads, self.crashes, self._on_silent_elsewhere, self.rng
         )
         self.silence = silence.SilenceWatch(self.health, self._note_silent)
         self.cold = budget.ColdBudget(bounds.cold_overage, bounds.cold_slack, self._share)
@@ -247,8 +247,8 @@
     def _share(self) -> float:
         return sharing.share(self.entries.own, self.entries.others())
 
-    def _hear_silent(self, server_id: str, entry_name: str) -> None:
-        if self.silence.hear(server_id, entry_name):
+    def _on_silent_elsewhere(self, server_id: str, entry_name: str) -> None:
+        if self.silence.confirm(server_id, entry_name):
             self.planner.suspect(server_id)
 
     def _gather_s(self) -> float:
