Let the planner alone watch the store, and zones follow it

Cause: one entry a zone watched, and each return of a watch is a call that is paid for: with five zones and a thousand registrations that change, watches were most of the store's calls. Each start of an entry made one call more than it needed to read its own record back, and one for a watch that it left at once.

Change: the first entry of each other zone follows the planner, and watches by itself while it cannot reach it or the store turns the planner away. An acquired key is not read back where the commit was answered.

Ruled out: a longer pause between watches, which delays what the planner sees. Tests: a planner that is turned away or cut off is left within the time in which servers that leave may still get requests.

--- a/tests/test_lease_release.py
+++ b/tests/test_lease_release.py
@@ -39,3 +39,23 @@
             return list(platform.store.pairs)
 
         return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_acquiring_an_uncontended_key_reads_nothing_back(self):
+        """Guards against a call an entry that is paid for when all entries start again."""
+
+        async def main():
+            platform = memory.MemoryPlatform()
+            client = platform.client("entry-0")
+            held = lease.LeasedKey(
+                client, KEY, b"serving", 60, random.Random(1), is_contended=False
+            )
+            with trio.move_on_after(5):
+                await held.run()
+            self.assertTrue(held.is_held())
+            kinds = {kind for _, kind in platform.calls}
+            item = await client.read_key(KEY)
+            self.assertEqual(item.create_revision, held.fencing)
+            return kinds, {kind for _, kind in platform.calls}
+
+        before, after = trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertEqual(1, len(after - before), "a read was made before")
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -245,6 +245,67 @@
         self.assertIsNone(self.copy.changes_since(3))
 
 
+class OneWatchTest(unittest.TestCase):
+    """Zones that follow the planner, which alone watches the service."""
+
+    def _chain(self, site):
+        site["r2"].sources[:] = ["r1"]
+        site["f2"].sources[:] = ["r2", "r1"]
+
+    @with_site
+    async def test_zones_that_follow_the_planner_make_no_calls(self, site):
+        """Guards against calls for each change that grow with the availability zones."""
+        self._chain(site)
+        await trio.sleep(5)
+        before = site["r2"].calls(), site["f2"].calls()
+        for number in range(10):
+            await site.write(f"things/{number}")
+            await trio.sleep(0.3)
+        await site.seconds_until(lambda: site["f2"].has("things/9"), 0.5)
+        self.assertEqual(before, (site["r2"].calls(), site["f2"].calls()))
+
+    @with_site
+    async def test_a_planner_that_is_turned_away_is_left_in_time(self, site):
+        """Guards against requests to a server that left while only the planner watched."""
+        self._chain(site)
+        await trio.sleep(5)
+        site.platform.set_mode("silent", "r1")
+        await site.write("things/leaving")
+        took_s = await site.seconds_until(lambda: site["f2"].has("things/leaving"), DRAIN_S)
+        self.assertLess(took_s, DRAIN_S - 0.3)
+
+    @with_site
+    async def test_a_planner_behind_a_cut_is_left_in_time(self, site):
+        """Guards against a zone that learns nothing because it cannot reach the planner's zone."""
+        self._chain(site)
+        await trio.sleep(5)
+        site.network.cut("r1", "r2")
+        await site.write("things/leaving")
+        took_s = await site.seconds_until(lambda: site["f2"].has("things/leaving"), DRAIN_S)
+        self.assertLess(took_s, DRAIN_S - 0.3)
+        self.assertTrue(site["r2"].taker.is_watching)
+
+    @clocked.on_test_clock
+    async def test_an_entry_that_finds_a_source_pays_for_no_watch(self):
+        """Guards against a call an entry when all of a site start at once."""
+        async with trio.open_nursery() as nursery:
+            site = Site(nursery)
+            await site.start()
+            late = Node("late", site)
+            site.nodes["late"] = late
+
+            def note(keys):
+                late.sources[:] = ["r1"]
+
+            late.copy.listen("", note)
+            await site.write("things/first")
+            nursery.start_soon(late.run)
+            await trio.sleep(3)
+            self.assertEqual(1, late.calls())
+            self.assertFalse(late.taker.is_watching)
+            nursery.cancel_scope.cancel()
+
+
 class MessagesTest(unittest.TestCase):
     def test_messages_come_back_as_they_went(self):
         items = tuple(keyvalue.Item(f"k{n}", b"value" * 20, n, n, 7) for n in range(50))
@@ -302,6 +363,11 @@
         self.assertEqual([], found["x59"])
         self.assertTrue(all(found[f"x{n}"] for n in range(8, 59)))
 
+    def test_with_a_planner_the_other_zones_follow_it(self):
+        found = self._sources(self._entries(195, 5), planner="e7")
+        self.assertEqual(["x7"], [address for address, sources in found.items() if not sources])
+        self.assertEqual(4, sum(sources == ["x7"] for sources in found.values()))
+
     def test_other_zones_come_after_the_own_one(self):
         known = self._entries(60, 4)
         zones = {entry.exchange_address: entry.zone for entry in known}
--- a/toucanhold/coordination/lease.py
+++ b/toucanhold/coordination/lease.py
@@ -82,9 +82,13 @@
         absent = keyvalue.Condition(self.key, create_revision=0)
         write = keyvalue.Write(self.key, self.value, self._lease)
         try:
-            await self.client.commit([absent], [write])
+            result = await self.client.commit([absent], [write])
         except keyvalue.UnclearError:
             LOGGER.debug("lease on %s: the answer was lost; reading back", self.key)
+        else:
+            if result.succeeded:
+                await self._renew(result.revision)
+                return
         item = await self.client.read_key(self.key)
         # The answer of the commit is not needed: a key on this client's own lease is held.
         if item is not None and item.lease == self._lease:
--- a/toucanhold/coordination/watching.py
+++ b/toucanhold/coordination/watching.py
@@ -93,6 +93,9 @@
             result = await self.source.read_all(may_be_old)
             self._note_answer(is_newest=not may_be_old)
             self.copy.replace(result)
+            # An entry that finds one to follow in what it read is cancelled here, before it pays
+            # for a watch.
+            await trio.sleep(self.gather_s())
             return
         changes = await self.source.read_changes(self.copy.revision, WATCH_WAIT_S)
         self._note_answer(is_newest=True)
--- a/toucanhold/gateway/hierarchy.py
+++ b/toucanhold/gateway/hierarchy.py
@@ -44,8 +44,9 @@
 ) -> list[str]:
     """Return the addresses of the entries to follow, best first.
 
-    Empty for the first entry of each zone: it watches the service itself. All entries that know of
-    the same ones come to the same order, in which each follows an earlier one.
+    Empty for the planner, which watches the service itself, and without a planner for the first
+    entry of each zone. All entries that know of the same ones come to the same order, in which
+    each follows an earlier one.
 
     :param planner: name of the entry that plans; it is the first of its zone, since it acts on
         what it sees
@@ -54,7 +55,8 @@
     zone = zones[own.zone]
     place = zone.index(own)
     if not place:
-        return []
+        # One watch for all zones: each return of a watch is a call that is paid for.
+        return [] if own.entry == planner else _planners_address(zones, planner)
     chosen = [zone[(place - 1) // FOLLOWERS]]
     if zone[0] not in chosen:
         chosen.append(zone[0])
@@ -83,6 +85,11 @@
     return zones
 
 
+def _planners_address(zones: dict[str, list[entries.Entry]], planner: str) -> list[str]:
+    firsts = (members[0] for members in zones.values())
+    return [entry.exchange_address for entry in firsts if entry.entry == planner]
+
+
 def _rank(entry: entries.Entry, planner: str) -> tuple:
     # Large machines first: whoever passes changes on spends processor time and bandwidth on it.
     spread = hashlib.blake2b(f"{entry.entry}/{entry.boot}".encode(), digest_size=8).digest()
