Allot requests to cold servers in whole units

Cause: a small entry's part of what a cold server bears was far below one request a second at hundreds of entries, so it sent none and the bound stayed unused.

Change: whole parts go by weight, and what is left by rendezvous hashing to some entries of the server's zone.

--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -256,7 +256,7 @@
             EmptyBoard(),
             self.loads,
             self.health,
-            budget.ColdBudget(1.5, 5, lambda: 1),
+            budget.ColdBudget(1.5, 5, FixedList(new_entry("e1"))),
             self.closed_zones,
             "zone-a",
             rng,
--- a/toucanhold/gateway/budget.py
+++ b/toucanhold/gateway/budget.py
@@ -8,6 +8,9 @@
 import attrs
 import trio
 
+from toucanhold.gateway import entries, sharing
+from toucanhold.registry import servers
+
 BUCKETS = 10
 # The part of the bound that entries use: their counts begin and end at different moments, and
 # entries that come and go briefly change the parts.
@@ -85,23 +88,42 @@
 
     :ivar overage: factor on what a server says that it bears
     :ivar slack: requests a second beyond that, over all entries
-    :ivar share: returns this entry's part of all callers
+    :ivar listed: the entries that share the bound
     """
 
     overage: float
     slack: float
-    share: collections.abc.Callable[[], float]
+    listed: entries.EntryList
+    _quotas: dict[tuple[str, float], int] = attrs.field(factory=dict, init=False)
+    _version: int = attrs.field(default=-1, init=False)
     _sent_s: dict[str, collections.deque[float]] = attrs.field(factory=dict, init=False)
 
-    def may_send(self, server_id: str, bears_per_s: float) -> bool:
+    def may_send(self, server: servers.Server, bears_per_s: float) -> bool:
         """Tell whether one more request may go to a cold server."""
-        part = USED_PART * (bears_per_s * self.overage + self.slack) * self.share()
-        return len(self._recent(server_id)) + 1 <= part
+        total = USED_PART * (bears_per_s * self.overage + self.slack)
+        return len(self._recent(server.server_id)) < self._quota(server, total)
 
     def note(self, server_id: str) -> None:
         """Count a request that is sent to a cold server."""
         self._recent(server_id).append(trio.current_time())
 
+    def _quota(self, server: servers.Server, total: float) -> int:
+        if self._version != self.listed.version:
+            self._version = self.listed.version
+            self._quotas.clear()
+        key = server.server_id, total
+        if key not in self._quotas:
+            self._quotas[key] = self._new_quota(server, total)
+        return self._quotas[key]
+
+    def _new_quota(self, server: servers.Server, total: float) -> int:
+        # Most requests reach a server from entries of its zone.
+        own, others = self.listed.own, self.listed.others()
+        near = [entry for entry in others if entry.zone == server.zone]
+        if own.zone == server.zone:
+            return sharing.quota(total, server.server_id, own, near)
+        return 0 if near else sharing.quota(total, server.server_id, own, others)
+
     def _recent(self, server_id: str) -> collections.deque[float]:
         sent = self._sent_s.setdefault(server_id, collections.deque())
         while sent and sent[0] < trio.current_time() - 1.0:
--- a/toucanhold/gateway/sharing.py
+++ b/toucanhold/gateway/sharing.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import hashlib
+import math
 
 from toucanhold.gateway import entries
 
@@ -28,6 +29,47 @@
     return own_weight / (own_weight + sum(weight(entry) for entry in others))
 
 
+def quota(
+    total: float, key: str, own: entries.Entry, others: collections.abc.Iterable[entries.Entry]
+) -> int:
+    """Return this entry's whole units of a bound; those of all entries sum up to it at most.
+
+    Parts in proportion would be below one at hundreds of entries, and nobody could use the bound.
+    So what is left of whole parts goes to some entries by rendezvous hashing.
+
+    :param total: units that all entries may use
+    :param key: what the bound is on
+    """
+    known = [own, *others]
+    total_weight = sum(map(weight, known))
+    parts = {entry.entry: int(total * weight(entry) / total_weight) for entry in known}
+    left = int(total) - sum(parts.values())
+    by_score = sorted(known, key=lambda entry: _score(entry, key))
+    for entry in (by_score * (left // len(known) + 1))[:left]:
+        parts[entry.entry] += 1
+    return parts[own.entry]
+
+
+def _score(entry: entries.Entry, key: str) -> float:
+    digest = hashlib.blake2b(f"{entry.entry}/{key}".encode(), digest_size=8).digest()
+    draw = (int.from_bytes(digest) + 1) / (2**64 + 1)
+    return -math.log(draw) / weight(entry)
+
+
+def near(serving: collections.abc.Sequence[entries.Entry], zone: str) -> list[entries.Entry]:
+    """Return the entries of a caller's zone, and where they are few some others.
+
+    Callers in their own zone cost no bytes between zones, and go on while it is cut off.
+    """
+    own = [entry for entry in serving if entry.zone == zone]
+    if not own:
+        return list(serving)
+    others = sorted(
+        (entry for entry in serving if entry.zone != zone), key=lambda each: _score(each, zone)
+    )
+    return own + others[: max(0, LEAST_NAMED - len(own))]
+
+
 def named(
     serving: collections.abc.Sequence[entries.Entry], caller_zone: str, now_s: float
 ) -> list[entries.Entry]:
--- a/toucanhold/gateway/targets.py
+++ b/toucanhold/gateway/targets.py
@@ -92,7 +92,7 @@
         if self.loads.estimate(server.server_id) >= slots:
             return False
         if server.cold_until_s > trio.current_time():
-            return self.cold.may_send(server.server_id, service.cold_requests_per_s)
+            return self.cold.may_send(server, service.cold_requests_per_s)
         return True
 
     def _rank(self, server: servers.Server) -> tuple[float, float]:
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -197,7 +197,7 @@
             self.entries, self.loads, self.crashes, self._on_silent_elsewhere, self.rng
         )
         self.silence = silence.SilenceWatch(self.health, self._note_silent)
-        self.cold = budget.ColdBudget(bounds.cold_overage, bounds.cold_slack, self._share)
+        self.cold = budget.ColdBudget(bounds.cold_overage, bounds.cold_slack, self.entries)
         found = targets.Targets(
             self.registry,
             self.board,
