Keep callers and their servers in one availability zone

A server in another zone must be emptier by a quarter of its slots, no longer by one request, whatever the slots.

--- a/toucanhold/gateway/targets.py
+++ b/toucanhold/gateway/targets.py
@@ -13,9 +13,9 @@
 from toucanhold.replicas import records
 from toucanhold.routes import table
 
-# What a server in another availability zone must be emptier by, in requests: bytes between zones
-# are dear, and a millisecond each way is not.
-OTHER_ZONE_LOAD = 1.0
+# What a server in another availability zone must be emptier by, as a part of its slots: bytes
+# between zones are dear, and a millisecond each way is not.
+OTHER_ZONE_PART = 0.25
 # What a share of failures weighs, in requests: a server that fails two in five gets work only
 # when the others have four requests more.
 FAILURE_LOAD = 10.0
@@ -64,7 +64,7 @@
         if service.engine is None:
             tried = tried or fit
         open_to = [server for server in sound or tried if self._has_room(service, server)]
-        return min(open_to, key=self._rank, default=None)
+        return min(open_to, key=lambda server: self._rank(service, server), default=None)
 
     def may_serve_soon(self, service: table.Service, model: str) -> bool:
         """Tell whether a group of the model is being formed."""
@@ -88,16 +88,19 @@
         ]
 
     def _has_room(self, service: table.Service, server: servers.Server) -> bool:
-        slots = service.engine.slots if service.engine is not None else server.slots
-        if self.loads.estimate(server.server_id) >= slots:
+        if self.loads.estimate(server.server_id) >= _slots(service, server):
             return False
         if server.cold_until_s > trio.current_time():
             return self.cold.may_send(server, service.cold_requests_per_s)
         return True
 
-    def _rank(self, server: servers.Server) -> tuple[float, float]:
+    def _rank(self, service: table.Service, server: servers.Server) -> tuple[float, float]:
         weight = float(self.loads.estimate(server.server_id))
         weight += FAILURE_LOAD * self.health.failure_share(server.server_id)
         if server.zone != self.zone:
-            weight += OTHER_ZONE_LOAD
+            weight += OTHER_ZONE_PART * _slots(service, server)
         return weight, self.rng.random()
+
+
+def _slots(service: table.Service, server: servers.Server) -> int:
+    return service.engine.slots if service.engine is not None else server.slots
