Decode an entry's record once

Cause: the list of entries decoded all records at each change of one and twice a second: at 195 entries 195 records each time, in each of 195 processes.

Change: records are kept decoded by key; a test counts one decoding a change.

--- /dev/null
+++ b/tests/test_entries.py
@@ -0,0 +1,58 @@
+"""The list of entries: hundreds of records, of which a few change at a time."""
+
+import random
+import unittest
+from unittest import mock
+
+from standins import gateways, memory
+from tests import clocked
+from toucanhold import codec
+from toucanhold.coordination import keyvalue, mirror
+from toucanhold.gateway import entries
+
+
+def new_item(name, revision, boot="b1", value=None):
+    entry = entries.Entry(name, "zone-a", "r", "", "", boot)
+    key = f"{entries.ENTRIES_PREFIX}{name}/{boot}"
+    return keyvalue.Item(key, value or codec.to_json(entry), revision, revision)
+
+
+class EntryListTest(unittest.TestCase):
+    def setUp(self):
+        self.copy = mirror.Mirror()
+        client = memory.MemoryPlatform().client("own")
+        own = gateways.new_entry("own")
+        self.listed = entries.EntryList(own, client, self.copy, random.Random(1))
+
+    def _names(self):
+        return {entry.entry: entry.boot for entry in self.listed.others()}
+
+    @clocked.on_test_clock
+    async def test_one_change_decodes_one_record(self):
+        """Guards against entries that decode all records at each change of one."""
+        items = tuple(new_item(f"e{n}", n + 1) for n in range(195))
+        self.copy.replace(keyvalue.RangeResult(195, items))
+        with mock.patch.object(codec, "from_json", wraps=codec.from_json) as decode:
+            self.copy.apply(mirror.Changes(195, 196, (new_item("e195", 196),)))
+            self.listed._refresh()
+        self.assertEqual(1, decode.call_count)
+        self.assertEqual(196, len(self.listed.others()))
+
+    @clocked.on_test_clock
+    async def test_the_newest_start_of_an_entry_counts(self):
+        self.copy.replace(keyvalue.RangeResult(1, (new_item("e1", 1),)))
+        self.copy.apply(mirror.Changes(1, 2, (new_item("e1", 2, "b2"),)))
+        self.assertEqual({"e1": "b2"}, self._names())
+        old = mirror.Deletion(f"{entries.ENTRIES_PREFIX}e1/b1", 3)
+        self.copy.apply(mirror.Changes(2, 3, (), (old,)))
+        self.assertEqual({"e1": "b2"}, self._names())
+        self.assertIsNone(self.listed.find("e1", "b1"))
+        self.assertEqual("b2", self.listed.find("e1", "b2").boot)
+
+    @clocked.on_test_clock
+    async def test_an_unreadable_record_harms_no_other(self):
+        """Guards against an entry that ends, or loses sight of the others, over a bad record."""
+        bad = new_item("e2", 2, value=b"\xff")
+        with self.assertLogs(entries.LOGGER, "WARNING"):
+            self.copy.replace(keyvalue.RangeResult(2, (new_item("e1", 1), bad)))
+        self.assertEqual({"e1": "b1"}, self._names())
--- a/toucanhold/gateway/entries.py
+++ b/toucanhold/gateway/entries.py
@@ -53,6 +53,7 @@
     rng: random.Random
     is_stopping: bool = attrs.field(default=False, init=False)
     version: int = attrs.field(default=0, init=False)
+    _records: dict[str, tuple[int, Entry]] = attrs.field(factory=dict, init=False)
     _others: dict[str, Entry] = attrs.field(factory=dict, init=False)
     _held: lease.LeasedKey = attrs.field(init=False)
 
@@ -68,7 +69,7 @@
             # in the lease's time; renewing costs a tenth of that.
             is_contended=False,
         )
-        self.source.listen(ENTRIES_PREFIX, lambda keys: self._refresh())
+        self.source.listen(ENTRIES_PREFIX, self._take)
 
     async def run(self) -> None:
         """Keep the own record until cancelled or stopped."""
@@ -96,20 +97,25 @@
     def _own_key(self) -> str:
         return f"{ENTRIES_PREFIX}{self.own.entry}/{self.own.boot}"
 
-    def _refresh(self) -> None:
-        found: dict[str, tuple[int, Entry]] = {}
-        for item in self.source.under(ENTRIES_PREFIX):
-            if item.key == self._own_key:
+    def _take(self, keys: frozenset[str]) -> None:
+        for key in keys:
+            self._records.pop(key, None)
+            item = self.source.items.get(key)
+            if item is None or key == self._own_key:
                 continue
             try:
-                entry = codec.from_json(item.value, Entry)
+                self._records[key] = item.create_revision, codec.from_json(item.value, Entry)
             except codec.CodecError as error:
-                LOGGER.warning("the record %s is not readable: %s", item.key, error)
-                continue
+                LOGGER.warning("the record %s is not readable: %s", key, error)
+        self._refresh()
+
+    def _refresh(self) -> None:
+        found: dict[str, tuple[int, Entry]] = {}
+        for create_revision, entry in self._records.values():
             newest = found.get(entry.entry, (0, entry))
             # A machine that was killed and is back stands here twice until its old lease ends.
-            if entry.entry != self.own.entry and item.create_revision > newest[0]:
-                found[entry.entry] = item.create_revision, entry
+            if entry.entry != self.own.entry and create_revision > newest[0]:
+                found[entry.entry] = create_revision, entry
         self._replace({name: entry for name, (_, entry) in found.items()})
 
     def _replace(self, found: dict[str, Entry]) -> None:
