Count store calls, notices and placed requests by cause

Bytes between zones and calls of the store are the two largest prices of a large site, and nothing told from which part they come. Counters at metrics now do: calls by kind, datagrams by kind and zone, requests by whether their server is in another zone, besides the age of the last load digest.

--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -32,6 +32,7 @@
         result = await client.read_all(may_be_old=False)
         self.assertEqual(5, len(result.items))
         self.assertEqual(app.revision, result.revision)
+        self.assertEqual({"range": 3}, client.calls)
 
     @with_store
     async def test_changes_tell_items_and_deletions(self, app, client):
--- a/toucanhold/gateway/admission.py
+++ b/toucanhold/gateway/admission.py
@@ -126,9 +126,7 @@
         found = self.targets.find(service, model)
         server = self.targets.choose(service, found, avoid)
         if server is not None:
-            self.targets.loads.add(server.server_id)
-            if server.cold_until_s > trio.current_time():
-                self.targets.cold.note(server.server_id)
+            self.targets.note_placed(server)
         return server
 
     async def _wait(
--- a/toucanhold/gateway/exchange.py
+++ b/toucanhold/gateway/exchange.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import collections
 import collections.abc
 import errno
 import logging
@@ -47,6 +48,7 @@
     """Sends what this entry knows, and takes in what others send.
 
     :ivar on_silent: called with a server that another entry found silent, and that entry's name
+    :ivar sent_bytes: by kind of notice, and whether the receiver is in another availability zone
     """
 
     listed: entries.EntryList
@@ -66,6 +68,15 @@
     _turn: int = attrs.field(default=0, init=False)
     _sent: int = attrs.field(default=0, init=False)
     _warned: set[str] = attrs.field(factory=set, init=False)
+    sent_bytes: collections.Counter[tuple[notices.Kind, bool]] = attrs.field(
+        factory=collections.Counter, init=False
+    )
+
+    @property
+    def digest_age_s(self) -> float:
+        """Age of the newest answer of an aggregator, in seconds; 0 where this entry is one."""
+        newest_s = max(self._answered_s.values(), default=float("-inf"))
+        return 0.0 if self.is_root else trio.current_time() - newest_s
 
     def note_silent(self, server_id: str) -> None:
         """Tell all others of a silent server at once."""
@@ -127,7 +138,7 @@
             upstream = self.upstream()
             if upstream:
                 report = self._notice(notices.Kind.REPORT, self.loads.local(), is_upward=True)
-                await _send_all(socket, report, upstream)
+                await self._send_all(socket, notices.Kind.REPORT, report, upstream)
             if self.is_root:
                 await self._send_summary(socket, is_urgent)
             if is_urgent:
@@ -145,7 +156,7 @@
                 receivers += ranked if is_urgent else [ranked[self._turn % len(ranked)]]
         if receivers:
             summary = self._notice(notices.Kind.SUMMARY, self.loads.local(), is_upward=True)
-            await _send_all(socket, summary, receivers)
+            await self._send_all(socket, notices.Kind.SUMMARY, summary, receivers)
 
     async def _send_digests(self, socket: trio.socket.SocketType) -> None:
         oldest_s = trio.current_time() - VALID_S
@@ -159,7 +170,7 @@
     async def _send_digest(self, socket: trio.socket.SocketType, to: entries.Entry) -> None:
         counts = self.loads.without(to.entry)
         digest = self._notice(notices.Kind.DIGEST, counts, is_upward=False)
-        await _send_all(socket, digest, [to])
+        await self._send_all(socket, notices.Kind.DIGEST, digest, [to])
 
     def _notice(self, kind: notices.Kind, counts: dict[str, int], is_upward: bool) -> bytes:
         own = self.listed.own
@@ -252,13 +263,17 @@
             self._warned.add(key)
             LOGGER.warning("a notice was passed over: %s: %s", key, text)
 
-
-async def _send_all(
-    socket: trio.socket.SocketType, data: bytes, receivers: list[entries.Entry]
-) -> None:
-    for entry in receivers:
-        host, _, port = entry.exchange_address.rpartition(":")
-        try:
-            await socket.sendto(data, (host, int(port)))
-        except OSError as error:
-            LOGGER.debug("notice to %s not sent: %s", entry.entry, error)
+    async def _send_all(
+        self,
+        socket: trio.socket.SocketType,
+        kind: notices.Kind,
+        data: bytes,
+        receivers: list[entries.Entry],
+    ) -> None:
+        for entry in receivers:
+            host, _, port = entry.exchange_address.rpartition(":")
+            try:
+                await socket.sendto(data, (host, int(port)))
+            except OSError as error:
+                LOGGER.debug("notice to %s not sent: %s", entry.entry, error)
+            self.sent_bytes[kind, entry.zone != self.listed.own.zone] += len(data)
--- a/toucanhold/gateway/targets.py
+++ b/toucanhold/gateway/targets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import collections.abc
 import random
 
@@ -27,6 +28,7 @@
 
     :ivar zone: this entry's availability zone
     :ivar closed_zones: zones that get no work
+    :ivar placed: requests placed, by whether the server is in another zone
     """
 
     known: registry.Registry
@@ -37,6 +39,14 @@
     closed_zones: collections.abc.Set[str]
     zone: str
     rng: random.Random
+    placed: collections.Counter[bool] = attrs.field(factory=collections.Counter, init=False)
+
+    def note_placed(self, server: servers.Server) -> None:
+        """Count a request that a server gets."""
+        self.loads.add(server.server_id)
+        self.placed[server.zone != self.zone] += 1
+        if server.cold_until_s > trio.current_time():
+            self.cold.note(server.server_id)
 
     def find(self, service: table.Service, model: str) -> list[servers.Server]:
         """Return the servers that may get a request now, with room or without."""
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -32,6 +32,7 @@
     configuration,
     directory,
     front,
+    gauges,
     registrations,
     servers,
     settings,
@@ -84,6 +85,7 @@
         self._build_relay()
         self._build_planner()
         self._build_gateway()
+        gauges.register(self)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """See :class:`application.Application`."""
@@ -198,7 +200,7 @@
         )
         self.silence = silence.SilenceWatch(self.health, self._note_silent)
         self.cold = budget.ColdBudget(bounds.cold_overage, bounds.cold_slack, self.entries)
-        found = targets.Targets(
+        self.targets = targets.Targets(
             self.registry,
             self.board,
             self.loads,
@@ -211,7 +213,7 @@
         self.gateway = gateway.Gateway(
             self.routes,
             self.servers,
-            admission.Admission(found),
+            admission.Admission(self.targets),
             budget.RetryBudget(_retry_bound(bounds), self._share),
             self.health,
             self.crashes,
--- /dev/null
+++ b/toucanhold/platform/gauges.py
@@ -0,0 +1,41 @@
+"""Counters and gauges of an entry on the users' platform, read when a scraper asks."""
+
+from __future__ import annotations
+
+import typing
+
+from toucanhold import metrics
+
+if typing.TYPE_CHECKING:
+    from toucanhold.platform import entry as entries
+
+
+def register(entry: entries.PlatformEntry) -> None:
+    """Add what tells the cost of control, by cause, and how fresh this entry's picture is."""
+
+    def store_calls() -> metrics.Observed:
+        for kind, count in entry.store.calls.items():
+            yield count, {"toucanhold.call": kind}
+
+    def notice_bytes() -> metrics.Observed:
+        for (kind, is_other_zone), count in entry.exchange.sent_bytes.items():
+            zone = "other" if is_other_zone else "own"
+            yield count, {"toucanhold.notice": kind.value, "toucanhold.zone": zone}
+
+    def requests_sent() -> metrics.Observed:
+        for is_other_zone, count in entry.targets.placed.items():
+            yield count, {"toucanhold.zone": "other" if is_other_zone else "own"}
+
+    def waiting() -> metrics.Observed:
+        yield entry.gateway.admission.waiting, {}
+
+    def load_age() -> metrics.Observed:
+        yield entry.exchange.digest_age_s, {}
+
+    entry.metrics.count("toucanhold.store.calls", "{call}", "Calls to the store", store_calls)
+    entry.metrics.count("toucanhold.notices.sent", "By", "Datagrams to other entries", notice_bytes)
+    entry.metrics.count(
+        "toucanhold.requests.placed", "{request}", "Requests placed on servers", requests_sent
+    )
+    entry.metrics.observe("toucanhold.requests.waiting", "{request}", "Waiting for room", waiting)
+    entry.metrics.observe("toucanhold.load.age", "s", "Age of the last load digest", load_age)
--- a/toucanhold/platform/store.py
+++ b/toucanhold/platform/store.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+import collections
 import collections.abc
 import contextlib
 import json
@@ -29,9 +30,13 @@
 
 @attrs.define(eq=False)
 class StoreClient(keyvalue.KeyValueClient, watching.ChangeSource):
-    """Calls to the store at ``IP:port``."""
+    """Calls to the store at ``IP:port``.
+
+    :ivar calls: number of calls by kind, each of which is paid for
+    """
 
     address: str
+    calls: collections.Counter[str] = attrs.field(factory=collections.Counter, init=False)
     _pool: httpcore.AsyncConnectionPool = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -182,6 +187,7 @@
         :raises keyvalue.UnavailableError: when it certainly did nothing
         :raises keyvalue.UnclearError: when it may have taken effect
         """
+        self.calls[path.split("/")[1].removeprefix("kv-")] += 1
         target = path + ("?" + urllib.parse.urlencode(query) if query else "")
         content = json.dumps(body).encode() if body is not None else b""
         headers = [("host", self.address), ("content-length", str(len(content)))]
