Give up groups for a model that starves, and keep room for large ones

At the start small groups were spread over all domains, and one large group had a place where two are wanted.

Change: small groups go where they leave room for the larger ones that are short; empty servers load the model whose survivors lack fewest; idle spares load a short model beside its survivors; and a model that has less than a third of what another one has takes servers of that one's groups, after their hosts have loaded it beside their work, at most one step in ten seconds, and none where the other would starve.

--- a/standins/replicas.py
+++ b/standins/replicas.py
@@ -244,11 +244,32 @@
             return orders.OrderOutcome.REFUSED
         if isinstance(order, orders.Join):
             return await self._join(target, order)
+        if isinstance(order, orders.Stage):
+            return self._stage(target, order)
         membership = target.membership
         if membership is None or (membership.group, membership.epoch) != (order.group, order.epoch):
             return orders.OrderOutcome.REFUSED
         return await self._change(target, order)
 
+    def _stage(self, target: MemoryServer, order: orders.Stage) -> orders.OrderOutcome:
+        if order.model in target.staged:
+            return orders.OrderOutcome.HOLDS
+        target.order_count += 1
+        target.counted.append((trio.current_time(), target.order_count))
+        self.loads.append(trio.current_time())
+        self.nursery.start_soon(self._finish_staging, target, order, target.born_ms)
+        return orders.OrderOutcome.BEGUN
+
+    async def _finish_staging(
+        self, target: MemoryServer, order: orders.Stage, born_ms: int
+    ) -> None:
+        model = self.engine.model(order.model)
+        assert model is not None
+        await trio.sleep(model.load_s)
+        if target.born_ms == born_ms and target.is_reached:
+            target.staged = (order.model,)
+            await self.publish(target)
+
     def _is_joined(self, target: MemoryServer, order: orders.Join) -> bool:
         membership = target.membership
         return membership is not None and (membership.group, membership.epoch) == (
--- a/tests/test_composition.py
+++ b/tests/test_composition.py
@@ -59,6 +59,28 @@
         self.assertEqual(7, len(composition.Composer(situation).formations()))
 
 
+class SmallDomainTest(unittest.TestCase):
+    """Domains that hold one large group at most, as sites of few servers a domain have them."""
+
+    ENGINE = replicas.new_engine(
+        table.Model("large", 16, 0.5, 1.0, 16.0, 1.6), table.Model("small", 4, 0.5, 0.6, 12.0, 1.1)
+    )
+
+    def test_small_groups_leave_whole_domains_to_the_large_model(self):
+        """Guards against a large model without a place: small groups had one in each domain."""
+        free = {f"d{n}": new_domain(f"d{n}", 19) for n in range(5)}
+        chosen = composition.Composer(new_situation(free, engine=self.ENGINE)).formations()
+        found = collections.Counter(each.model for each in chosen)
+        self.assertEqual({"large": 2, "small": 12}, found)
+
+    def test_an_empty_server_loads_the_model_whose_survivors_lack_it(self):
+        """Guards against fifteen idle survivors whose sixteenth loads the other model."""
+        free = {"d0": [*new_domain("d0", 15, "large"), new_server("new", "d0")]}
+        situation = new_situation(free, {"large": 1, "small": 10}, 95, self.ENGINE)
+        (preparation,) = composition.Composer(situation).preparations()
+        self.assertEqual("large", preparation.model)
+
+
 class RepairTest(unittest.TestCase):
     def test_survivors_and_a_spare_that_holds_the_model_form_at_once(self):
         free = {"d0": new_domain("d0", 3, "large") + [new_server("spare", "d0", "large")]}
--- a/toucanhold/events.py
+++ b/toucanhold/events.py
@@ -52,6 +52,7 @@
     GROUP_SERVES = (3017, logging.INFO, "the head of a group takes requests")
     ORDER_ANSWERED = (3018, logging.INFO, "an engine answered an order, or did not")
     SPARE_PREPARED = (3019, logging.INFO, "a spare server loads a model ahead of its use")
+    STAGING_ORDERED = (3022, logging.INFO, "a host loads a model that starves, beside its work")
     SERVERS_COUNTED = (3021, logging.INFO, "what the servers of a model service are doing")
     PLAN_WRITE_FAILED = (3020, logging.WARNING, "a change of the plan was not written")
     ROUTES_IN_FORCE = (4008, logging.INFO, "a version of routes and keys is in force here")
--- a/toucanhold/platform/servers.py
+++ b/toucanhold/platform/servers.py
@@ -212,6 +212,8 @@
 
 def _order_body(order: orders.Order) -> dict:
     match order:
+        case orders.Stage():
+            return {"op": "stage", "model": order.model}
         case orders.Join():
             members = list(order.members)
             fields = {"op": "join", "model": order.model, "members": members}
--- a/toucanhold/replicas/composition.py
+++ b/toucanhold/replicas/composition.py
@@ -8,13 +8,12 @@
 import attrs
 
 from toucanhold.registry import servers
+from toucanhold.replicas import conversion, fitness
 from toucanhold.routes import table
 
 # Two groups a domain and two spares are what domains of nine leave over beside groups of four
 # and three. A loss then finds its replacement in the domain, where joining takes 0.2 s.
 SPARE_SHARE = 2 / 9
-# Seconds to join: with the model of the last group, and besides from the host or the store.
-REJOIN_S = 0.2
 
 
 @attrs.frozen
@@ -45,6 +44,8 @@
     :ivar ending: groups by domain that are being taken apart: their servers are soon free
     :ivar loading: spares by domain that load a model
     :ivar closed_zones: availability zones that get no work
+    :ivar groups: groups that serve or form in open zones
+    :ivar ending_members: members of groups that are being taken apart, by domain
     """
 
     engine: table.Engine
@@ -56,13 +57,10 @@
     ending: collections.abc.Mapping[str, int] = attrs.field(factory=dict)
     loading: collections.abc.Mapping[str, int] = attrs.field(factory=dict)
     closed_zones: collections.abc.Set[str] = frozenset()
-
-
-def join_s(server: servers.Server, model: table.Model) -> float:
-    """Return how long the server takes to join a group of the model, in seconds."""
-    if server.model == model.name:
-        return REJOIN_S
-    return model.warm_s if model.name in server.staged else model.load_s
+    groups: collections.abc.Sequence[conversion.ServingGroup] = ()
+    ending_members: collections.abc.Mapping[str, collections.abc.Sequence[servers.Server]] = (
+        attrs.field(factory=dict)
+    )
 
 
 def wanted_counts(engine: table.Engine, usable: int) -> dict[str, float]:
@@ -93,6 +91,7 @@
     _zone_counts: dict[tuple[str, str], int] = attrs.field(init=False)
     _domain_counts: dict[tuple[str, str], int] = attrs.field(init=False)
     _free: dict[str, list[servers.Server]] = attrs.field(init=False)
+    _reserved: set[str] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Copy what changes while groups are chosen."""
@@ -102,6 +101,7 @@
         self._zone_counts = dict(situation.zone_counts)
         self._domain_counts = dict(situation.domain_counts)
         self._free = {domain: list(members) for domain, members in situation.free.items()}
+        self._reserved = conversion.reserved_domains(self._supply())
 
     def formations(self) -> list[Formation]:
         """Return the groups to form now, most needed first."""
@@ -111,6 +111,26 @@
             self._count(formation)
         return chosen
 
+    def next_conversion(self) -> conversion.Conversion | None:
+        """Return what to do for a model that starves, after the formations of this decision."""
+        return conversion.next_conversion(self._supply())
+
+    def _supply(self) -> conversion.Supply:
+        situation = self.situation
+        open_free = {
+            domain: members
+            for domain, members in self._free.items()
+            if not any(server.zone in situation.closed_zones for server in members)
+        }
+        return conversion.Supply(
+            situation.engine,
+            self.wanted,
+            self.counts,
+            open_free,
+            situation.groups,
+            situation.ending_members,
+        )
+
     def preparations(self) -> list[Preparation]:
         """Return which of the servers that are left should load which model."""
         chosen = [each for model in self._starved() for each in self._rescue(model)]
@@ -118,7 +138,7 @@
         for free in self._free.values():
             members = [server for server in free if server.server_id not in reloaded]
             ready = {
-                model.name: sum(_is_ready(server, model) for server in members)
+                model.name: sum(fitness.is_ready(server, model) for server in members)
                 for model in self.situation.engine.models
             }
             for server in members:
@@ -153,23 +173,25 @@
         ]
 
         def missing(domain: str) -> int:
-            ready = sum(_is_ready(server, model) for server in self._free[domain])
+            ready = sum(fitness.is_ready(server, model) for server in self._free[domain])
             return model.size - ready - loading.get(domain, 0)
 
         if not fitting:
             return []
         domain = min(fitting, key=lambda each: (missing(each), each))
-        others = [server for server in self._free[domain] if not _is_ready(server, model)]
+        others = [server for server in self._free[domain] if not fitness.is_ready(server, model)]
         return [Preparation(model.name, server) for server in others[: max(0, missing(domain))]]
 
     def _next(self) -> Formation | None:
         neediest = sorted(self.situation.engine.models, key=lambda each: self._covered(each.name))
         for model in neediest:
-            is_short = self.counts.get(model.name, 0) + 0.5 < self.wanted[model.name]
+            is_neediest = model is neediest[0]
+            is_short = self._is_short(model)
             fitting = [
                 domain
                 for domain, members in self._free.items()
-                if self._may_form(model, members, is_short)
+                if (is_neediest or domain not in self._reserved)
+                and self._may_form(model, members, is_short)
             ]
             if fitting:
                 domain = min(fitting, key=lambda each: self._rank(model, each))
@@ -181,24 +203,41 @@
         reserve = 0 if is_short else max(2, math.ceil(model.size / 2))
         if len(members) < model.size + reserve:
             return False
-        slowest_s = max(join_s(member, model) for member in _members(model, members))
+        slowest_s = max(fitness.join_s(member, model) for member in _members(model, members))
         # Groups in zones that are out count as well. Without them a group that lost a member while
         # its zone's neighbour was out was taken for the first of all: its survivors loaded the
         # other model, and their own was served by nobody from then on.
         is_first = not self.situation.zone_counts and not self.situation.ending
-        return is_first or slowest_s <= max(model.warm_s, REJOIN_S)
+        return is_first or slowest_s <= max(model.warm_s, fitness.REJOIN_S)
 
     def _rank(self, model: table.Model, domain: str) -> tuple:
         members = _members(model, self._free[domain])
         zone = members[0].zone
         return (
-            round(max(join_s(member, model) for member in members), 1),
+            round(max(fitness.join_s(member, model) for member in members), 1),
+            self._larger_groups_lost(model, domain),
             self._domain_counts.get((model.name, domain), 0),
             self._zone_counts.get((model.name, zone), 0),
             -len(self._free[domain]),
             domain,
         )
 
+    def _larger_groups_lost(self, model: table.Model, domain: str) -> int:
+        """Return the groups of larger models that are short and would no longer fit there.
+
+        Small groups that are spread over all domains leave none that can hold a large one.
+        """
+        before = len(self._free[domain])
+        after = before - model.size
+        return sum(
+            before // larger.size - after // larger.size
+            for larger in self.situation.engine.models
+            if larger.size > model.size and self._is_short(larger)
+        )
+
+    def _is_short(self, model: table.Model) -> bool:
+        return self.counts.get(model.name, 0) + 0.5 < self.wanted[model.name]
+
     def _count(self, formation: Formation) -> None:
         head = formation.members[0]
         self.counts[formation.model] = self.counts.get(formation.model, 0) + 1
@@ -213,19 +252,17 @@
 
     def _most_useful(self, ready: collections.abc.Mapping[str, int]) -> table.Model:
         # The spares of a domain serve to fill a group up: of each model some, and more of that
-        # of which groups are missing.
-        def use(model: table.Model) -> tuple[float, int]:
-            return ready[model.name] / model.size + self._covered(model.name), -model.size
+        # of which groups are missing. Survivors that lack few come first.
+        def use(model: table.Model) -> tuple[float, float, int]:
+            held = ready[model.name] / model.size
+            missing = 1 - held if held < 1 and self._is_short(model) else 1.0
+            return missing, held + self._covered(model.name), -model.size
 
         return min(self.situation.engine.models, key=use)
 
 
 def _members(model: table.Model, free: list[servers.Server]) -> list[servers.Server]:
     def cost(server: servers.Server) -> tuple:
-        return join_s(server, model), server.cold_until_s, server.server_id
+        return fitness.join_s(server, model), server.cold_until_s, server.server_id
 
     return sorted(free, key=cost)[: model.size]
-
-
-def _is_ready(server: servers.Server, model: table.Model) -> bool:
-    return server.model == model.name or model.name in server.staged
--- a/toucanhold/replicas/orders.py
+++ b/toucanhold/replicas/orders.py
@@ -61,7 +61,14 @@
     epoch: int
 
 
-Order = Join | Open | Close | Leave
+@attrs.frozen
+class Stage:
+    """Load a model onto the host, beside whatever the server does."""
+
+    model: str
+
+
+Order = Join | Open | Close | Leave | Stage
 
 
 class EngineClient(abc.ABC):
--- a/toucanhold/replicas/planner.py
+++ b/toucanhold/replicas/planner.py
@@ -12,7 +12,7 @@
 from toucanhold import events, waking
 from toucanhold.coordination import lease, mirror
 from toucanhold.registry import registry, servers
-from toucanhold.replicas import composition, driver, ordering, orders, plan, records
+from toucanhold.replicas import composition, conversion, driver, ordering, orders, plan, records
 from toucanhold.routes import table
 
 TICK_S = 0.25
@@ -28,6 +28,10 @@
 # group for this long, if the group's streams did not tell sooner.
 ASK_LAPSED_S = 0.5
 SPARE_PREFIX = "spare-"
+# A host that has not loaded a model by now is told again: the longest load, with several at once.
+STAGE_AGAIN_S = 30.0
+# A conversion takes some seconds to show; the next one is decided on what it brought.
+CONVERT_AGAIN_S = 10.0
 
 LOGGER = logging.getLogger(__name__)
 
@@ -59,6 +63,8 @@
     _suspects: set[str] = attrs.field(factory=set, init=False)
     _counted_s: float = attrs.field(default=float("-inf"), init=False)
     _has_formed: bool = attrs.field(default=False, init=False)
+    _staged_s: dict[tuple[str, int], float] = attrs.field(factory=dict, init=False)
+    _converted_s: float = attrs.field(default=float("-inf"), init=False)
 
     def __attrs_post_init__(self) -> None:
         """Follow what the planner decides from."""
@@ -185,6 +191,7 @@
             for begin in range(0, len(drafts), plan.MAX_GROUPS_A_WRITE):
                 await self._write(drafts[begin : begin + plan.MAX_GROUPS_A_WRITE])
             self._prepare(service, composer.preparations(), nursery)
+            await self._convert(composer.next_conversion(), nursery)
 
     async def _write(self, drafts: list[records.GroupRecord]) -> None:
         try:
@@ -213,17 +220,24 @@
         zone_counts: collections.Counter[tuple[str, str]] = collections.Counter()
         domain_counts: collections.Counter[tuple[str, str]] = collections.Counter()
         ending: collections.Counter[str] = collections.Counter()
+        ending_members: dict[str, list[servers.Server]] = collections.defaultdict(list)
+        groups: list[conversion.ServingGroup] = []
         for group in self.board.groups.values():
             head = self.known.servers.get(group.head.server_id)
             if group.record.service != service.name or head is None:
                 continue
             if group.is_ending:
                 ending[head.domain] += 1
+                ending_members[head.domain] += self._members(group)
                 continue
             zone_counts[group.record.model, head.zone] += 1
             domain_counts[group.record.model, head.domain] += 1
             if head.zone not in closed:
                 counts[group.record.model] += 1
+                members = tuple(self._members(group))
+                groups.append(
+                    conversion.ServingGroup(group.name, group.record.model, head.domain, members)
+                )
         loading = collections.Counter(
             server.domain for server in self.known.of_service(service.name) if _is_loading(server)
         )
@@ -238,8 +252,14 @@
             ending,
             loading,
             closed,
+            groups,
+            ending_members,
         )
 
+    def _members(self, group: records.Group) -> list[servers.Server]:
+        found = (self.known.find(member.incarnation) for member in group.record.members)
+        return [server for server in found if server is not None]
+
     def _usable(self, service: table.Service) -> list[servers.Server]:
         return [
             server
@@ -298,6 +318,44 @@
             )
             nursery.start_soon(self._prepare_one, each)
 
+    async def _convert(self, chosen: conversion.Conversion | None, nursery: trio.Nursery) -> None:
+        if chosen is None:
+            return
+        now_s = trio.current_time()
+        for server in chosen.staging:
+            if now_s - self._staged_s.get(server.incarnation, float("-inf")) < STAGE_AGAIN_S:
+                continue
+            self._staged_s[server.incarnation] = now_s
+            events.log(
+                LOGGER,
+                events.Event.STAGING_ORDERED,
+                server=server.server_id,
+                model=chosen.model.name,
+                domain=chosen.domain,
+            )
+            nursery.start_soon(self._order, server, orders.Stage(chosen.model.name))
+        if not chosen.staging and now_s - self._converted_s >= CONVERT_AGAIN_S:
+            self._converted_s = now_s
+            for name in chosen.given_up:
+                await self._give_up(name, chosen)
+
+    async def _give_up(self, name: str, chosen: conversion.Conversion) -> None:
+        group = self.board.groups.get(name)
+        if group is None or group.is_ending:
+            return
+        events.log(
+            LOGGER,
+            events.Event.GROUP_ENDING,
+            group=name,
+            epoch=group.epoch,
+            model=group.record.model,
+            reason=f"{chosen.model.name} starves, and its group takes these servers",
+        )
+        try:
+            await self.plan.mark_ending(group)
+        except plan.PlanWriteError as error:
+            LOGGER.debug("%s is not given up: %s", name, error)
+
     async def _prepare_one(self, preparation: composition.Preparation) -> None:
         server = preparation.server
         # A group of its own that nobody opens: joining another one later takes 0.2 s, which takes
@@ -305,6 +363,9 @@
         group = f"{SPARE_PREFIX}{server.server_id}"
         epoch = max(1, self.source.revision)
         order = orders.Join(group, epoch, preparation.model, (server.server_id,))
+        await self._order(server, order)
+
+    async def _order(self, server: servers.Server, order: orders.Order) -> None:
         try:
             await self.orderer.give(server, order)
         except ordering.NotPlannerError:
