Keep groups that only the planner cannot reach

Cause: while two zones cannot reach each other, the planner finds the heads of the other one silent and takes their groups apart, though that zone's entries and the store reach them; after a zone was cut off whole, its groups had to form anew.

Change: beside servers that may be dead the planner asks two others of their zone, of other domains where there are any. A head whose registration lapsed is asked before its group ends, 0.6 s later at most.

Ruled out: a longer wait for every silent member, which would delay each repair. Tests: a cut to one zone, a zone cut off from all, and a domain that goes dark, which is no cut; the first two failed before.

--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -167,6 +167,62 @@
             self.assertEqual([], scene.fleet.broken)
             nursery.cancel_scope.cancel()
 
+    @clocked.on_test_clock
+    async def test_groups_that_only_the_planner_cannot_reach_go_on(self):
+        """Guards against groups taken apart because two zones cannot reach each other."""
+        async with trio.open_nursery() as nursery:
+            scene, node = await formed(nursery)
+            before = {name for name, group in node.board.groups.items()}
+            far = [name for name, each in scene.fleet.servers.items() if each.zone == "zone-b"]
+            for name in far:
+                scene.fleet.servers[name].mode = "apart"
+            heads = [group.head.server_id for group in node.board.groups.values()]
+            for _ in range(11):
+                for head in set(heads) & set(far):
+                    node.planner.suspect(head)
+                await trio.sleep(0.5)
+            for name in far:
+                await scene.fleet.reconnect(name)
+            await trio.sleep(1)
+            self.assertEqual(before, set(node.board.groups))
+            self.assertEqual([2, 2], [len(node.serving("large")), len(node.serving("small"))])
+            nursery.cancel_scope.cancel()
+
+    @clocked.on_test_clock
+    async def test_groups_of_a_zone_that_was_cut_off_serve_at_once_after_it(self):
+        """Guards against seconds without groups after a zone was cut off from all others."""
+        async with trio.open_nursery() as nursery:
+            scene, node = await formed(nursery)
+            before = {name for name, group in node.board.groups.items()}
+            far = [name for name, each in scene.fleet.servers.items() if each.zone == "zone-b"]
+            await scene.fleet.cut_off_together(far)
+            await trio.sleep(8)
+            for name in far:
+                await scene.fleet.reconnect(name)
+            await trio.sleep(0.5)
+            self.assertEqual(before, set(node.board.groups))
+            self.assertEqual([2, 2], [len(node.serving("large")), len(node.serving("small"))])
+            self.assertEqual([], scene.fleet.broken)
+            nursery.cancel_scope.cancel()
+
+    @clocked.on_test_clock
+    async def test_a_domain_that_goes_dark_is_no_cut(self):
+        """Guards against groups kept for dead servers beside others of the zone that answer."""
+        async with trio.open_nursery() as nursery:
+            scene, node = await formed(nursery, domains=6)
+            dark = [name for name, each in scene.fleet.servers.items() if each.domain == "d1"]
+            lost = {
+                group.name for group in node.board.groups.values() if group.head.server_id in dark
+            }
+            for name in dark:
+                await scene.fleet.darken(name)
+            for group in [node.board.groups[name] for name in lost]:
+                node.planner.suspect(group.head.server_id)
+            await trio.sleep(1.5)
+            ending = {name for name in lost if node.board.groups[name].is_ending}
+            self.assertEqual(lost, ending)
+            nursery.cancel_scope.cancel()
+
     @clocked.on_test_clock
     async def test_group_goes_on_with_a_member_that_is_cut_off_from_the_store(self):
         """A fifth of all servers are cut off from the store, and requests still reach them.
--- a/toucanhold/replicas/driver.py
+++ b/toucanhold/replicas/driver.py
@@ -22,6 +22,8 @@
 # Servers of a group that nobody has reached for so long are taken for dead. Cuts are over sooner.
 CUT_LIMIT_S = 60.0
 CHECK_INTERVAL_S = 0.25
+# Until then a head whose registration has lapsed was asked.
+HEAD_ASKED_S = 0.6
 
 LOGGER = logging.getLogger(__name__)
 
@@ -50,6 +52,7 @@
     _ordered_s: dict[str, float] = attrs.field(factory=dict, init=False)
     _ending_s: float = attrs.field(default=0.0, init=False)
     _left_s: float = attrs.field(default=0.0, init=False)
+    _missing_s: float | None = attrs.field(default=None, init=False)
     _has_served: bool = attrs.field(default=False, init=False)
 
     async def run(self) -> None:
@@ -87,7 +90,9 @@
         await self.news.wait(CHECK_INTERVAL_S)
 
     def _reason_to_end(self, group: records.Group) -> str:
-        if not self.known.is_present(group.head.incarnation):
+        if self._is_behind_cut(group):
+            return ""
+        if self._is_head_missing(group):
             return f"the head {group.head.server_id} is gone"
         for member in group.record.members:
             server = self.known.find(member.incarnation)
@@ -107,6 +112,25 @@
             return "it was not formed in time"
         return ""
 
+    def _is_head_missing(self, group: records.Group) -> bool:
+        if self.known.is_present(group.head.incarnation):
+            self._missing_s = None
+            return False
+        if self.known.find(group.head.incarnation) is None:
+            return True
+        now_s = trio.current_time()
+        self._missing_s = self._missing_s if self._missing_s is not None else now_s
+        # It is asked meanwhile, with others of its zone, which may be cut off as a whole.
+        return now_s - self._missing_s > HEAD_ASKED_S
+
+    def _is_behind_cut(self, group: records.Group) -> bool:
+        """Tell whether what is missing of a group may only be out of the planner's reach."""
+        head = self.known.find(group.head.incarnation)
+        if head is None or not self.orderer.reach.is_cut_off(head.zone):
+            return False
+        # A member that has started again ends the group wherever it is.
+        return all(self.known.may_live(member.incarnation) for member in group.record.members)
+
     async def _advance(self, group: records.Group) -> None:
         states = {member: self._state(member, group) for member in group.record.members}
         missing = [member for member, state in states.items() if state is None]
--- a/toucanhold/replicas/ordering.py
+++ b/toucanhold/replicas/ordering.py
@@ -11,7 +11,7 @@
 
 from toucanhold import events
 from toucanhold.registry import registry, servers
-from toucanhold.replicas import orders
+from toucanhold.replicas import orders, reachability
 
 # A server that does not answer is not asked again, nor used in a new group, for this long; a
 # registration lapses after three heartbeats of 1.2 s.
@@ -23,6 +23,8 @@
 SECOND_LOOK_S = 0.12
 LOOK_TIMEOUT_S = 0.4
 
+SETTLE_S = 0.05
+
 # Reports tell what was true up to 0.2 s ago.
 REPORT_LAG_S = 0.25
 
@@ -43,6 +45,7 @@
     engines: orders.EngineClient
     known: registry.Registry
     fence: collections.abc.Callable[[], int]
+    reach: reachability.Reachability = attrs.field(factory=reachability.Reachability, init=False)
     _counts: dict[tuple[str, int], int] = attrs.field(factory=dict, init=False)
     _unreachable_until_s: dict[tuple[str, int], float] = attrs.field(factory=dict, init=False)
     _locks: dict[str, trio.Lock] = attrs.field(
@@ -85,6 +88,10 @@
     async def look(self, server: servers.Server) -> servers.Server | None:
         """Ask a server for its present state; None where it does not answer."""
         found = await self._look_twice(server)
+        self.reach.note(server, found is not None)
+        if found is None:
+            # Servers that were asked together are judged together.
+            await trio.sleep(SETTLE_S)
         if found is None or found.incarnation != server.incarnation:
             self._mark_unreachable(server.incarnation)
             return None
--- a/toucanhold/replicas/planner.py
+++ b/toucanhold/replicas/planner.py
@@ -12,7 +12,15 @@
 from toucanhold import events, waking
 from toucanhold.coordination import lease, mirror
 from toucanhold.registry import registry, servers
-from toucanhold.replicas import composition, conversion, driver, ordering, orders, plan, records
+from toucanhold.replicas import (
+    composition,
+    conversion,
+    driver,
+    ordering,
+    orders,
+    plan,
+    records,
+)
 from toucanhold.routes import table
 
 TICK_S = 0.25
@@ -28,6 +36,8 @@
 # group for this long, if the group's streams did not tell sooner.
 ASK_LAPSED_S = 0.5
 SPARE_PREFIX = "spare-"
+# Servers of a zone that are asked beside some that may be dead.
+WITNESSES = 2
 # A host that has not loaded a model by now is told again: the longest load, with several at once.
 STAGE_AGAIN_S = 30.0
 # A conversion takes some seconds to show; the next one is decided on what it brought.
@@ -158,23 +168,45 @@
         suspects, self._suspects = self._suspects, set()
         occupied = self.board.occupied()
         groups = {occupied[name].name: occupied[name] for name in suspects if name in occupied}
-        for group in groups.values():
-            for member in group.record.members:
-                server = self.known.find(member.incarnation)
-                if server is not None:
-                    nursery.start_soon(self.orderer.look, server)
+        suspected = [server for group in groups.values() for server in self._members(group)]
+        for server in [*suspected, *self._witnesses(suspected)]:
+            nursery.start_soon(self.orderer.look, server)
+
+    def _witnesses(self, asked: list[servers.Server]) -> list[servers.Server]:
+        """Return servers of the same zones to ask as well: if they are silent, the zone is cut off.
+
+        Members of one group, and servers of one domain, fail together.
+        """
+        chosen: list[servers.Server] = []
+        for zone in {server.zone for server in asked}:
+            domains = {server.domain for server in asked if server.zone == zone}
+            names = {server.server_id for server in asked}
+            others = [
+                server
+                for server in self.known.servers.values()
+                if server.zone == zone and server.domain and server.server_id not in names
+            ]
+            others.sort(key=lambda server: (server.domain in domains, server.is_leaving))
+            chosen += others[:WITNESSES]
+        return chosen
 
     def _ask_lapsed(self, nursery: trio.Nursery) -> None:
         now_s = trio.current_time()
         occupied = self.board.occupied()
+        asked = []
         for name, server in self.known.lapsed.items():
             if name not in occupied or now_s - self._asked_s.get(name, 0.0) < ASK_LAPSED_S:
                 continue
             self._asked_s[name] = now_s
+            asked.append(server)
             nursery.start_soon(self._ask_one, server)
+        for witness in self._witnesses(asked):
+            nursery.start_soon(self.orderer.look, witness)
 
     async def _ask_one(self, server: servers.Server) -> None:
         found = await self.orderer.look(server)
+        if found is None and self.orderer.reach.is_cut_off(server.zone):
+            return
         if found is None:
             self.known.forget(server.server_id)
             self._news.wake()
