Work out the servers that serve once a change, not once a request

Cause: each choice went through all members of all groups to tell which heads are open; at ninety groups of up to 32 that is a thousand look-ups a request, and again for each that waits. Found by reading.

Change: what serves is kept until a registration or a group changes.

--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -189,6 +189,11 @@
 
     servers: dict[str, servers.Server]
 
+    @property
+    def version(self) -> tuple[servers.Server, ...]:
+        """What differs after each change."""
+        return tuple(self.servers.values())
+
     def of_service(self, service: str) -> list[servers.Server]:
         """Return the servers of one service."""
         return [server for server in self.servers.values() if server.service == service]
@@ -199,6 +204,7 @@
     """No groups: the services are plain ones."""
 
     groups: dict = attrs.field(factory=dict)
+    version: int = 0
 
 
 def new_servers(count: int, service: str = "desk", slots: int = 6) -> dict[str, servers.Server]:
--- a/toucanhold/gateway/targets.py
+++ b/toucanhold/gateway/targets.py
@@ -40,6 +40,9 @@
     zone: str
     rng: random.Random
     placed: collections.Counter[bool] = attrs.field(factory=collections.Counter, init=False)
+    # To go through all members of all groups anew for each request took most of a choice's time.
+    _found: dict[tuple[str, str], list[servers.Server]] = attrs.field(factory=dict, init=False)
+    _found_version: tuple[int, int] = attrs.field(default=(-1, -1), init=False)
 
     def note_placed(self, server: servers.Server) -> None:
         """Count a request that a server gets."""
@@ -50,15 +53,14 @@
 
     def find(self, service: table.Service, model: str) -> list[servers.Server]:
         """Return the servers that may get a request now, with room or without."""
-        if service.engine is not None:
-            found = self._heads(service, model)
-        else:
-            found = self.known.of_service(service.name)
-        return [
-            server
-            for server in found
-            if not server.is_leaving and server.zone not in self.closed_zones
-        ]
+        version = self.known.version, self.board.version
+        if version != self._found_version:
+            self._found_version = version
+            self._found.clear()
+        key = service.name, model
+        if key not in self._found:
+            self._found[key] = self._serving(service, model)
+        return [server for server in self._found[key] if server.zone not in self.closed_zones]
 
     def choose(
         self,
@@ -87,6 +89,13 @@
             for group in self.board.groups.values()
         )
 
+    def _serving(self, service: table.Service, model: str) -> list[servers.Server]:
+        if service.engine is not None:
+            found = self._heads(service, model)
+        else:
+            found = self.known.of_service(service.name)
+        return [server for server in found if not server.is_leaving]
+
     def _heads(self, service: table.Service, model: str) -> list[servers.Server]:
         return [
             self.known.servers[group.head.server_id]
--- a/toucanhold/registry/registry.py
+++ b/toucanhold/registry/registry.py
@@ -41,6 +41,7 @@
     decode: Decoder
     servers: dict[str, servers.Server] = attrs.field(factory=dict, init=False)
     lapsed: dict[str, servers.Server] = attrs.field(factory=dict, init=False)
+    version: int = attrs.field(default=0, init=False)
     _lapsed_s: dict[str, float] = attrs.field(factory=dict, init=False)
     _missing_since_s: dict[str, float] = attrs.field(factory=dict, init=False)
     _listeners: list[collections.abc.Callable[[], None]] = attrs.field(factory=list, init=False)
@@ -144,5 +145,6 @@
         return self.source.is_answering and self.source.since_failure_s > LAPSE_GRACE_S
 
     def _tell(self) -> None:
+        self.version += 1
         for listener in self._listeners:
             listener()
--- a/toucanhold/replicas/records.py
+++ b/toucanhold/replicas/records.py
@@ -98,10 +98,12 @@
     """All groups that the key-value service holds.
 
     :ivar groups: name to group
+    :ivar version: grows with each change
     """
 
     source: mirror.Mirror
     groups: dict[str, Group] = attrs.field(factory=dict, init=False)
+    version: int = attrs.field(default=0, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Follow the records."""
@@ -112,10 +114,12 @@
         known = self.groups.get(group.name)
         if known is None or known.revision < group.revision:
             self.groups[group.name] = group
+            self.version += 1
 
     def remove(self, name: str) -> None:
         """Take in a deletion by this process."""
         self.groups.pop(name, None)
+        self.version += 1
 
     def occupied(self) -> dict[str, Group]:
         """Return which server belongs to which group."""
@@ -130,7 +134,7 @@
             name = key.removeprefix(GROUPS_PREFIX)
             item = self.source.items.get(key)
             if item is None:
-                self.groups.pop(name, None)
+                self.remove(name)
                 continue
             try:
                 self.put(decode(item))
