Name the relay and the directory in the field's terms

giving.Giver is publishing.Publisher, taking.Taker is following.Follower, sharing.named is sharing.advertised, _take_operators_words is _apply_operator_settings, _take_configuration is _apply_configuration. Behaviour is unchanged; the tests of both modules pass as they were, but for the names.

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -11,7 +11,7 @@
 from tests import clocked
 from toucanhold.coordination import keyvalue, mirror, watching
 from toucanhold.gateway import entries, hierarchy
-from toucanhold.relay import giving, messages, taking
+from toucanhold.relay import following, messages, publishing
 
 # Servers that leave are to get nothing later than this after the service has said so.
 DRAIN_S = 2.0
@@ -31,15 +31,15 @@
         transport = self.site.network.transport(self.name)
         client = self.site.platform.mirrored(self.name)
         watch = watching.ServiceWatch(client, self.copy, lambda: 0.1, rng)
-        self.giver = giving.Giver(self.copy, self.name, transport)
-        self.taker = taking.Taker(self.copy, watch, transport, lambda: self.sources, rng)
+        self.publisher = publishing.Publisher(self.copy, self.name, transport)
+        self.follower = following.Follower(self.copy, watch, transport, lambda: self.sources, rng)
         self.scope = trio.CancelScope()
 
     async def run(self):
         with self.scope:
             async with trio.open_nursery() as nursery:
-                await nursery.start(self.giver.run)
-                nursery.start_soon(self.taker.run)
+                await nursery.start(self.publisher.run)
+                nursery.start_soon(self.follower.run)
 
     def calls(self):
         return sum(
@@ -127,7 +127,7 @@
         await site.write("things/leaving")
         took_s = await site.seconds_until(lambda: site["f1"].has("things/leaving"), DRAIN_S)
         self.assertLess(took_s, DRAIN_S - 0.3)
-        self.assertFalse(site["f1"].taker.is_watching)
+        self.assertFalse(site["f1"].follower.is_watching)
 
     @with_site
     async def test_a_cut_between_entries_is_noticed_by_silence(self, site):
@@ -146,9 +146,9 @@
         site.network.isolate("f1", site.nodes)
         await site.write("things/new")
         await site.seconds_until(lambda: site["f1"].has("things/new"), DRAIN_S)
-        self.assertTrue(site["f1"].taker.is_watching)
+        self.assertTrue(site["f1"].follower.is_watching)
         site.network.heal()
-        await site.seconds_until(lambda: not site["f1"].taker.is_watching, 4)
+        await site.seconds_until(lambda: not site["f1"].follower.is_watching, 4)
         await site.write("things/newer")
         await site.seconds_until(lambda: site["f1"].has("things/newer"), 0.5)
 
@@ -208,7 +208,7 @@
         site["f1"].sources = []
         site["f2"].sources = ["f1", "r2"]
         await trio.sleep(3)
-        self.assertTrue(site["f1"].taker.is_watching)
+        self.assertTrue(site["f1"].follower.is_watching)
         await site.write("things/new")
         await site.seconds_until(lambda: site["f2"].has("things/new"), 0.5)
 
@@ -283,7 +283,7 @@
         await site.write("things/leaving")
         took_s = await site.seconds_until(lambda: site["f2"].has("things/leaving"), DRAIN_S)
         self.assertLess(took_s, DRAIN_S - 0.3)
-        self.assertTrue(site["r2"].taker.is_watching)
+        self.assertTrue(site["r2"].follower.is_watching)
 
     @clocked.on_test_clock
     async def test_an_entry_that_finds_a_source_pays_for_no_watch(self):
@@ -302,7 +302,7 @@
             nursery.start_soon(late.run)
             await trio.sleep(3)
             self.assertEqual(1, late.calls())
-            self.assertFalse(late.taker.is_watching)
+            self.assertFalse(late.follower.is_watching)
             nursery.cancel_scope.cancel()
 
 
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -31,14 +31,14 @@
 
     def test_equal_entries_are_all_named(self):
         known = new_entries(7, 0)
-        self.assertEqual(known, sorted(sharing.named(known, "z0", 0.0), key=known.index))
+        self.assertEqual(known, sorted(sharing.advertised(known, "z0", 0.0), key=known.index))
 
     def test_callers_go_to_entries_by_their_weight(self):
         known = new_entries(8, 52)
         counts = collections.Counter()
         for slot in range(400):
             for zone in ("z0", "z1", "z2", "z3"):
-                names = sharing.named(known, zone, slot * sharing.SLOT_S)
+                names = sharing.advertised(known, zone, slot * sharing.SLOT_S)
                 for entry in names:
                     counts[entry.entry] += 1 / len(names)
         total = sum(counts.values())
@@ -48,15 +48,15 @@
 
     def test_an_answer_holds_for_a_while(self):
         known = new_entries(8, 52)
-        first = {entry.entry for entry in sharing.named(known, "z0", 20.0)}
-        again = {entry.entry for entry in sharing.named(known[::-1], "z0", 29.9)}
+        first = {entry.entry for entry in sharing.advertised(known, "z0", 20.0)}
+        again = {entry.entry for entry in sharing.advertised(known[::-1], "z0", 29.9)}
         self.assertEqual(first, again)
 
     def test_small_entries_serve_when_the_large_ones_are_gone(self):
         known = new_entries(0, 52)
-        self.assertEqual(52, len(sharing.named(known, "z0", 0.0)))
-        self.assertEqual(3, len(sharing.named(new_entries(1, 40)[:4], "z0", 0.0)[:3]))
-        self.assertEqual([], sharing.named([], "z0", 0.0))
+        self.assertEqual(52, len(sharing.advertised(known, "z0", 0.0)))
+        self.assertEqual(3, len(sharing.advertised(new_entries(1, 40)[:4], "z0", 0.0)[:3]))
+        self.assertEqual([], sharing.advertised([], "z0", 0.0))
 
     def test_callers_stay_in_their_zone(self):
         """Guards against answers that cross zones, and callers lost when a zone is cut off."""
--- a/toucanhold/coordination/mirror.py
+++ b/toucanhold/coordination/mirror.py
@@ -67,7 +67,7 @@
 
 @attrs.define(eq=False)
 class Mirror:
-    """All items of the service, and who wants to hear of changes.
+    """All items of the service, and the listeners to its changes.
 
     :ivar items: key to item
     :ivar revision: the revision up to which everything is known
--- a/toucanhold/gateway/sharing.py
+++ b/toucanhold/gateway/sharing.py
@@ -13,8 +13,8 @@
 # choose servers with better knowledge. So the weight grows faster than the size.
 WEIGHT_EXPONENT = 2
 # However few large entries there are, callers get so many addresses to turn to.
-LEAST_NAMED = 3
-# The small entries that are named change this often; callers leave those that no longer are.
+LEAST_ADVERTISED = 3
+# The small entries that are advertised change this often; callers leave those that no longer are.
 SLOT_S = 10.0
 
 
@@ -67,13 +67,13 @@
     others = sorted(
         (entry for entry in serving if entry.zone != zone), key=lambda each: _score(each, zone)
     )
-    return own + others[: max(0, LEAST_NAMED - len(own))]
+    return own + others[: max(0, LEAST_ADVERTISED - len(own))]
 
 
-def named(
+def advertised(
     serving: collections.abc.Sequence[entries.Entry], caller_zone: str, now_s: float
 ) -> list[entries.Entry]:
-    """Return the entries to name to the callers of a zone: the largest, and some of the others.
+    """Return the entries to advertise to the callers of a zone: the largest, and some of the others.
 
     :param now_s: seconds of a clock that other entries need not share
     """
@@ -85,7 +85,7 @@
     chosen = [
         entry for entry in by_draw if _draw(entry, caller_zone, slot) < weight(entry) / largest
     ]
-    return chosen if len(chosen) >= LEAST_NAMED else by_draw[:LEAST_NAMED]
+    return chosen if len(chosen) >= LEAST_ADVERTISED else by_draw[:LEAST_ADVERTISED]
 
 
 def _draw(entry: entries.Entry, caller_zone: str, slot: int) -> float:
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -39,7 +39,7 @@
     store,
 )
 from toucanhold.registry import registry
-from toucanhold.relay import giving, taking
+from toucanhold.relay import following, publishing
 from toucanhold.replicas import plan, planner, records
 from toucanhold.routes import table
 
@@ -79,7 +79,7 @@
         self.board = records.GroupBoard(self.mirror)
         self.routes = table.RouteTableHolder()
         self.closed_zones: set[str] = set()
-        self.mirror.listen(configuration.PREFIX, self._take_operators_words)
+        self.mirror.listen(configuration.PREFIX, self._apply_operator_settings)
         self.entries = entries.EntryList(self._own_entry(), self.store, self.mirror, self.rng)
         self.servers = servers.PlatformServerClient()
         self._build_relay()
@@ -90,9 +90,9 @@
     async def start(self, nursery: trio.Nursery) -> None:
         """See :class:`application.Application`."""
         own = self.settings
-        await nursery.start(self.giver.run)
+        await nursery.start(self.publisher.run)
         for run in (
-            self.taker.run,
+            self.follower.run,
             self.registry.run,
             self.entries.run,
             self.entries.watch,
@@ -157,8 +157,10 @@
         peers = transport.TcpTransport()
         watch = watching.ServiceWatch(self.store, self.mirror, self._gather_s, self.rng)
         self.hierarchy = hierarchy.Hierarchy(self.entries, self._planner_name)
-        self.giver = giving.Giver(self.mirror, self.entries.own.exchange_address, peers)
-        self.taker = taking.Taker(self.mirror, watch, peers, self.hierarchy.sources, self.rng)
+        self.publisher = publishing.Publisher(self.mirror, self.entries.own.exchange_address, peers)
+        self.follower = following.Follower(
+            self.mirror, watch, peers, self.hierarchy.sources, self.rng
+        )
 
     def _planner_name(self) -> str:
         item = self.mirror.items.get(plan.PLANNER_KEY)
@@ -166,8 +168,8 @@
 
     def _is_planner_wanted(self) -> bool:
         # Where all entries tried, each change of planner would cost as many calls as there are
-        # entries. Those that follow others hear of it late, too.
-        return self.taker.is_watching and plan.PLANNER_KEY not in self.mirror.items
+        # entries. Those that follow others learn of it late, too.
+        return self.follower.is_watching and plan.PLANNER_KEY not in self.mirror.items
 
     def _build_planner(self) -> None:
         self.planner_lease = lease.LeasedKey(
@@ -256,9 +258,9 @@
     def _gather_s(self) -> float:
         return PLANNER_GATHER_S if self.planner.may_act() else GATHER_S
 
-    def _take_operators_words(self, keys: frozenset[str]) -> None:
+    def _apply_operator_settings(self, keys: frozenset[str]) -> None:
         if configuration.CONFIGURATION_KEY in keys:
-            self._take_configuration()
+            self._apply_configuration()
         prefix = configuration.EVACUATE_PREFIX
         closed = {item.key.removeprefix(prefix) for item in self.mirror.under(prefix)}
         for zone in closed - self.closed_zones:
@@ -278,7 +280,7 @@
         self.closed_zones.clear()
         self.closed_zones.update(closed)
 
-    def _take_configuration(self) -> None:
+    def _apply_configuration(self) -> None:
         item = self.mirror.items.get(configuration.CONFIGURATION_KEY)
         if item is None:
             return
--- a/toucanhold/relay/taking.py
+++ b/toucanhold/relay/following.py
@@ -13,11 +13,11 @@
 from toucanhold import clock, events
 from toucanhold.coordination import keyvalue, mirror, watching
 from toucanhold.peers import frames, transport
-from toucanhold.relay import giving, messages
+from toucanhold.relay import messages, publishing
 
 # Within a region a connection takes some milliseconds; an entry that was killed refuses at once.
 CONNECT_TIMEOUT_S = 0.3
-SILENCE_TIMEOUT_S = 2.4 * giving.HEARTBEAT_INTERVAL_S
+SILENCE_TIMEOUT_S = 2.4 * publishing.HEARTBEAT_INTERVAL_S
 # A watch tells nothing for up to its longest wait; a slow service answers it half a second
 # later. A copy that is older has come in a circle, or by an entry that was paused.
 STALE_S = watching.WATCH_WAIT_S + 1.0
@@ -46,7 +46,7 @@
 
 
 @attrs.define(eq=False)
-class Taker:
+class Follower:
     """Follows another entry where it can, and else watches the service itself.
 
     :ivar sources: returns whom to follow, best first; nobody where this entry is to watch
@@ -123,7 +123,7 @@
                 await framed.send([messages.encode(messages.Subscribe(self.copy.revision))])
             # Its first word tells whether it has the service itself. If not, its stream is closed
             # here: through an outage it would otherwise go on beside those of later looks.
-            await self._take(source)
+            await self._receive(source)
             streams.push_async_exit(opened.pop_all())
             return source
 
@@ -131,7 +131,7 @@
         events.log(LOGGER, events.Event.SOURCE_FOLLOWED, source=source.address)
         try:
             while self._is_wanted(source):
-                await self._take(source)
+                await self._receive(source)
         except SourceLostError as error:
             events.log(
                 LOGGER,
@@ -148,7 +148,7 @@
             return True
         return source.address in wanted and trio.current_time() - source.opened_s < SECOND_CHOICE_S
 
-    async def _take(self, source: _Source) -> None:
+    async def _receive(self, source: _Source) -> None:
         """Take in messages up to and with the next status."""
         while True:
             with _translated_errors():
@@ -160,10 +160,10 @@
                 case messages.Update():
                     self.copy.apply(message.changes)
                 case messages.Status():
-                    self._take_status(source, message)
+                    self._apply_status(source, message)
                     return
 
-    def _take_status(self, source: _Source, status: messages.Status) -> None:
+    def _apply_status(self, source: _Source, status: messages.Status) -> None:
         now = clock.read()
         standing = mirror.Standing(
             _before(now, status.confirmed_s), status.is_answering, _before(now, status.failed_s)
--- a/toucanhold/relay/giving.py
+++ b/toucanhold/relay/publishing.py
@@ -1,4 +1,4 @@
-"""Passing this entry's copy on to entries that ask for it."""
+"""Publishing this entry's copy to the entries that follow it."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 
 @attrs.define(eq=False)
-class Giver:
+class Publisher:
     """Serves the streams of entries that follow this one.
 
     :ivar copy: what is passed on
@@ -48,11 +48,11 @@
         framed = frames.FrameStream(stream, SUBSCRIBE_LIMIT_BYTES, SUBSCRIBE_TIMEOUT_S)
         async with stream:
             try:
-                await self._give(framed)
+                await self._publish(framed)
             except (frames.FrameError, messages.MessageError, trio.TooSlowError) as error:
                 events.log(LOGGER, events.Event.FOLLOWER_LOST, reason=repr(error))
 
-    async def _give(self, framed: frames.FrameStream) -> None:
+    async def _publish(self, framed: frames.FrameStream) -> None:
         asked = messages.decode(await framed.receive())
         if not isinstance(asked, messages.Subscribe):
             raise messages.MessageError(f"{type(asked).__name__} instead of a subscription")
