--- a/toucanhold/gateway/sharing.py
+++ b/toucanhold/gateway/sharing.py
@@ -73,7 +73,7 @@
 def advertised(
     serving: collections.abc.Sequence[entries.Entry], caller_zone: str, now_s: float
 ) -> list[entries.Entry]:
-    """Return the entries to advertise to the callers of a zone: the largest, and some of the others.
+    """Return the entries to advertise to the callers of a zone: the largest and some others.
 
     :param now_s: seconds of a clock that other entries need not share
     """
