Move the questions to servers that may be dead out of the planner

replicas/probing.py asks suspects, lapsed members and witnesses; planner.py is left with forming groups and spares. Behaviour is unchanged; test_replicas and test_conversion pass as they were.

--- a/toucanhold/replicas/planner.py
+++ b/toucanhold/replicas/planner.py
@@ -19,6 +19,7 @@
     ordering,
     orders,
     plan,
+    probing,
     records,
 )
 from toucanhold.routes import table
@@ -32,12 +33,7 @@
 # How often a spare is told again what to load.
 PREPARE_AGAIN_S = 2.0
 COUNT_INTERVAL_S = 1.0
-# How often a member is asked whose registration has lapsed: one that is dead would hold up its
-# group for this long, if the group's streams did not tell sooner.
-ASK_LAPSED_S = 0.5
 SPARE_PREFIX = "spare-"
-# Servers of a zone that are asked beside some that may be dead.
-WITNESSES = 2
 # A host that has not loaded a model by now is told again: the longest load, with several at once.
 STAGE_AGAIN_S = 30.0
 # A conversion takes some seconds to show; the next one is decided on what it brought.
@@ -64,13 +60,12 @@
     closed_zones: collections.abc.Callable[[], frozenset[str]]
     stall_s: float
     orderer: ordering.Orderer = attrs.field(init=False)
+    prober: probing.Prober = attrs.field(init=False)
     _news: waking.Signal = attrs.field(factory=waking.Signal, init=False)
     _driven: set[str] = attrs.field(factory=set, init=False)
     _prepared_s: dict[tuple[str, int], float] = attrs.field(factory=dict, init=False)
     _last_arrival_s: float = attrs.field(default=0.0, init=False)
     _seen: set[tuple[str, int]] = attrs.field(factory=set, init=False)
-    _asked_s: dict[str, float] = attrs.field(factory=dict, init=False)
-    _suspects: set[str] = attrs.field(factory=set, init=False)
     _counted_s: float = attrs.field(default=float("-inf"), init=False)
     _has_formed: bool = attrs.field(default=False, init=False)
     _staged_s: dict[tuple[str, int], float] = attrs.field(factory=dict, init=False)
@@ -79,6 +74,7 @@
     def __attrs_post_init__(self) -> None:
         """Follow what the planner decides from."""
         self.orderer = ordering.Orderer(self.engines, self.known, self._fence)
+        self.prober = probing.Prober(self.board, self.known, self.orderer, self._news.wake)
         self.known.listen(self._news.wake)
         self.source.listen(records.GROUPS_PREFIX, lambda keys: self._news.wake())
         self.source.listen(plan.PLANNER_KEY, lambda keys: self._news.wake())
@@ -89,7 +85,7 @@
 
     def suspect(self, server_id: str) -> None:
         """Take note that a head has fallen silent, seen by this or another entry."""
-        self._suspects.add(server_id)
+        self.prober.suspect(server_id)
         self._news.wake()
 
     async def run(self) -> None:
@@ -105,8 +101,7 @@
         self._driven.clear()
         async with trio.open_nursery() as nursery:
             while self.may_act():
-                self._look_at_suspects(nursery)
-                self._ask_lapsed(nursery)
+                self.prober.probe(nursery)
                 await self._form(nursery)
                 self._drive(nursery)
                 self._log_counts()
@@ -164,55 +159,6 @@
         finally:
             self._driven.discard(name)
 
-    def _look_at_suspects(self, nursery: trio.Nursery) -> None:
-        suspects, self._suspects = self._suspects, set()
-        occupied = self.board.occupied()
-        groups = {occupied[name].name: occupied[name] for name in suspects if name in occupied}
-        suspected = [server for group in groups.values() for server in self._members(group)]
-        for server in [*suspected, *self._witnesses(suspected)]:
-            nursery.start_soon(self.orderer.look, server)
-
-    def _witnesses(self, asked: list[servers.Server]) -> list[servers.Server]:
-        """Return servers of the same zones to ask as well: if they are silent, the zone is cut off.
-
-        Members of one group, and servers of one domain, fail together.
-        """
-        chosen: list[servers.Server] = []
-        for zone in {server.zone for server in asked}:
-            domains = {server.domain for server in asked if server.zone == zone}
-            names = {server.server_id for server in asked}
-            others = [
-                server
-                for server in self.known.servers.values()
-                if server.zone == zone and server.domain and server.server_id not in names
-            ]
-            others.sort(key=lambda server: (server.domain in domains, server.is_leaving))
-            chosen += others[:WITNESSES]
-        return chosen
-
-    def _ask_lapsed(self, nursery: trio.Nursery) -> None:
-        now_s = trio.current_time()
-        occupied = self.board.occupied()
-        asked = []
-        for name, server in self.known.lapsed.items():
-            if name not in occupied or now_s - self._asked_s.get(name, 0.0) < ASK_LAPSED_S:
-                continue
-            self._asked_s[name] = now_s
-            asked.append(server)
-            nursery.start_soon(self._ask_one, server)
-        for witness in self._witnesses(asked):
-            nursery.start_soon(self.orderer.look, witness)
-
-    async def _ask_one(self, server: servers.Server) -> None:
-        found = await self.orderer.look(server)
-        if found is None and self.orderer.reach.is_cut_off(server.zone):
-            return
-        if found is None:
-            self.known.forget(server.server_id)
-            self._news.wake()
-        else:
-            self.known.note_report(found)
-
     async def _form(self, nursery: trio.Nursery) -> None:
         routes = self.routes.table
         if routes is None or not self._is_settled():
@@ -260,13 +206,13 @@
                 continue
             if group.is_ending:
                 ending[head.domain] += 1
-                ending_members[head.domain] += self._members(group)
+                ending_members[head.domain] += records.members_of(group, self.known)
                 continue
             zone_counts[group.record.model, head.zone] += 1
             domain_counts[group.record.model, head.domain] += 1
             if head.zone not in closed:
                 counts[group.record.model] += 1
-                members = tuple(self._members(group))
+                members = tuple(records.members_of(group, self.known))
                 groups.append(
                     conversion.ServingGroup(group.name, group.record.model, head.domain, members)
                 )
@@ -288,10 +234,6 @@
             ending_members,
         )
 
-    def _members(self, group: records.Group) -> list[servers.Server]:
-        found = (self.known.find(member.incarnation) for member in group.record.members)
-        return [server for server in found if server is not None]
-
     def _usable(self, service: table.Service) -> list[servers.Server]:
         return [
             server
--- a/toucanhold/replicas/records.py
+++ b/toucanhold/replicas/records.py
@@ -142,6 +142,12 @@
                 events.log(LOGGER, events.Event.GROUP_UNREADABLE, group=name, reason=str(error))
 
 
+def members_of(group: Group, known: registry.Registry) -> list[servers.Server]:
+    """Return what is known of a group's members, registered or lapsed."""
+    found = (known.find(member.incarnation) for member in group.record.members)
+    return [server for server in found if server is not None]
+
+
 def decode(item: keyvalue.Item) -> Group:
     """Read a stored record.
 
