Name orders, notifications and limits in the field's terms

EngineClient.give is send, _tell is _notify, TOLD_* is CONFIRMED_*, _rescue is _reload_spares, _outlast_head is _wait_for_stall, starved_model is underserved_model. The pause in which servers that were asked together are judged together counts within the timeout of a question again, as its test demands.

--- a/standins/replicas.py
+++ b/standins/replicas.py
@@ -175,7 +175,7 @@
         self.servers[name].mode = "up"
         await self.publish(self.servers[name])
 
-    async def give(
+    async def send(
         self, server: servers.Server, order: orders.Order, order_count: int, fence: int
     ) -> orders.OrderOutcome:
         """See :class:`orders.EngineClient`."""
--- a/tests/platform/soak/backends.py
+++ b/tests/platform/soak/backends.py
@@ -178,7 +178,7 @@
             case "close":
                 fields["finishes_work"] = plain["mode"] == "wait"
         order = ORDERS[plain["op"]](**fields)
-        outcome = await self.fleet.give(
+        outcome = await self.fleet.send(
             self.server.state(), order, plain["precondition"], plain["fence"]
         )
         statuses = {
--- a/tests/platform/test_platform_calls.py
+++ b/tests/platform/test_platform_calls.py
@@ -165,15 +165,15 @@
         client = servers.PlatformServerClient()
         server = scene.registered["b0"]
         join = orders.Join("g1", 5, "m0", ("b0", "b1"))
-        self.assertIs(orders.OrderOutcome.BEGUN, await client.give(server, join, 0, 9))
-        self.assertIs(orders.OrderOutcome.REFUSED, await client.give(server, join, 0, 9))
+        self.assertIs(orders.OrderOutcome.BEGUN, await client.send(server, join, 0, 9))
+        self.assertIs(orders.OrderOutcome.REFUSED, await client.send(server, join, 0, 9))
         self.assertEqual(1, (await client.look(server)).order_count)
         plain = worker.orders[0]
         self.assertEqual(
             ("join", "g1", 5, 9), tuple(plain[x] for x in ("op", "group", "epoch", "fence"))
         )
         close = orders.Close("g1", 5, finishes_work=False)
-        await client.give(server, close, 1, 9)
+        await client.send(server, close, 1, 9)
         self.assertEqual("abort", worker.orders[-1]["mode"])
 
     def test_server_that_does_not_listen_is_unreachable(self):
@@ -181,7 +181,7 @@
             server = gateways.new_servers(1)["b0"]
             gone = attrs.evolve(server, address=standins.free_address())
             client = servers.PlatformServerClient()
-            outcome = await client.give(gone, orders.Leave("g1", 1), 0, 1)
+            outcome = await client.send(gone, orders.Leave("g1", 1), 0, 1)
             self.assertIs(orders.OrderOutcome.UNREACHABLE, outcome)
             with self.assertRaises(calls.NotRunError) as caught:
                 forwarded = calls.Forwarded(gateways.new_call("/"), "", 1.0, None, False)
--- a/tests/test_conversion.py
+++ b/tests/test_conversion.py
@@ -202,7 +202,7 @@
                 [],
                 {},
             )
-            self.assertIsNone(conversion.starved_model(supply) if large > 1 else None)
+            self.assertIsNone(conversion.underserved_model(supply) if large > 1 else None)
 
     def test_one_model_alone_never_starves(self):
         engine = replicas.new_engine(table.Model("one", 1, 1.0, 1.0, 10.0, 1.0))
--- a/tests/test_ordering.py
+++ b/tests/test_ordering.py
@@ -22,8 +22,8 @@
     inner: replicas.MemoryServers
     lost: int
 
-    async def give(self, server, order, order_count, fence):
-        return await self.inner.give(server, order, order_count, fence)
+    async def send(self, server, order, order_count, fence):
+        return await self.inner.send(server, order, order_count, fence)
 
     async def look(self, server):
         if self.lost:
--- a/toucanhold/coordination/mirror.py
+++ b/toucanhold/coordination/mirror.py
@@ -130,7 +130,7 @@
         self.items = present
         self.revision = result.revision
         self._history.clear()
-        self._tell(gone | changed)
+        self._notify(gone | changed)
 
     def apply(self, changes: Changes) -> None:
         """Take in changes that follow on this copy's revision, or overlap it."""
@@ -140,7 +140,7 @@
         touched |= {item.key for item in changes.items if self._put(item)}
         self.revision = changes.revision
         self._history.append(changes)
-        self._tell(touched)
+        self._notify(touched)
 
     def note_standing(self, standing: Standing, source: str, reason: str = "") -> None:
         """Take note of how far this copy can be relied on.
@@ -172,7 +172,7 @@
         del self.items[deletion.key]
         return True
 
-    def _tell(self, keys: set[str]) -> None:
+    def _notify(self, keys: set[str]) -> None:
         for prefix, listener in self._listeners:
             concerned = frozenset(key for key in keys if key.startswith(prefix))
             if concerned:
--- a/toucanhold/gateway/silence.py
+++ b/toucanhold/gateway/silence.py
@@ -30,12 +30,12 @@
 UNBEGUN_SILENCE_S = 0.7
 # What is enough once another entry has found the server silent. With sixty entries most have one
 # stream or none at a head, not yet begun.
-TOLD_SILENCE_S = 0.15
+CONFIRMED_SILENCE_S = 0.15
 # The same for heads that may pause for longer, as a part of their longest pause: with less, two
 # entries that mistake one long pause for silence would confirm each other.
-TOLD_PART = 0.7
+CONFIRMED_PART = 0.7
 # How long another entry's word counts, and the server is passed over for it.
-TOLD_S = 1.0
+CONFIRMED_S = 1.0
 
 LOGGER = logging.getLogger(__name__)
 
@@ -100,7 +100,7 @@
     health: health.Health
     on_silent: collections.abc.Callable[[str], None]
     _pauses: dict[str, _UsualPauses] = attrs.field(factory=dict, init=False)
-    _told_until_s: dict[str, float] = attrs.field(factory=dict, init=False)
+    _confirmed_until_s: dict[str, float] = attrs.field(factory=dict, init=False)
     _watched: trio.Event = attrs.field(factory=trio.Event, init=False)
     _streams: dict[str, list[WatchedStream]] = attrs.field(
         factory=lambda: collections.defaultdict(list), init=False
@@ -126,11 +126,11 @@
         """
         now_s = trio.current_time()
         streams = self._streams.get(server_id, ())
-        told_s = _told_s(streams)
-        if any(each.has_begun and now_s - each.last_sign_s < told_s for each in streams):
+        limit_s = _confirmed_limit_s(streams)
+        if any(each.has_begun and now_s - each.last_sign_s < limit_s for each in streams):
             return False
-        self.health.avoid(server_id, f"silent at {entry}", TOLD_S)
-        self._told_until_s[server_id] = now_s + TOLD_S
+        self.health.avoid(server_id, f"silent at {entry}", CONFIRMED_S)
+        self._confirmed_until_s[server_id] = now_s + CONFIRMED_S
         return True
 
     async def run(self) -> None:
@@ -155,8 +155,8 @@
                 self._abandon(server_id, streams, silent_s)
 
     def _limit_s(self, server_id: str, streams: list[WatchedStream], now_s: float) -> float:
-        if self._told_until_s.get(server_id, 0.0) > now_s:
-            return _told_s(streams)
+        if self._confirmed_until_s.get(server_id, 0.0) > now_s:
+            return _confirmed_limit_s(streams)
         if any(stream.has_begun for stream in streams):
             return self._pauses[server_id].limit_s(_longest_pause_s(streams))
         return UNBEGUN_SILENCE_S
@@ -172,7 +172,7 @@
                 usual_s=round(self._pauses[server_id].mean_s, 3),
             )
             self.health.avoid(server_id, "all its streams are silent")
-            self._told_until_s.pop(server_id, None)
+            self._confirmed_until_s.pop(server_id, None)
             self.on_silent(server_id)
         for stream in streams:
             # A stream that nobody else can go on with is better left: the head may yet speak.
@@ -184,6 +184,6 @@
     return max((stream.longest_pause_s for stream in streams), default=0.0)
 
 
-def _told_s(streams: collections.abc.Iterable[WatchedStream]) -> float:
+def _confirmed_limit_s(streams: collections.abc.Iterable[WatchedStream]) -> float:
     longest_s = min(MAX_BEGUN_SILENCE_S, _longest_pause_s(streams))
-    return max(TOLD_SILENCE_S, TOLD_PART * longest_s)
+    return max(CONFIRMED_SILENCE_S, CONFIRMED_PART * longest_s)
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -101,7 +101,7 @@
             self.gateway.admission.run,
             self.gateway.silence.run,
             self.exchange.run,
-            self._reload_when_told,
+            self._reload_on_signal,
         ):
             nursery.start_soon(run)
         callers = front.FrontApp(self.gateway, self.metrics, lambda: self.entries.is_stopping)
@@ -223,7 +223,7 @@
             self.rng,
         )
 
-    async def _reload_when_told(self) -> None:
+    async def _reload_on_signal(self) -> None:
         with trio.open_signal_receiver(signal.SIGHUP) as signals:
             async for _ in signals:
                 self._reload()
--- a/toucanhold/platform/servers.py
+++ b/toucanhold/platform/servers.py
@@ -62,7 +62,7 @@
             with trio.CancelScope(shield=True):
                 await connection.aclose()
 
-    async def give(
+    async def send(
         self, server: servers.Server, order: orders.Order, order_count: int, fence: int
     ) -> orders.OrderOutcome:
         """See :class:`orders.EngineClient`."""
--- a/toucanhold/registry/registry.py
+++ b/toucanhold/registry/registry.py
@@ -103,7 +103,7 @@
             self._missing_since_s.pop(name, None)
             self._put(name, item)
         self._drop_missing()
-        self._tell()
+        self._notify()
 
     def _put(self, name: str, item: keyvalue.Item) -> None:
         server = self.decode(item)
@@ -137,14 +137,14 @@
                 self._lapsed_s[name] = trio.current_time()
                 age_s = round(trio.current_time() - since_s, 3)
                 events.log(LOGGER, events.Event.SERVER_GONE, server=name, missing_s=age_s)
-        self._tell()
+        self._notify()
 
     def _may_drop(self) -> bool:
         # All leases may lapse while the service is away; to believe that would take every server
         # out of service at once. The wait after the last failed call lets the living ones return.
         return self.source.is_answering and self.source.since_failure_s > LAPSE_GRACE_S
 
-    def _tell(self) -> None:
+    def _notify(self) -> None:
         self.version += 1
         for listener in self._listeners:
             listener()
--- a/toucanhold/replicas/composition.py
+++ b/toucanhold/replicas/composition.py
@@ -133,7 +133,9 @@
 
     def preparations(self) -> list[Preparation]:
         """Return which of the servers that are left should load which model."""
-        chosen = [each for model in self._starved() for each in self._rescue(model)]
+        chosen = [
+            each for model in self._models_without_group() for each in self._reload_spares(model)
+        ]
         reloaded = {each.server.server_id for each in chosen}
         for free in self._free.values():
             members = [server for server in free if server.server_id not in reloaded]
@@ -151,14 +153,14 @@
                     chosen.append(Preparation(server.staged[0], server))
         return chosen
 
-    def _starved(self) -> list[table.Model]:
+    def _models_without_group(self) -> list[table.Model]:
         """Return the models that no group serves, beside others that have one."""
         # A group that is being taken apart may be the model's only one, and back in a moment.
         if not any(self.counts.values()) or any(self.situation.ending.values()):
             return []
         return [model for model in self.situation.engine.models if not self.counts.get(model.name)]
 
-    def _rescue(self, model: table.Model) -> list[Preparation]:
+    def _reload_spares(self, model: table.Model) -> list[Preparation]:
         """Return which spares of one domain should load a model that no group serves.
 
         Spares that hold another model load nothing by themselves: where they are all that is free,
--- a/toucanhold/replicas/conversion.py
+++ b/toucanhold/replicas/conversion.py
@@ -68,7 +68,7 @@
     given_up: tuple[str, ...] = ()
 
 
-def starved_model(supply: Supply) -> table.Model | None:
+def underserved_model(supply: Supply) -> table.Model | None:
     """Return the model that starves beside another one, if any."""
     models = supply.engine.models
     if len(models) < 2:
@@ -91,7 +91,7 @@
     Its group forms once groups there are apart; until then their first servers must not join
     another model's group again.
     """
-    model = starved_model(supply)
+    model = underserved_model(supply)
     if model is None:
         return set()
     return {
@@ -149,7 +149,7 @@
 
 
 def _is_worth(supply: Supply, model: table.Model, given_up: list[ServingGroup]) -> bool:
-    if given_up and starved_model(supply) is None:
+    if given_up and underserved_model(supply) is None:
         return False
     # Else the other model starves next, and takes its servers back.
     after = supply.covered(model.name, 1)
--- a/toucanhold/replicas/driver.py
+++ b/toucanhold/replicas/driver.py
@@ -146,7 +146,7 @@
             for member in missing:
                 server = self.known.find(member.incarnation)
                 if server is not None and self._is_due(member.server_id):
-                    nursery.start_soon(self.orderer.give, server, order)
+                    nursery.start_soon(self.orderer.send, server, order)
 
     async def _open(self, group: records.Group) -> None:
         # Nobody but the planner checks the other members: each has reported by now that it is
@@ -167,7 +167,7 @@
             return
         if state is servers.GroupState.READY and self._is_due("open"):
             head = self.known.servers[group.head.server_id]
-            await self.orderer.give(head, orders.Open(group.name, group.epoch))
+            await self.orderer.send(head, orders.Open(group.name, group.epoch))
 
     def _is_due(self, what: str) -> bool:
         now_s = trio.current_time()
@@ -183,7 +183,7 @@
             return True
         head = await self._ask_if_lapsed(self.known.find(group.head.incarnation))
         if head is None or self.orderer.is_unreachable(head.incarnation):
-            return await self._outlast_head(group)
+            return await self._wait_for_stall(group)
         state = head.state_in(group.name, group.epoch)
         if state in WORKING:
             await self._close(group, head)
@@ -214,15 +214,15 @@
         finishes_work = is_whole and in_time
         if self._is_due(f"close {finishes_work}"):
             order = orders.Close(group.name, group.epoch, finishes_work)
-            await self.orderer.give(head, order)
+            await self.orderer.send(head, order)
 
     async def _leave_head(self, group: records.Group, head: servers.Server) -> bool:
         # An order to open whose answer was lost may still be carried out. One more order moves
         # the count on that the late one expects.
-        outcome = await self.orderer.give(head, orders.Leave(group.name, group.epoch))
+        outcome = await self.orderer.send(head, orders.Leave(group.name, group.epoch))
         return outcome in (orders.OrderOutcome.BEGUN, orders.OrderOutcome.HOLDS)
 
-    async def _outlast_head(self, group: records.Group) -> bool:
+    async def _wait_for_stall(self, group: records.Group) -> bool:
         """Take the other members from a head that cannot be asked, and let it break by itself.
 
         Nobody can tell from here whether the head is dead or only cut off with its group open. A
@@ -243,7 +243,7 @@
 
         async def take(server: servers.Server) -> None:
             leave = orders.Leave(group.name, group.epoch)
-            outcomes.append(await self.orderer.give(server, leave))
+            outcomes.append(await self.orderer.send(server, leave))
 
         async with trio.open_nursery() as nursery:
             for member in group.record.members[1:]:
--- a/toucanhold/replicas/ordering.py
+++ b/toucanhold/replicas/ordering.py
@@ -23,6 +23,7 @@
 SECOND_LOOK_S = 0.12
 LOOK_TIMEOUT_S = 0.4
 
+# Part of the timeout in which other servers that were asked at the same moment are noted as well.
 SETTLE_S = 0.05
 
 # Reports tell what was true up to 0.2 s ago.
@@ -56,7 +57,7 @@
         """Tell whether a server did not answer a moment ago."""
         return trio.current_time() < self._unreachable_until_s.get(incarnation, 0.0)
 
-    async def give(self, server: servers.Server, order: orders.Order) -> orders.OrderOutcome:
+    async def send(self, server: servers.Server, order: orders.Order) -> orders.OrderOutcome:
         """Give one order; one that is refused for its count is given again with others.
 
         :raises NotPlannerError: when this entry may not give orders now
@@ -64,18 +65,18 @@
         async with self._locks[server.server_id]:
             if server.incarnation not in self._counts and await self.look(server) is None:
                 return orders.OrderOutcome.UNREACHABLE
-            outcome = await self._give_once(server, order)
+            outcome = await self._send_once(server, order)
             if outcome is orders.OrderOutcome.REFUSED:
                 # One more order may have begun than its answer told: a late one, or one that was
                 # done so fast that its answer says only that its effect holds. Whatever the
                 # number, an order that begins moves the count past all that came before it.
                 self._counts[server.incarnation] += 1
-                outcome = await self._give_once(server, order)
+                outcome = await self._send_once(server, order)
             if outcome is orders.OrderOutcome.REFUSED:
-                outcome = await self._give_after_look(server, order)
+                outcome = await self._send_after_look(server, order)
             return outcome
 
-    async def _give_after_look(
+    async def _send_after_look(
         self, server: servers.Server, order: orders.Order
     ) -> orders.OrderOutcome:
         # A report tells the count as it was a moment ago; asked at once it brings back the number
@@ -83,7 +84,7 @@
         await trio.sleep(REPORT_LAG_S)
         if await self.look(server) is None:
             return orders.OrderOutcome.UNREACHABLE
-        return await self._give_once(server, order)
+        return await self._send_once(server, order)
 
     async def look(self, server: servers.Server) -> servers.Server | None:
         """Ask a server for its present state; None where it does not answer."""
@@ -101,7 +102,7 @@
 
     async def _look_twice(self, server: servers.Server) -> servers.Server | None:
         found: list[servers.Server] = []
-        with trio.move_on_after(LOOK_TIMEOUT_S):
+        with trio.move_on_after(LOOK_TIMEOUT_S - SETTLE_S):
             async with trio.open_nursery() as nursery:
 
                 async def look_once(begin_s: float) -> None:
@@ -115,13 +116,13 @@
                     nursery.start_soon(look_once, begin_s)
         return found[0] if found else None
 
-    async def _give_once(self, server: servers.Server, order: orders.Order) -> orders.OrderOutcome:
+    async def _send_once(self, server: servers.Server, order: orders.Order) -> orders.OrderOutcome:
         # The process may have been paused since the decision; another planner acts by then.
         fence = self.fence()
         if not fence:
             raise NotPlannerError(server.server_id)
         count = self._counts[server.incarnation]
-        outcome = await self.engines.give(server, order, count, fence)
+        outcome = await self.engines.send(server, order, count, fence)
         done_at_once = isinstance(order, orders.Leave) and outcome is orders.OrderOutcome.HOLDS
         if outcome is orders.OrderOutcome.BEGUN or done_at_once:
             self._counts[server.incarnation] = count + 1
--- a/toucanhold/replicas/orders.py
+++ b/toucanhold/replicas/orders.py
@@ -75,7 +75,7 @@
     """The calls to engines."""
 
     @abc.abstractmethod
-    async def give(
+    async def send(
         self, server: servers.Server, order: Order, order_count: int, fence: int
     ) -> OrderOutcome:
         """Send an order that takes effect only if nothing else was ordered meanwhile.
--- a/toucanhold/replicas/planner.py
+++ b/toucanhold/replicas/planner.py
@@ -341,7 +341,7 @@
 
     async def _order(self, server: servers.Server, order: orders.Order) -> None:
         try:
-            await self.orderer.give(server, order)
+            await self.orderer.send(server, order)
         except ordering.NotPlannerError:
             LOGGER.debug("%s: no longer the planner", server.server_id)
 
