--- a/tests/platform/test_platform_calls.py
+++ b/tests/platform/test_platform_calls.py
@@ -134,11 +134,7 @@
     async def test_callers_who_leave_at_any_moment_end_only_their_own_requests(
         self, scene, worker, entry
     ):
-        """Callers leave while their answer's first bytes are on their way.
-
-        A cancelled send once left the parser a step ahead of the connection. The HTTP server
-        then failed as a whole: every caller of the entry lost its connection.
-        """
+        """Guards against one caller who leaves and costs every caller of the entry its connection."""
         async with trio.open_nursery() as nursery:
             for number in range(60):
                 nursery.start_soon(self._ask_and_leave, entry, number / 4000)
--- a/tests/test_composition.py
+++ b/tests/test_composition.py
@@ -89,11 +89,7 @@
         self.assertEqual("large", formation.model)
 
     def test_no_group_waits_for_a_member_that_loads_for_a_quarter_of_a_minute(self):
-        """Three survivors hold the model, a new server does not.
-
-        As a group they would wait 16 s for it, bound to each other. Loading by itself it leaves
-        them free for a spare that comes earlier.
-        """
+        """Guards against survivors that wait 16 s, bound to a member that loads."""
         free = {"d0": new_domain("d0", 3, "large") + [new_server("new", "d0")]}
         composer = composition.Composer(new_situation(free, {"large": 5, "small": 6}, 54))
         self.assertEqual([], composer.formations())
@@ -101,12 +97,7 @@
         self.assertEqual("new", preparation.server.server_id)
 
     def test_survivors_keep_their_model_while_the_other_groups_are_in_a_zone_that_is_out(self):
-        """Callers of the small model are refused for good, though its servers live.
-
-        The zone of the only large group's head is out. The small group loses a member; its three
-        survivors and a spare of the large model are free. They could form a large group by loading
-        it for a quarter of a minute, and no server would be left for the small one.
-        """
+        """Guards against survivors that load the other model and leave their own to nobody."""
         free = {"d0": [new_server("spare", "d0", "large")] + new_domain("d0", 3, "small")}
         situation = attrs.evolve(new_situation(free, {}, 9), zone_counts={("large", "zone-a"): 1})
         (formation,) = composition.Composer(situation).formations()
@@ -126,11 +117,7 @@
 
 class StarvedModelTest(unittest.TestCase):
     def test_spares_are_loaded_anew_for_a_model_that_has_no_group(self):
-        """Callers of the small model are refused for good, beside four idle servers.
-
-        After a zone was out the large model has its group and four spares, the small one nothing
-        but one spare. Spares that hold a model load no other, so its group never forms.
-        """
+        """Guards against callers refused for good beside idle servers of the other model."""
         free = {"d0": new_domain("d0", 4, "large") + [new_server("last", "d0", "small")]}
         composer = composition.Composer(new_situation(free, {"large": 1}, 9))
         self.assertEqual([], composer.formations())
@@ -138,11 +125,7 @@
         self.assertGreaterEqual(prepared.count("small"), 2)
 
     def test_no_more_spares_are_loaded_than_the_missing_group_needs(self):
-        """Each look at the same starved model takes further spares from the others.
-
-        Spares that load are no longer free. Counted as missing, they would be replaced by those of
-        the next domain four times a second.
-        """
+        """Guards against spares of each domain in turn that load for the same missing group."""
         free = {name: new_domain(name, 5, "large") for name in ("d0", "d1")}
         situation = new_situation(free, {"large": 1}, 13)
         found = composition.Composer(situation).preparations()
@@ -154,10 +137,7 @@
         self.assertEqual([], composition.Composer(loading).preparations())
 
     def test_spares_of_a_zone_that_is_out_are_left_alone(self):
-        """A model's only group is in a zone that is out, and spares there are as near as others.
-
-        What they load serves nobody before the zone is back, and callers are refused until then.
-        """
+        """Guards against loads in a zone that serves nobody."""
         free = {name: new_domain(name, 5, "large") for name in ("da", "db")}
         situation = attrs.evolve(
             new_situation(free, {"large": 1}, 9), closed_zones=frozenset({"zone-a"})
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -55,11 +55,7 @@
 class OnceTest(unittest.TestCase):
     @clocked.on_test_clock
     async def test_order_with_a_lost_answer_is_not_sent_again(self):
-        """The caller gets an answer that promises nothing.
-
-        A server runs the order and the connection breaks. Nobody can tell from here whether it
-        ran, so a second server must not get it, and a refusal would be untrue.
-        """
+        """Guards against an order that runs twice, or is said not to have run."""
         scene = gateways.GatewayScene()
         for name in scene.registered:
             scene.desk.behaviours[name].loses_answer = True
@@ -80,10 +76,7 @@
 
     @clocked.on_test_clock
     async def test_order_that_waits_past_its_time_is_not_said_not_to_have_run(self):
-        """The caller hears at the route's timeout that nothing is known of the order.
-
-        A server has the order and is slow. At the timeout the order may be running.
-        """
+        """Guards against an untrue refusal at the route's timeout."""
         scene = gateways.GatewayScene()
         for name in scene.registered:
             scene.desk.behaviours[name].work_s = 10.0
@@ -107,10 +100,7 @@
 
     @clocked.on_test_clock
     async def test_lookup_that_its_server_fails_is_sent_to_another(self):
-        """A caller asks for an archived figure, and gets it.
-
-        The first server answers that it failed. Lookups may run twice, and the other is sound.
-        """
+        """Guards against a failure passed on while another server could answer."""
         scene = gateways.GatewayScene(gateways.new_servers(2))
         scene.desk.behaviours["b0"].status = 500
         scene.loads.add("b1")
@@ -143,11 +133,7 @@
 
     @clocked.on_test_clock
     async def test_retries_stay_within_their_budget(self):
-        """All servers lose all answers. Each lookup could be sent twice.
-
-        The service would get double its load just when it fails. The budget allows 70 in 100 of
-        a fifth of the requests and of the slack.
-        """
+        """Guards against retries that double the load of a service that fails."""
         scene = gateways.GatewayScene(retry_slack=10.0)
         for name in scene.registered:
             scene.desk.behaviours[name].loses_answer = True
@@ -170,11 +156,7 @@
 class StreamTest(unittest.TestCase):
     @clocked.on_test_clock
     async def test_cut_stream_goes_on_at_another_server(self):
-        """The caller gets each event once, in order, and the end.
-
-        The connection breaks in the middle of the fifth event. What has come of that event must
-        not reach the caller, and the second server begins with it.
-        """
+        """Guards against events that are missing or doubled where a stream moves within an event."""
         scene = gateways.GatewayScene()
         for name in scene.registered:
             scene.desk.behaviours[name].cut_after = 4
@@ -192,11 +174,7 @@
 
     @clocked.on_test_clock
     async def test_silent_stream_goes_on_at_another_server_within_its_pause(self):
-        """The caller sees a pause of less than 0.4 s.
-
-        A group loses a member: its head keeps the connection and sends nothing more. Nothing
-        breaks, so only the silence tells.
-        """
+        """Guards against callers who wait at a head that keeps the connection and sends nothing."""
         scene = gateways.GatewayScene()
         async with scene.running() as nursery:
             nursery.start_soon(self._silence_after, scene, 3)
@@ -238,11 +216,7 @@
 class CrashTest(unittest.TestCase):
     @clocked.on_test_clock
     async def test_request_that_crashes_servers_is_refused_after_three(self):
-        """A request crashes every server that begins it, and its caller comes again.
-
-        Each time two servers would be lost to all other callers. The third loss shows that it is
-        the request: from then on it is refused without being sent.
-        """
+        """Guards against one request that takes server after server from all other callers."""
         scene = gateways.GatewayScene()
         for name in scene.registered:
             scene.desk.behaviours[name].loses_answer = True
@@ -269,11 +243,7 @@
 
     @clocked.on_test_clock
     async def test_under_overload_answers_come_in_time_or_not_at_all(self):
-        """Twice as many lookups come as the servers can do, for five seconds.
-
-        By arrival each would wait for all before it, and all but the first would be late. The
-        servers do as much either way; what they do should be in time.
-        """
+        """Guards against a queue by arrival that makes every answer late."""
         scene = gateways.GatewayScene(gateways.new_servers(1, slots=1))
         took_s = []
 
@@ -295,11 +265,7 @@
 
     @clocked.on_test_clock
     async def test_dead_server_is_tried_ever_less_often(self):
-        """The store is away, so a dead head stays registered; each try costs its request 0.3 s.
-
-        Callers' requests used up the budget of retries on it, and those that another server could
-        have served were refused.
-        """
+        """Guards against a dead head that uses up the budget of retries while it stays registered."""
         scene = gateways.GatewayScene()
         tries = []
         for number in range(300):
@@ -328,10 +294,7 @@
 
     @clocked.on_test_clock
     async def test_cold_server_gets_no_more_than_it_bears(self):
-        """A server has just started and falls over under more than ten requests a second.
-
-        Twenty callers come in the same moment; there is no other server.
-        """
+        """Guards against a server that falls over under twenty callers right after its start."""
         cold = attrs.evolve(gateways.new_servers(1, slots=100)["b0"], cold_until_s=1e9)
         scene = gateways.GatewayScene({"b0": cold})
         async with scene.running() as nursery:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -31,10 +31,7 @@
         self.reader.close()
 
     def test_a_reader_that_does_not_read_holds_nobody_up(self):
-        """Nobody reads the output, and the pipe is full after some hundred lines.
-
-        Whoever writes then waits for ever. Requests must go on; the lines are left out.
-        """
+        """Guards against requests that wait for whoever reads the log."""
         handler = self._handler(lines_per_s=1e9, lines=100)
         began_s = time.monotonic()
         for number in range(5000):
--- a/tests/test_ordering.py
+++ b/tests/test_ordering.py
@@ -46,10 +46,7 @@
 
     @clocked.on_test_clock
     async def test_one_lost_packet_does_not_end_a_group(self):
-        """Streams of a group pause, and the planner asks all its members.
-
-        The answer of a sound one is lost. Taken for dead, it would cost the group a second.
-        """
+        """Guards against a sound member taken for dead for one lost answer."""
         async with trio.open_nursery() as nursery:
             found, is_unreachable, took_s = await self._look(nursery, lost=1)
             self.assertIsNotNone(found)
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -57,11 +57,7 @@
 
     @clocked.on_test_clock
     async def test_registrations_that_lapse_in_an_outage_are_given_time_to_return(self):
-        """Callers are served on through an outage of the store.
-
-        Every lease runs out while the store is away, so at its return all servers are missing.
-        Those that live are back within two seconds; the one that died meanwhile is not.
-        """
+        """Guards against all servers taken out of service when the store returns."""
         async with trio.open_nursery() as nursery:
             watched = Watched()
             nursery.start_soon(watched.run)
@@ -95,10 +91,7 @@
 class MirrorTest(unittest.TestCase):
     @clocked.on_test_clock
     async def test_history_that_is_gone_is_read_anew(self):
-        """The entry was cut off for longer than the store keeps its history.
-
-        What was deleted meanwhile is in no answer of a watch any more. The copy must lose it.
-        """
+        """Guards against keys that were deleted while no watch could tell."""
         async with trio.open_nursery() as nursery:
             watched = Watched()
             nursery.start_soon(watched.run)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -118,11 +118,7 @@
 
     @with_site
     async def test_an_entry_that_is_turned_away_by_the_service_is_left_in_time(self, site):
-        """A caller's request must not reach a server two seconds after that began to leave.
-
-        The service goes silent for the entry that others follow, and answers all others. A server
-        leaves in the same moment; the followers hear of it by another entry.
-        """
+        """Guards against requests to a server that left while the source had lost the service."""
         site.platform.set_mode("silent", "r1")
         await site.write("things/leaving")
         took_s = await site.seconds_until(lambda: site["f1"].has("things/leaving"), DRAIN_S)
@@ -139,10 +135,7 @@
 
     @with_site
     async def test_an_entry_without_others_watches_for_itself(self, site):
-        """A follower is cut off from all entries; the service still answers it.
-
-        It watches by itself, and follows again once another entry can be reached.
-        """
+        """Guards against a copy that grows old though the service answers."""
         site.network.isolate("f1", site.nodes)
         await site.write("things/new")
         await site.seconds_until(lambda: site["f1"].has("things/new"), DRAIN_S)
@@ -154,10 +147,7 @@
 
     @with_site
     async def test_an_outage_of_the_service_is_known_to_all_and_so_is_its_end(self, site):
-        """All leases may lapse in an outage: what vanishes is believed only some time after it.
-
-        So followers must know when the service last failed, though they made no call themselves.
-        """
+        """Guards against followers that believe what lapsed in an outage."""
         site.platform.set_mode("down")
         await site.seconds_until(lambda: not site["f2"].copy.is_answering, DRAIN_S)
         await trio.sleep(5)
@@ -167,11 +157,7 @@
 
     @with_site
     async def test_looks_for_a_source_in_an_outage_leave_no_streams_behind(self, site):
-        """An outage lasts; a follower looks for an entry that has the service, time and again.
-
-        Each look opens a stream to each entry, which tells that it has lost the service too. Left
-        open, dozens of them would each get a heartbeat four times a second.
-        """
+        """Guards against dozens of streams left open by looks for a source."""
         site.platform.set_mode("down")
         await trio.sleep(20)
         open_streams = sum(not stream.is_closed for stream in site.network.streams())
--- a/tests/test_replica_sequences.py
+++ b/tests/test_replica_sequences.py
@@ -114,22 +114,14 @@
 class SequenceTest(unittest.TestCase):
     @clocked.on_test_clock
     async def test_no_server_is_in_two_groups_and_everything_serves_again(self):
-        """Servers die, are cut off, leave and return; orders are lost and come late; planners are
-        killed and lose the store, all in random order.
-
-        Callers may wait. But no server may join a group while its last head may serve, no request
-        may reach a group that is not whole, and after the last fault both models serve again.
-        """
+        """Guards against two groups with one server, and models that stay unserved, in random faults."""
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 await self._run(seed)
 
     @clocked.on_test_clock
     async def test_servers_that_only_the_store_has_lost_do_no_harm(self):
-        """As above, and servers are cut off from the store while requests still reach them.
-
-        Groups go on with such members, and are taken apart where it is the head.
-        """
+        """Guards against the same where servers are cut off from the store alone."""
         for seed in UNLISTED_SEEDS:
             with self.subTest(seed=seed):
                 await self._run(seed, ("cut_server_off_from_the_store",) * 3)
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -44,11 +44,7 @@
 
     @clocked.on_test_clock
     async def test_large_site_is_planned_in_writes_that_the_store_takes(self):
-        """No group forms, and every request is refused.
-
-        The plan of three hundred servers was one write of 62 rows; the store takes 32 and refuses
-        the whole, each time anew.
-        """
+        """Guards against a plan of one write that the store refuses each time anew."""
         async with trio.open_nursery() as nursery:
             scene = replica_scenes.Scene(nursery, domains=34)
             sizes = []
@@ -67,11 +63,7 @@
 
     @clocked.on_test_clock
     async def test_heads_are_opened_only_when_every_member_is_ready(self):
-        """A head serves requests whatever its members do: nobody but the planner checks them.
-
-        One member takes long to load. The head is ready at once; a request that it got then
-        would run in a group that is not whole.
-        """
+        """Guards against a request in a group that is not whole."""
         async with trio.open_nursery() as nursery:
             scene = replica_scenes.Scene(nursery, domains=1, per_domain=4)
             await scene.add_servers()
@@ -90,11 +82,7 @@
 class LossTest(unittest.TestCase):
     @clocked.on_test_clock
     async def test_lost_member_is_replaced_by_a_spare_within_two_seconds(self):
-        """Callers wait for nothing longer than for the group's next formation.
-
-        A member dies silently. An entry finds the head's streams silent and tells the planner,
-        which finds out who does not answer and forms the survivors anew with the spare.
-        """
+        """Guards against a group that stands still until a registration lapses."""
         async with trio.open_nursery() as nursery:
             scene, node = await formed(nursery)
             group = node.serving("large")[0]
@@ -111,12 +99,7 @@
 
     @clocked.on_test_clock
     async def test_head_that_left_its_group_joins_the_next_one_without_a_wait(self):
-        """Callers of a group that lost a member wait a second longer than they need to.
-
-        The head closes and leaves. The leave is done at once, so its answer says that it holds,
-        but it counts as an order; and a report asked for right after tells the count of before.
-        Two joins were refused, and the third came a second later.
-        """
+        """Guards against joins refused for a count that a leave has moved on."""
         async with trio.open_nursery() as nursery:
             scene, node = await formed(nursery)
             group = node.serving("large")[0]
@@ -130,11 +113,7 @@
 
     @clocked.on_test_clock
     async def test_members_of_a_head_that_is_cut_off_wait_until_it_has_broken(self):
-        """The head of a group is cut off from everyone while it is open.
-
-        To the planner it looks like a dead one. Its members could serve at once, but a member
-        that joins another group while its head is open belongs to two groups.
-        """
+        """Guards against a member of two groups while its first head is open behind a cut."""
         async with trio.open_nursery() as nursery:
             scene, node = await formed(nursery)
             group = node.serving("large")[0]
@@ -148,11 +127,7 @@
 
     @clocked.on_test_clock
     async def test_group_that_is_cut_off_whole_is_not_taken_apart_behind_the_cut(self):
-        """A zone is cut off from everyone for ten seconds, with a group that is open in it.
-
-        No order to leave reaches the members, and the head lacks none of them: it does not break
-        by itself. When the zone is back, members that joined other groups would be in two.
-        """
+        """Guards against members in two groups once a zone that was cut off is back."""
         async with trio.open_nursery() as nursery:
             scene, node = await formed(nursery)
             group = node.serving("large")[0]
@@ -225,11 +200,7 @@
 
     @clocked.on_test_clock
     async def test_group_goes_on_with_a_member_that_is_cut_off_from_the_store(self):
-        """A fifth of all servers are cut off from the store, and requests still reach them.
-
-        Their registrations lapse. Groups that were given up for that stood still for seconds, and
-        of the large ones nearly all had such a member. One that really dies is noticed by asking.
-        """
+        """Guards against sound groups given up for registrations that lapsed."""
         async with trio.open_nursery() as nursery:
             scene, node = await formed(nursery)
             group = node.serving("large")[0]
@@ -246,11 +217,7 @@
 
     @clocked.on_test_clock
     async def test_head_that_is_cut_off_from_the_store_is_taken_from_its_group_at_once(self):
-        """A head whose registration has lapsed must get no request, as if it were leaving.
-
-        It can be reached, so it is told to close and leave; its members need not wait until it
-        has broken by itself, which takes four seconds.
-        """
+        """Guards against members that wait for a head that could be asked."""
         async with trio.open_nursery() as nursery:
             scene, node = await formed(nursery)
             group = node.serving("large")[0]
@@ -281,11 +248,7 @@
 class PlannerChangeTest(unittest.TestCase):
     @clocked.on_test_clock
     async def test_next_planner_keeps_groups_that_are_whole(self):
-        """All entries are killed and start again.
-
-        Groups serve on meanwhile. A planner that starts from nothing would order joins and tear
-        them down; the records tell it which groups there are and of whom.
-        """
+        """Guards against a planner that starts from nothing and tears serving groups down."""
         async with trio.open_nursery() as nursery:
             scene, node = await formed(nursery)
             before = set(node.board.groups)
@@ -301,10 +264,7 @@
 
     @clocked.on_test_clock
     async def test_paused_planner_gives_no_order_after_its_lease(self):
-        """The store does not answer the planner, and answers its successor.
-
-        The first one's lease ends. Orders that it gave afterwards would fight the second one's.
-        """
+        """Guards against orders of two planners that fight each other."""
         async with trio.open_nursery() as nursery:
             scene, node = await formed(nursery)
             scene.platform.set_mode("silent", "entry-1")
@@ -317,11 +277,7 @@
 class LeaseLossTest(unittest.TestCase):
     @clocked.on_test_clock
     async def test_entry_outlives_the_loss_of_its_lease_in_the_middle_of_orders(self):
-        """The planner's lease ends while it sends several orders at once.
-
-        The refusal to give orders came out of a nursery as a group of errors, which nobody
-        caught. The whole entry ended, with every caller's request in it.
-        """
+        """Guards against an entry that ends, with all its requests, when its lease does."""
         async with trio.open_nursery() as nursery:
             scene, node = await formed(nursery)
             group = node.serving("large")[0]
@@ -343,11 +299,7 @@
 class LostOrderTest(unittest.TestCase):
     @clocked.on_test_clock
     async def test_groups_stay_whole_while_orders_are_lost_and_come_late(self):
-        """A third of all orders gets no answer and is carried out seconds later.
-
-        Members die meanwhile. Callers may wait longer, but no server may come to be in two open
-        groups, and no group may take requests before all its members were ready.
-        """
+        """Guards against two open groups with one server where orders are late or lost."""
         for seed in range(6):
             with self.subTest(seed=seed):
                 await self._lose_orders(seed)
@@ -375,11 +327,7 @@
 class RecordTest(unittest.TestCase):
     @clocked.on_test_clock
     async def test_group_with_a_restarted_member_is_not_open(self):
-        """A member restarts under its old name and knows nothing of its group.
-
-        The head still says that it is open. The record names the member's earlier start, so no
-        entry sends it anything.
-        """
+        """Guards against requests to a group whose member knows nothing of it any more."""
         async with trio.open_nursery() as nursery:
             scene, node = await formed(nursery)
             group = node.serving("large")[0]
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -23,11 +23,7 @@
 
     @clocked.on_test_clock
     async def test_a_request_that_has_not_begun_is_moved_on_another_entrys_word(self):
-        """A caller waits for its first event from a head that has just died.
-
-        This entry has only this request there, and gives it 0.7 s. Another entry's streams fell
-        silent a quarter of a second ago, and it says so.
-        """
+        """Guards against a request that waits 0.7 s at a head which another entry found silent."""
         async with trio.open_nursery() as nursery:
             watch, stream = await self._watched(nursery)
             await trio.sleep(0.2)
@@ -55,12 +51,7 @@
 
     @clocked.on_test_clock
     async def test_a_head_that_reads_long_prompts_is_not_taken_for_silent(self):
-        """Callers press, and all streams of a sound head pause for a quarter of a second.
-
-        The head reads a full piece of waiting prompts in each step of a pass. When it was taken
-        for silent its streams began anew elsewhere, with their prompts, and the heads that got
-        them paused for as long.
-        """
+        """Guards against streams moved from sound heads, which slows the heads that get them."""
         async with trio.open_nursery() as nursery:
             _, stream = await self._watched(nursery, longest_pause_s=0.285)
             for _ in range(10):
@@ -78,10 +69,7 @@
 
     @clocked.on_test_clock
     async def test_two_entries_do_not_confirm_each_others_mistake(self):
-        """Two entries have streams at a head that reads long prompts; one takes it for silent.
-
-        The other one's streams have paused for as long as they do at sound heads.
-        """
+        """Guards against one mistake that another entry takes for proof."""
         async with trio.open_nursery() as nursery:
             watch, stream = await self._watched(nursery, longest_pause_s=0.285)
             stream.note_event()
@@ -92,10 +80,7 @@
 
     @clocked.on_test_clock
     async def test_a_dead_head_is_found_whatever_its_engine_tells_of_pauses(self):
-        """An engine's figures are wrong by a factor of ten, and a head of it dies.
-
-        Its callers would leave before the head was taken for silent.
-        """
+        """Guards against wrong figures of an engine that hide a dead head."""
         async with trio.open_nursery() as nursery:
             _, stream = await self._watched(nursery, longest_pause_s=3.0)
             stream.note_event()
