--- a/tests/platform/test_platform_calls.py
+++ b/tests/platform/test_platform_calls.py
@@ -134,7 +134,7 @@
     async def test_callers_who_leave_at_any_moment_end_only_their_own_requests(
         self, scene, worker, entry
     ):
-        """Guards against one caller who leaves and costs every caller of the entry its connection."""
+        """Guards against one caller who leaves and costs every other its connection."""
         async with trio.open_nursery() as nursery:
             for number in range(60):
                 nursery.start_soon(self._ask_and_leave, entry, number / 4000)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -156,7 +156,7 @@
 class StreamTest(unittest.TestCase):
     @clocked.on_test_clock
     async def test_cut_stream_goes_on_at_another_server(self):
-        """Guards against events that are missing or doubled where a stream moves within an event."""
+        """Guards against events missing or doubled where a stream moves within one."""
         scene = gateways.GatewayScene()
         for name in scene.registered:
             scene.desk.behaviours[name].cut_after = 4
@@ -174,7 +174,7 @@
 
     @clocked.on_test_clock
     async def test_silent_stream_goes_on_at_another_server_within_its_pause(self):
-        """Guards against callers who wait at a head that keeps the connection and sends nothing."""
+        """Guards against callers who wait at a head that sends nothing more."""
         scene = gateways.GatewayScene()
         async with scene.running() as nursery:
             nursery.start_soon(self._silence_after, scene, 3)
@@ -216,7 +216,7 @@
 class CrashTest(unittest.TestCase):
     @clocked.on_test_clock
     async def test_request_that_crashes_servers_is_refused_after_three(self):
-        """Guards against one request that takes server after server from all other callers."""
+        """Guards against one request that takes server after server from others."""
         scene = gateways.GatewayScene()
         for name in scene.registered:
             scene.desk.behaviours[name].loses_answer = True
@@ -265,7 +265,7 @@
 
     @clocked.on_test_clock
     async def test_dead_server_is_tried_ever_less_often(self):
-        """Guards against a dead head that uses up the budget of retries while it stays registered."""
+        """Guards against a registered dead head that uses up the budget of retries."""
         scene = gateways.GatewayScene()
         tries = []
         for number in range(300):
--- a/tests/test_replica_sequences.py
+++ b/tests/test_replica_sequences.py
@@ -114,7 +114,7 @@
 class SequenceTest(unittest.TestCase):
     @clocked.on_test_clock
     async def test_no_server_is_in_two_groups_and_everything_serves_again(self):
-        """Guards against two groups with one server, and models that stay unserved, in random faults."""
+        """Guards against two groups with one server, and models left unserved."""
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 await self._run(seed)
