Let only aggregators speak for a zone; start no pause for a step that gives nothing up

Found on reading the change: an entry whose two aggregators were silent took itself for the zone's first one and replaced its totals at other zones by its own counts; a conversion without groups to give up began the pause of ten seconds before the next one. The first has a test that fails without the change.

--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -197,6 +197,12 @@
             chosen[size] = len(side.exchange.upstream())
         self.assertEqual({3: 2, 39: 2}, chosen)
 
+    @clocked.on_test_clock
+    async def test_an_entry_whose_aggregators_are_silent_speaks_for_itself_alone(self):
+        """Guards against zones whose totals each entry replaces with its own counts."""
+        sides = new_site("a", 4)
+        self.assertEqual([True, True, False, False], [side.exchange.is_root for side in sides])
+
     def test_a_notice_of_very_many_servers_fits_a_datagram(self):
         counts = {f"i-{n:016x}": n % 7 for n in range(5000)}
         notice = notices.Notice(notices.Kind.DIGEST, "e1", "b1", counts, {}, [])
--- a/toucanhold/gateway/exchange.py
+++ b/toucanhold/gateway/exchange.py
@@ -109,8 +109,10 @@
 
     @property
     def is_root(self) -> bool:
-        """Whether this entry sums up its zone: no aggregator before it answers."""
-        return not self._answering(self.upstream())
+        """Whether this entry sums up its zone: an aggregator, and none before it answers."""
+        upstream = self.upstream()
+        own = self.listed.own
+        return own in self._aggregators[own.zone] and not self._answering(upstream)
 
     def _superiors(self) -> list[entries.Entry]:
         own = self.listed.own
--- a/toucanhold/replicas/conversion.py
+++ b/toucanhold/replicas/conversion.py
@@ -59,7 +59,7 @@
     """The next step towards one more group of a starved model.
 
     :ivar staging: servers whose hosts are to load the model beside their present work
-    :ivar given_up: names of groups to take apart now; empty while hosts still load
+    :ivar given_up: names of groups to take apart once no host is left to load
     """
 
     model: table.Model
--- a/toucanhold/replicas/planner.py
+++ b/toucanhold/replicas/planner.py
@@ -308,7 +308,8 @@
                 domain=chosen.domain,
             )
             nursery.start_soon(self._order, server, orders.Stage(chosen.model.name))
-        if not chosen.staging and now_s - self._converted_s >= CONVERT_AGAIN_S:
+        is_due = now_s - self._converted_s >= CONVERT_AGAIN_S
+        if chosen.given_up and not chosen.staging and is_due:
             self._converted_s = now_s
             for name in chosen.given_up:
                 await self._give_up(name, chosen)
