Open no head whose registration has lapsed

Since a head whose registration lapsed is asked before its group ends, its driver goes on meanwhile, and took the head from the list of registered servers to open it: KeyError, and with it the whole entry.

Change: such a head is not opened. The test fails without the change with the same error.

--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -9,7 +9,7 @@
 from standins import memory
 from tests import clocked, replica_scenes
 from toucanhold.registry import servers
-from toucanhold.replicas import orders
+from toucanhold.replicas import driver, orders
 
 
 async def formed(nursery, **options):
@@ -180,6 +180,27 @@
             self.assertEqual([], scene.fleet.broken)
             nursery.cancel_scope.cancel()
 
+    @clocked.on_test_clock
+    async def test_a_head_that_lapses_before_it_opens_ends_no_entry(self):
+        """Guards against a planner that ends, with all its requests, for a head that is gone."""
+        async with trio.open_nursery() as nursery:
+            scene = replica_scenes.Scene(nursery)
+            await scene.add_servers()
+            refused = unittest.mock.AsyncMock(return_value=orders.OrderOutcome.REFUSED)
+            with (
+                unittest.mock.patch.object(scene.fleet.__class__, "_change", refused),
+                unittest.mock.patch.object(driver, "ORDER_AGAIN_S", 0.1),
+            ):
+                node = scene.start("entry-1")
+                await trio.sleep(25)
+                (group, *_) = node.board.groups.values()
+                await scene.fleet.darken(group.head.server_id, "unlisted")
+                await trio.sleep(8)
+            self.assertTrue(node.planner.may_act())
+            left = node.board.groups.get(group.name)
+            self.assertTrue(left is None or left.is_ending)
+            nursery.cancel_scope.cancel()
+
     @clocked.on_test_clock
     async def test_a_domain_that_goes_dark_is_no_cut(self):
         """Guards against groups kept for dead servers beside others of the zone that answer."""
--- a/toucanhold/replicas/driver.py
+++ b/toucanhold/replicas/driver.py
@@ -165,8 +165,9 @@
                     formed_in_s=round(trio.current_time() - self._begun_s, 3),
                 )
             return
-        if state is servers.GroupState.READY and self._is_due("open"):
-            head = self.known.servers[group.head.server_id]
+        # A head whose registration has lapsed gets no requests; it is asked before the group ends.
+        head = self.known.servers.get(group.head.server_id)
+        if state is servers.GroupState.READY and head is not None and self._is_due("open"):
             await self.orderer.send(head, orders.Open(group.name, group.epoch))
 
     def _is_due(self, what: str) -> bool:
