--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -193,7 +193,7 @@
             ):
                 node = scene.start("entry-1")
                 await trio.sleep(25)
-                (group, *_) = node.board.groups.values()
+                group, *_ = node.board.groups.values()
                 await scene.fleet.darken(group.head.server_id, "unlisted")
                 await trio.sleep(8)
             self.assertTrue(node.planner.may_act())
