Count dropped log lines over the life of the handler

The count restarted with each LINES_DROPPED line, so a handler that had told of dropped lines once no longer knew of them, and the test of a stalled reader failed whenever its queue had room for a moment.

--- a/toucanhold/logs.py
+++ b/toucanhold/logs.py
@@ -63,7 +63,7 @@
 
     :param max_lines_per_s: refill rate and capacity of the token bucket
     :param max_queued_lines: length of the queue
-    :ivar dropped: number of lines dropped since the last ``LINES_DROPPED`` event
+    :ivar dropped: number of lines dropped so far
     """
 
     def __init__(
@@ -74,6 +74,7 @@
     ) -> None:
         super().__init__()
         self.dropped = 0
+        self._reported_dropped = 0
         self._max_lines_per_s = max_lines_per_s
         self._tokens = max_lines_per_s
         self._refilled_at_s = time.monotonic()
@@ -86,9 +87,10 @@
         if not self._acquire_token(record):
             self.dropped += 1
             return
-        if self.dropped and self._may_report_dropped():
-            dropped, self.dropped = self.dropped, 0
-            events.log(LOGGER, events.Event.LINES_DROPPED, count=dropped)
+        unreported = self.dropped - self._reported_dropped
+        if unreported and self._may_report_dropped():
+            self._reported_dropped = self.dropped
+            events.log(LOGGER, events.Event.LINES_DROPPED, count=unreported)
         try:
             self._queue.put_nowait(self.format(record))
         except queue.Full:
