Let one entry at a time reserve a server for an isolated request

The end of either isolation also ended the other's. A reservation now belongs to an entry, is valid once all connected peers have confirmed that they send nothing more there, and one of two that cross gives way. The reports that show a server idle must be newer than the last confirmation.

--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -154,6 +154,36 @@
                 self.assertEqual("refused-for-good", (await send_request(fleet, entry, CRASHER))[0])
             self.assertLessEqual(restarts(servers), 3)
 
+    def test_entries_isolate_suspected_requests_at_the_same_moment(self):
+        """Guards against a harmless request that shares its isolated server with the crasher."""
+        for bodies in ((CRASHER, b"innocent"), (b"innocent", CRASHER)):
+            on_test_clock(self._isolate_at_once, bodies)
+
+    async def _isolate_at_once(self, bodies):
+        servers = [new_server(number) for number in range(4)]
+        for server in servers:
+            server.first_token_s, server.report_lag_s = 1.0, 1.0
+        async with running(servers, 2) as fleet:
+            outcomes = {}
+
+            async def send(entry, body):
+                outcomes[body] = await send_request(fleet, entry, body)
+
+            sent = list(zip(fleet.entries.values(), bodies, strict=True))
+            for entry, body in sent:
+                request = attrs.evolve(fleet.request(), body=body)
+                table = entry.router.tracker.suspect_table
+                fingerprint = suspects.fingerprint_of(request)
+                incident = table.add(fingerprint, ("vm-gone", "boot"), 2, False)
+                table.set_verdict(fingerprint, incident, suspects.Verdict.DIED)
+            await trio.sleep(1)
+            async with trio.open_nursery() as nursery:
+                for entry, body in sent:
+                    nursery.start_soon(send, entry, body)
+            self.assertEqual("refused-for-good", outcomes[CRASHER][0])
+            self.assertEqual(("whole", "ran"), outcomes[b"innocent"])
+            self.assertEqual(1, restarts(servers))
+
     def test_concurrent_harmless_requests_are_served_and_cleared(self):
         on_test_clock(self._concurrent_requests)
 
--- a/toucanhold/peers/messages.py
+++ b/toucanhold/peers/messages.py
@@ -163,6 +163,13 @@
     for_s: float
 
 
+@attrs.frozen
+class IsolationConfirmed:
+    """The sender sends no further requests to a backend server that the receiver reserved."""
+
+    vm: str
+
+
 Message = object
 
 # All messages between entries. The name of a class is the kind of the message on the wire.
@@ -181,6 +188,7 @@
     IncidentNews,
     ClearedNews,
     IsolationNews,
+    IsolationConfirmed,
 )
 
 _CLASS_BY_KIND = {kind.__name__: kind for kind in KINDS}
--- a/toucanhold/routing/isolation.py
+++ b/toucanhold/routing/isolation.py
@@ -8,61 +8,32 @@
 
 from toucanhold.configuration import rules
 from toucanhold.observing import view
-from toucanhold.peers import exchange, messages
-from toucanhold.routing import admission, candidates, capacity, cold, incidents, requests
+from toucanhold.routing import (
+    admission,
+    candidates,
+    capacity,
+    cold,
+    incidents,
+    requests,
+    reservations,
+)
 
-MAX_ISOLATION_S = 30.0
 CHECK_INTERVAL_S = 0.05
 RETRY_AFTER_S = 1.0
 CONFLICT_STATUS = 409
 FIRST_SERVER_ERROR_STATUS = 500
 
 
-@attrs.define(eq=False)
-class IsolationTable:
-    """Backend servers that this entry or a peer reserves for one suspected request each."""
-
-    exchange: exchange.Exchange
-    _isolated_until_s: dict[str, float] = attrs.field(factory=dict, init=False)
-
-    def __attrs_post_init__(self) -> None:
-        """Subscribe to the isolations of peers."""
-        self.exchange.subscribe(messages.IsolationNews, self._receive_isolation)
-
-    def begin(self, vm: str) -> None:
-        """Reserve a backend server on this entry and its peers."""
-        self._set_duration(vm, MAX_ISOLATION_S)
-
-    def end(self, vm: str) -> None:
-        """Release a reserved backend server on this entry and its peers."""
-        self._set_duration(vm, 0.0)
-
-    def is_isolated(self, vm: str) -> bool:
-        """Tell whether a backend server is reserved for a suspected request."""
-        # The time limit ends isolations whose entry died.
-        isolated_until_s = self._isolated_until_s.get(vm)
-        return isolated_until_s is not None and trio.current_time() < isolated_until_s
-
-    def _set_duration(self, vm: str, duration_s: float) -> None:
-        self._isolated_until_s[vm] = trio.current_time() + duration_s
-        self.exchange.broadcast(messages.IsolationNews(vm, duration_s))
-
-    def _receive_isolation(self, peer: str, message: messages.IsolationNews) -> None:
-        self._isolated_until_s[message.vm] = trio.current_time() + min(
-            message.for_s, MAX_ISOLATION_S
-        )
-
-
 @attrs.define(eq=False)
 class IsolatingCapacity(capacity.CapacityPolicy):
-    """Wraps another policy and reports isolated backend servers as full."""
+    """Wraps another policy and reports reserved backend servers as full."""
 
     inner: capacity.CapacityPolicy
-    isolations: IsolationTable
+    reservations: reservations.ReservationTable
 
     def load(self, service: rules.Service, candidate: candidates.Candidate) -> float:
         """See :class:`capacity.CapacityPolicy`."""
-        if self.isolations.is_isolated(candidate.vm.vm):
+        if self.reservations.is_reserved(candidate.vm.vm):
             return 1.0
         return self.inner.load(service, candidate)
 
@@ -85,7 +56,7 @@
     capacity: capacity.CapacityPolicy
     cold_policy: cold.ColdPolicy
     tracker: incidents.IncidentTracker
-    isolations: IsolationTable
+    reservations: reservations.ReservationTable
     _isolating_services: set[str] = attrs.field(factory=set, init=False)
 
     def expected_duration_s(self, request: requests.CallerRequest) -> float:
@@ -150,7 +121,7 @@
     ) -> candidates.Candidate | None:
         service = tracked.request.service
         await self._acquire_turn(tracked)
-        vm, since_s, isolated_candidate = "", 0.0, None
+        vm, isolated_candidate = "", None
         try:
             while trio.current_time() < tracked.request.deadline_s:
                 # Meanwhile another entry may lose the same request.
@@ -161,16 +132,14 @@
                     # There is no server to isolate; the inner policy refuses the request at once.
                     return None
                 candidate = next((each for each in options if each.vm.vm == vm), None)
-                if candidate is not None and self._is_idle(service, candidate, since_s):
+                if candidate is not None and self._is_idle(service, candidate):
                     isolated_candidate = candidate
                     return isolated_candidate
-                if candidate is None or not self.isolations.is_isolated(vm):
-                    # The server is gone, or long streams kept it busy for the whole isolation.
+                if candidate is None or not self.reservations.is_own(vm):
+                    # The server is gone, another entry reserved it first, or long streams kept it
+                    # busy for the whole reservation.
                     self._end_isolation(vm)
-                    vm, since_s = (
-                        self._begin_isolation(service, options, avoid),
-                        trio.current_time(),
-                    )
+                    vm = self._begin_isolation(service, options, avoid)
                 await trio.sleep(CHECK_INTERVAL_S)
             raise _no_capacity_error()
         finally:
@@ -193,12 +162,12 @@
         options: collections.abc.Sequence[candidates.Candidate],
         avoid: frozenset[str],
     ) -> str:
-        usable = [each for each in options if not self.isolations.is_isolated(each.vm.vm)]
+        usable = [each for each in options if not self.reservations.is_reserved(each.vm.vm)]
         usable = [each for each in usable if each.vm.vm not in avoid] or usable
         if not usable:
             return ""
         vm = min(usable, key=lambda each: self.capacity.load(service, each)).vm.vm
-        self.isolations.begin(vm)
+        self.reservations.begin(vm)
         return vm
 
     def _finish_isolation(self, tracked: incidents.TrackedRequest, vm: str) -> None:
@@ -207,15 +176,16 @@
 
     def _end_isolation(self, vm: str) -> None:
         if vm:
-            self.isolations.end(vm)
+            self.reservations.end(vm)
 
-    def _is_idle(
-        self, service: rules.Service, candidate: candidates.Candidate, since_s: float
-    ) -> bool:
+    def _is_idle(self, service: rules.Service, candidate: candidates.Candidate) -> bool:
+        confirmed_at_s = self.reservations.confirmed_at_s(candidate.vm.vm)
+        if confirmed_at_s is None:
+            return False
         if self.in_flight.count(candidate.vm.vm) or self.capacity.load(service, candidate) >= 1:
             return False
-        # A report from before the isolation does not include requests that were sent since.
-        is_report_current = candidate.fresh_until_s - view.FRESH_S > since_s
+        # An earlier report does not include the requests that peers sent since.
+        is_report_current = candidate.fresh_until_s - view.FRESH_S > confirmed_at_s
         return is_report_current and not candidate.report.running and not candidate.report.waiting
 
 
--- a/toucanhold/routing/router.py
+++ b/toucanhold/routing/router.py
@@ -25,6 +25,7 @@
     fairqueue,
     incidents,
     isolation,
+    reservations,
     slots,
     suspects,
     watchdog,
@@ -95,8 +96,8 @@
     capacity_policy = capacity.EstimatedCapacity(
         in_flight, shared_limit, dependencies.view, lambda: len(dependencies.serving_entries())
     )
-    isolations = isolation.IsolationTable(dependencies.exchange)
-    usable = isolation.IsolatingCapacity(capacity_policy, isolations)
+    reserved = reservations.ReservationTable(dependencies.entry, dependencies.exchange)
+    usable = isolation.IsolatingCapacity(capacity_policy, reserved)
     policy = choice.TwoChoices(usable, dependencies.rng, dependencies.availability_zone)
     queue = fairqueue.FairQueue(
         dependencies.configuration,
@@ -115,7 +116,7 @@
         in_flight,
     )
     admission_policy = isolation.IsolatingAdmission(
-        queue, finder, in_flight, capacity_policy, shared_limit, tracker, isolations
+        queue, finder, in_flight, capacity_policy, shared_limit, tracker, reserved
     )
     dispatcher = dispatch.Dispatcher(
         admission_policy,
