Settle the incidents of a request that is no longer suspected

The waiting request held its entry's turn for isolated runs until its deadline, and all behind it missed theirs too. What is removed is now settled first.

--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -294,3 +294,19 @@
                 table.set_verdict(each, incident, suspects.Verdict.DIED)
         self.assertFalse(table.is_quarantined(b"one"))
         self.assertTrue(table.is_suspect(b"one"))
+
+    def test_cleared_request_keeps_no_caller_waiting_for_a_verdict(self):
+        """Guards against a wait until the deadline, with all other isolated requests behind it."""
+        on_test_clock(self._clear_while_waiting)
+
+    async def _clear_while_waiting(self):
+        shared = exchange.Exchange()
+        table = suspects.SuspectTable(shared)
+        news = messages.IncidentNews(b"one", "vm-1", "b", 1, False, "pending")
+        shared.deliver("peer", news)
+        (incident,) = table.incidents(b"one")
+        shared.deliver("peer", messages.ClearedNews(b"one"))
+        shared.deliver("peer", attrs.evolve(news, verdict="died"))
+        with trio.fail_after(1):
+            await incident.settled.wait()
+        self.assertTrue(table.is_suspect(b"one"))
--- a/toucanhold/routing/suspects.py
+++ b/toucanhold/routing/suspects.py
@@ -130,7 +130,7 @@
 
     def clear(self, fingerprint: bytes) -> None:
         """Remove a request that ran to completion and notify the peers."""
-        if self._suspects.pop(fingerprint, None) is not None:
+        if self._remove(fingerprint):
             events.log(LOGGER, events.Event.REQUEST_CLEARED, fingerprint=fingerprint.hex())
             self.exchange.broadcast(messages.ClearedNews(fingerprint))
 
@@ -140,7 +140,7 @@
             return None
         now_s = trio.current_time()
         if now_s - suspect.last_seen_at_s > RETENTION_S:
-            del self._suspects[fingerprint]
+            self._remove(fingerprint)
             return None
         # A request that callers keep sending does not expire.
         suspect.last_seen_at_s = now_s
@@ -187,7 +187,16 @@
                 self._suspects[each].last_seen_at_s,
             ),
         )
-        del self._suspects[oldest]
+        self._remove(oldest)
+
+    def _remove(self, fingerprint: bytes) -> bool:
+        suspect = self._suspects.pop(fingerprint, None)
+        if suspect is None:
+            return False
+        # A peer's verdict that arrives later no longer reaches the tasks that wait for it.
+        for incident in suspect.incidents.values():
+            incident.set_verdict(Verdict.DISMISSED)
+        return True
 
     def _receive_incident(self, peer: str, message: messages.IncidentNews) -> None:
         incident = self._record_incident(
@@ -197,7 +206,7 @@
             incident.set_verdict(Verdict(message.verdict))
 
     def _receive_cleared(self, peer: str, message: messages.ClearedNews) -> None:
-        self._suspects.pop(message.fingerprint, None)
+        self._remove(message.fingerprint)
 
     def _send_all(self, peer: str) -> None:
         for fingerprint, suspect in self._suspects.items():
