--- a/toucanhold/configuration/document.py
+++ b/toucanhold/configuration/document.py
@@ -81,6 +81,9 @@
     :param plain: maps, lists and scalars
     :raises InvalidDocumentError: with every error
     """
+    errors = list(_integer_errors("", plain))
+    if errors:
+        raise InvalidDocumentError("invalid document", errors)
     try:
         document = codec.from_plain(plain, Document)
     except codec.CodecError as error:
@@ -110,6 +113,19 @@
 DocumentErrors = collections.abc.Iterator[DocumentError]
 
 
+def _integer_errors(path: str, plain: object) -> DocumentErrors:
+    # TOML promises 64 bits. Python reads longer integers, but refuses to print very long ones.
+    if isinstance(plain, int) and not -(2**63) <= plain < 2**63:
+        yield DocumentError(path, f"must fit into 64 bits, got {plain.bit_length()} bits")
+    children: collections.abc.Iterable[tuple[str, object]] = ()
+    if isinstance(plain, dict):
+        children = ((f"{path}.{key}".lstrip("."), value) for key, value in plain.items())
+    elif isinstance(plain, list):
+        children = ((f"{path}[{index}]", value) for index, value in enumerate(plain))
+    for child_path, value in children:
+        yield from _integer_errors(child_path, value)
+
+
 def _structure_error(text: str) -> DocumentError:
     problem, _, path = text.partition(" @ $")
     return DocumentError(path.lstrip(".") or "document", problem)
