Let the soak's backends accept orders to stage

The order names no group; the stand-in raised KeyError for it, which showed as tracebacks in runs that staged models. Decoding is a function with a test.

--- a/tests/platform/soak/backends.py
+++ b/tests/platform/soak/backends.py
@@ -124,6 +124,19 @@
     return data
 
 
+def order_of(data):
+    """Return the order that a request body contains."""
+    if data["op"] == "stage":
+        return orders.Stage(data["model"])
+    fields = {name: data[name] for name in ("group", "epoch")}
+    match data["op"]:
+        case "join":
+            fields |= {"model": data["model"], "members": tuple(data["members"])}
+        case "close":
+            fields["finishes_work"] = data["mode"] == "wait"
+    return ORDER_CLASSES[data["op"]](**fields)
+
+
 @attrs.define(eq=False)
 class RunLog:
     """Runs that backend servers began.
@@ -180,15 +193,8 @@
             )
 
     async def _order(self, data, send):
-        fields = {name: data[name] for name in ("group", "epoch")}
-        match data["op"]:
-            case "join":
-                fields |= {"model": data["model"], "members": tuple(data["members"])}
-            case "close":
-                fields["finishes_work"] = data["mode"] == "wait"
-        order = ORDER_CLASSES[data["op"]](**fields)
         outcome = await self.fleet.send(
-            self.server.registration(), order, data["precondition"], data["fence"]
+            self.server.registration(), order_of(data), data["precondition"], data["fence"]
         )
         statuses = {
             orders.OrderOutcome.BEGUN: 202,
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -9,7 +9,8 @@
 
 import trio
 
-from tests.platform.soak import running
+from tests.platform.soak import backends, running
+from toucanhold.replicas import orders
 
 SHORT_FAULTS_S = 8.0
 SHORT_SEEDS = (30,)
@@ -39,3 +40,8 @@
             )
         self.assertEqual([], result.violations, result.faults)
         self.assertGreater(result.outcome_counts["order served"], 20)
+
+    def test_backend_accepts_orders_without_a_group(self):
+        """Guards against a backend that fails on an order to stage, which names no group."""
+        body = {"op": "stage", "model": "m0", "precondition": 1, "fence": 2}
+        self.assertEqual(orders.Stage("m0"), backends.order_of(body))
