Import only what an entry needs before it serves

Cause: an entry's start costs 0.55 to 0.6 s of processor time, nearly all of it imports, once for each entry and again at each restart; after a restart of all entries the callers wait for just that.

--- a/toucanhold/core.py
+++ b/toucanhold/core.py
@@ -1,10 +1,14 @@
 """The program as a function of its command-line arguments and environment."""
 
 import collections.abc
+import importlib
 import sys
 
 from toucanhold import environment, exitstatus
-from toucanhold.cli import application as cli_application
+
+# Runs without the command line's library, whose import adds to the time for which callers wait when
+# all entries restart.
+PLATFORM_ENTRY = ["platform"]
 
 
 def main(
@@ -21,6 +25,8 @@
     env = env or environment.Environment()
     argument_list = list(sys.argv[1:] if arguments is None else arguments)
     try:
-        return cli_application.run(argument_list, env)
+        if argument_list == PLATFORM_ENTRY:
+            return importlib.import_module("toucanhold.platform.running").run(env)
+        return importlib.import_module("toucanhold.cli.application").run(argument_list, env)
     except KeyboardInterrupt:
         return exitstatus.ExitStatus.INTERRUPTED
--- a/toucanhold/metrics.py
+++ b/toucanhold/metrics.py
@@ -1,60 +1,47 @@
-"""OpenTelemetry metrics of an entry, exposed in the Prometheus text format."""
+"""Metrics of an entry.
+
+OpenTelemetry is loaded for the first scrape only: importing it takes a sixth of an entry's start,
+and after a failure of all entries the callers wait for that start.
+"""
+
+from __future__ import annotations
 
 import collections.abc
+import functools
+import importlib
 import math
+import typing
 
 import attrs
-import prometheus_client
 import trio
-from opentelemetry import metrics as api
-from opentelemetry.exporter import prometheus
-from opentelemetry.sdk import metrics as sdk
-from opentelemetry.sdk import resources
-from opentelemetry.sdk.metrics import view
-
-SERVICE_NAME = "toucanhold"
-CONTENT_TYPE = prometheus_client.CONTENT_TYPE_LATEST.encode()
-DURATION_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0)
-FIRST_TOKEN_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 0.98, 1.25, 2.5, 5.0, 10.0)
-TOKEN_BUCKETS_S = (0.001, 0.0025, 0.005, 0.01, 0.02, 0.03, 0.04, 0.048, 0.06, 0.1, 0.25, 1.0)
+
+if typing.TYPE_CHECKING:
+    from toucanhold import instruments
+
+# About 1 MB; where nothing scrapes the metrics, the instruments are loaded when it is full.
+MAX_PENDING_RECORDS = 2000
 
 Observations = collections.abc.Iterable[tuple[float, dict[str, str]]]
 
 
 @attrs.define(eq=False)
 class Metrics:
-    """The instruments of one entry.
+    """Gauges, counters and request durations of one entry.
 
     :ivar entry: name of the entry, exported as ``service.instance.id``
     """
 
     entry: str
-    _registry: prometheus_client.CollectorRegistry = attrs.field(init=False)
-    _meter: api.Meter = attrs.field(init=False)
-    _request_duration_s: api.Histogram = attrs.field(init=False)
-    _time_to_first_token_s: api.Histogram = attrs.field(init=False)
-    _time_per_token_s: api.Histogram = attrs.field(init=False)
-
-    def __attrs_post_init__(self) -> None:
-        """Create the instruments; names follow OpenTelemetry's conventions where there are any."""
-        self._registry = prometheus_client.CollectorRegistry()
-        reader = prometheus.PrometheusMetricReader(
-            registry=self._registry, scope_info_enabled=False
-        )
-        attributes = {"service.name": SERVICE_NAME, "service.instance.id": self.entry}
-        provider = sdk.MeterProvider(
-            [reader], resources.Resource(attributes), shutdown_on_exit=False, views=_views()
-        )
-        self._meter = provider.get_meter(SERVICE_NAME)
-        self._request_duration_s = self._meter.create_histogram(
-            "http.server.request.duration", "s", "Time to answer callers' requests"
-        )
-        self._time_to_first_token_s = self._meter.create_histogram(
-            "gen_ai.server.time_to_first_token", "s", "Time to a stream's first event"
-        )
-        self._time_per_token_s = self._meter.create_histogram(
-            "gen_ai.server.time_per_output_token", "s", "Mean time between a stream's events"
-        )
+    # Calls that are repeated on the instruments once they are loaded.
+    _pending: list[collections.abc.Callable[[instruments.Instruments], None]] = attrs.field(
+        factory=list, init=False
+    )
+    _instruments: instruments.Instruments | None = attrs.field(default=None, init=False)
+
+    @property
+    def content_type(self) -> bytes:
+        """Media type of :meth:`exposition`."""
+        return _instruments_module().CONTENT_TYPE
 
     def add_gauge(
         self,
@@ -68,11 +55,7 @@
         :param unit: UCUM unit
         :param read: returns the current values with their attributes
         """
-
-        def callback(options: api.CallbackOptions) -> list[api.Observation]:
-            return [api.Observation(value, attributes) for value, attributes in read()]
-
-        self._meter.create_observable_gauge(name, [callback], unit, description)
+        self._apply(lambda loaded: loaded.add_gauge(name, unit, description, read))
 
     def add_counter(
         self,
@@ -86,13 +69,9 @@
         :param unit: UCUM unit
         :param read: returns the totals since the start with their attributes
         """
+        self._apply(lambda loaded: loaded.add_counter(name, unit, description, read))
 
-        def callback(options: api.CallbackOptions) -> list[api.Observation]:
-            return [api.Observation(value, attributes) for value, attributes in read()]
-
-        self._meter.create_observable_counter(name, [callback], unit, description)
-
-    def new_timer(self, method: str, route: str) -> "RequestTimer":
+    def new_timer(self, method: str, route: str) -> RequestTimer:
         """Return a timer for a request that starts now.
 
         :param method: HTTP method
@@ -100,30 +79,51 @@
         """
         return RequestTimer(self, method, route, trio.current_time())
 
+    async def load(self) -> None:
+        """Load the instruments' libraries in a worker thread, so that streams go on meanwhile."""
+        if self._instruments is None:
+            await trio.to_thread.run_sync(_instruments_module)
+
     def exposition(self) -> bytes:
-        """Return all metrics in the text format of :data:`CONTENT_TYPE`."""
-        return prometheus_client.generate_latest(self._registry)
+        """Return all metrics in the Prometheus text format."""
+        return self._load_instruments().exposition()
 
-    def record(self, timer: "RequestTimer", status: int, answer: str) -> None:
+    def record(self, timer: RequestTimer, status: int, answer: str) -> None:
         """Record a finished request.
 
         :param status: HTTP status code
         :param answer: value of the ``toucanhold.answer`` attribute: how the answer ended
         """
-        now_s = trio.current_time()
         attributes = {
             "http.request.method": timer.method,
             "http.route": timer.route,
             "http.response.status_code": status,
             "toucanhold.answer": answer,
         }
-        self._request_duration_s.record(now_s - timer.started_at_s, attributes)
-        if math.isfinite(timer.first_event_at_s):
-            route = {"http.route": timer.route}
-            self._time_to_first_token_s.record(timer.first_event_at_s - timer.started_at_s, route)
-            if timer.event_count > 1:
-                streamed_s = timer.last_event_at_s - timer.first_event_at_s
-                self._time_per_token_s.record(streamed_s / (timer.event_count - 1), route)
+        duration_s = trio.current_time() - timer.started_at_s
+        first_event_s = timer.first_event_at_s - timer.started_at_s
+        per_event_s = math.inf
+        if timer.event_count > 1:
+            per_event_s = (timer.last_event_at_s - timer.first_event_at_s) / (timer.event_count - 1)
+        self._apply(
+            lambda loaded: loaded.record(attributes, duration_s, first_event_s, per_event_s)
+        )
+
+    def _apply(self, call: collections.abc.Callable[[instruments.Instruments], None]) -> None:
+        if self._instruments is not None:
+            call(self._instruments)
+            return
+        self._pending.append(call)
+        if len(self._pending) >= MAX_PENDING_RECORDS:
+            self._load_instruments()
+
+    def _load_instruments(self) -> instruments.Instruments:
+        if self._instruments is None:
+            self._instruments = _instruments_module().Instruments(self.entry)
+            for call in self._pending:
+                call(self._instruments)
+            self._pending.clear()
+        return self._instruments
 
 
 @attrs.define(eq=False)
@@ -157,16 +157,6 @@
         self.metrics.record(self, status, answer)
 
 
-def _views() -> list[view.View]:
-    buckets = {
-        "http.server.request.duration": DURATION_BUCKETS_S,
-        "gen_ai.server.time_to_first_token": FIRST_TOKEN_BUCKETS_S,
-        "gen_ai.server.time_per_output_token": TOKEN_BUCKETS_S,
-    }
-    return [
-        view.View(
-            instrument_name=name,
-            aggregation=view.ExplicitBucketHistogramAggregation(list(bounds)),
-        )
-        for name, bounds in buckets.items()
-    ]
+@functools.cache
+def _instruments_module() -> typing.Any:
+    return importlib.import_module("toucanhold.instruments")
--- a/toucanhold/operators/app.py
+++ b/toucanhold/operators/app.py
@@ -64,7 +64,8 @@
         try:
             self._authenticate(scope)
             if scope["path"] == METRICS_PATH:
-                headers = [(b"content-type", metrics.CONTENT_TYPE)]
+                await self.metrics.load()
+                headers = [(b"content-type", self.metrics.content_type)]
                 await asgi.respond(send, 200, headers, self.metrics.exposition())
                 return
             answer = await self._handle_operation(scope, receive)
--- a/toucanhold/platform/directory.py
+++ b/toucanhold/platform/directory.py
@@ -79,7 +79,8 @@
 
     async def _respond(self, scope: asgi.Scope, send: asgi.Send) -> None:
         if scope["path"] == METRICS_PATH:
-            content_type = (b"content-type", metrics.CONTENT_TYPE)
+            await self.metrics.load()
+            content_type = (b"content-type", self.metrics.content_type)
             await asgi.respond(send, 200, [content_type], self.metrics.exposition())
         elif scope["path"] == READY_PATH:
             await asgi.respond(send, 200 if self.is_ready() else 503, [], b"")
