Report load less often from entries without requests in flight

Change: an entry that has nothing in flight and has said so reports after 0.3 s. Measured by test: bytes sent by an idle entry under half of a busy one's; what it has in flight is known to the others as before.

--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -102,6 +102,29 @@
             await wait_until(lambda: all(node.loads.estimate("s1") == 1 for node in nodes))
             nursery.cancel_scope.cancel()
 
+    def test_an_entry_without_requests_reports_less_often(self):
+        """Guards against hundreds of idle entries that keep the aggregators busy."""
+        trio.run(self._report_rates)
+
+    async def _report_rates(self):
+        nodes = new_site("a", 4)
+        busy, idle = nodes[2:]
+        busy.loads.add("s1")
+        async with trio.open_nursery() as nursery:
+            for node in nodes:
+                nursery.start_soon(node.run)
+            await wait_until(lambda: idle.loads.estimate("s1"))
+            counts_before = [node.exchange.sent_bytes.total() for node in (busy, idle)]
+            await trio.sleep(1.5)
+            counts = [node.exchange.sent_bytes.total() for node in (busy, idle)]
+            sent = [after - before for before, after in zip(counts_before, counts, strict=True)]
+            self.assertGreater(sent[0], 2 * sent[1])
+            idle.loads.add("s2")
+            await wait_until(lambda: busy.loads.estimate("s2"))
+            idle.loads.remove("s2")
+            await wait_until(lambda: not busy.loads.estimate("s2"))
+            nursery.cancel_scope.cancel()
+
     def test_the_second_aggregator_takes_over_from_a_dead_one(self):
         """Guards against a zone whose entries lose each other's load when an aggregator dies."""
         trio.run(self._take_over)
--- a/toucanhold/gateway/exchange.py
+++ b/toucanhold/gateway/exchange.py
@@ -30,6 +30,8 @@
 # if digests are long.
 MAX_CONTROL_BYTES_PER_S = 8000
 MAX_REPORT_INTERVAL_S = 0.3
+# An entry without requests in flight changes nobody's decisions, and is most of a large fleet.
+IDLE_REPORT_INTERVAL_S = 0.3
 # An aggregator that has not answered reports for this long is skipped: it may be dead, paused or
 # unreachable.
 AGGREGATOR_TIMEOUT_S = 0.7
@@ -73,6 +75,7 @@
     _last_summary_s: float = attrs.field(default=0.0, init=False)
     _summary_count: int = attrs.field(default=0, init=False)
     _send_count: int = attrs.field(default=0, init=False)
+    _has_reported_load: bool = attrs.field(default=False, init=False)
     _warned_senders: set[str] = attrs.field(factory=set, init=False)
     sent_bytes: collections.Counter[tuple[notices.Kind, bool]] = attrs.field(
         factory=collections.Counter, init=False
@@ -141,20 +144,25 @@
     async def _send(self, socket: trio.socket.SocketType) -> None:
         while True:
             if not self._is_urgent:
-                await self._urgent_signal.wait(self._interval_s * self.rng.uniform(0.9, 1.1))
+                await self._urgent_signal.wait(self._next_interval_s() * self.rng.uniform(0.9, 1.1))
             is_urgent, self._is_urgent = self._is_urgent, False
             self._send_count += 1
             upstream = self.upstream()
             if upstream:
-                report = self._encode_notice(
-                    notices.Kind.REPORT, self.load_tracker.local_counts(), is_upward=True
-                )
+                counts = self.load_tracker.local_counts()
+                self._has_reported_load = bool(counts)
+                report = self._encode_notice(notices.Kind.REPORT, counts, is_upward=True)
                 await self._send_to(socket, notices.Kind.REPORT, report, upstream)
             if self.is_active_aggregator:
                 await self._send_summary(socket, is_urgent)
             if is_urgent:
                 await self._send_digests(socket)
 
+    def _next_interval_s(self) -> float:
+        if self.is_active_aggregator or self.load_tracker.own_counts or self._has_reported_load:
+            return self._interval_s
+        return max(self._interval_s, IDLE_REPORT_INTERVAL_S)
+
     async def _send_summary(self, socket: trio.socket.SocketType, is_urgent: bool) -> None:
         now_s = trio.current_time()
         if not is_urgent and now_s - self._last_summary_s < SUMMARY_INTERVAL_S:
