Let requests wait for the first configuration of an entry that starts

Change: they wait up to 0.3 s for the first configuration; with none by then they are refused as before. A test plays such a start; it fails without the change.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -51,6 +51,21 @@
         self.assertIs(calls.RefusalReason.NO_CONFIGURATION, error.reason)
         self.assertGreater(error.retry_after_s, 0)
 
+    @clocked.on_test_clock
+    async def test_requests_wait_for_the_configuration_of_an_entry_that_starts(self):
+        """Guards against callers that are sent away by each entry when all restart at once."""
+        scene = gateways.GatewayFixture()
+        routes = scene.routes.table
+        scene.gateway.routes = table.RouteTableHolder()
+        async with scene.running() as nursery:
+            nursery.start_soon(self._configure_after, scene, routes, 0.1)
+            reply, error = await scene.send(gateways.new_call("/lookups/1"))
+        self.assertEqual((200, None), (reply.status, error))
+
+    async def _configure_after(self, scene, routes, delay_s):
+        await trio.sleep(delay_s)
+        scene.gateway.routes.put(routes)
+
 
 class NonIdempotentTest(unittest.TestCase):
     @clocked.on_test_clock
--- a/toucanhold/gateway/gateway.py
+++ b/toucanhold/gateway/gateway.py
@@ -27,6 +27,9 @@
 # Minimum time left for an attempt on another server to be worthwhile.
 MIN_REMAINING_S = 0.05
 RETRY_AFTER_S = 1.0
+# An entry that starts has read the configuration within this time of its first request. A caller
+# that is sent away comes back too late for its objective.
+CONFIGURATION_WAIT_S = 0.3
 # Retries of a request that crashes servers are harmful until the servers have finished their other
 # work.
 CRASHING_RETRY_AFTER_S = 30.0
@@ -61,7 +64,7 @@
         """
         self.in_flight += 1
         try:
-            routes = self.routes.table
+            routes = self.routes.table or await self.routes.wait(CONFIGURATION_WAIT_S)
             if routes is None:
                 reason = calls.RefusalReason.NO_CONFIGURATION
                 raise calls.CallError(reason, retry_after_s=RETRY_AFTER_S)
--- a/toucanhold/routes/table.py
+++ b/toucanhold/routes/table.py
@@ -6,6 +6,7 @@
 import random
 
 import attrs
+import trio
 
 
 class Repeatability(enum.Enum):
@@ -210,6 +211,13 @@
     """Holds the current route table, or None until the first one is received."""
 
     table: RouteTable | None = None
+    _received: trio.Event = attrs.field(factory=trio.Event, init=False)
+
+    async def wait(self, timeout_s: float) -> RouteTable | None:
+        """Return the current table; wait for the first one up to ``timeout_s`` if there is none."""
+        with trio.move_on_after(timeout_s):
+            await self._received.wait()
+        return self.table
 
     def put(self, table: RouteTable) -> bool:
         """Replace the current table unless it is as new; return whether it was replaced."""
@@ -218,4 +226,5 @@
         if self.table is not None and table.version <= self.table.version:
             return False
         self.table = table
+        self._received.set()
         return True
