Hold back late requests so that those behind them stay in time

Until now late requests only queued behind others.

Change: a late request leaves a third of each server's slots free for two fifths of its longest time in the queue, then takes any; new requests pass those held back.

--- a/toucanhold/gateway/admission.py
+++ b/toucanhold/gateway/admission.py
@@ -4,6 +4,11 @@
 arrival. Under overload, a queue in arrival order makes every response late, because each request
 waits for those before it until it is late as well. This order spends the servers' time on responses
 that can still be on time; late requests get the remaining capacity.
+
+After an outage, the callers that come back are late already and many. If they filled all slots at
+once, the requests that arrive next would wait for a slot and for the prompts read before their own,
+and be late as well. Late requests therefore leave a part of each server's slots free at first. None
+is refused for it: after a part of its time in the queue, a late request takes any slot.
 """
 
 from __future__ import annotations
@@ -22,6 +27,10 @@
 # Capacity also appears without an event in this entry: requests of other entries finish, groups
 # form, servers warm up.
 DISPATCH_INTERVAL_S = 0.02
+# Fraction of a server's slots that late requests use while they are held back, and the fraction of
+# their maximum time in the queue for which they are.
+LATE_SLOT_FRACTION = 2 / 3
+LATE_HOLD_FRACTION = 0.4
 # Groups form again within about a second of a loss, so a retry after this delay finds capacity.
 RETRY_AFTER_S = 0.8
 RETRY_JITTER_S = 0.4
@@ -32,6 +41,7 @@
     """A queued request.
 
     :ivar latest_start_s: trio clock time after which the response misses its objective
+    :ivar held_until_s: trio clock time until which it is held back if it is late
     :ivar excluded: IDs of servers to use only if there are no others
     :ivar assigned: set when ``server`` has been assigned
     """
@@ -39,10 +49,19 @@
     service: table.Service
     model: str
     latest_start_s: float
+    held_until_s: float
     excluded: collections.abc.Set[str]
     assigned: trio.Event = attrs.field(factory=trio.Event)
     server: servers.Server | None = None
 
+    def is_late(self, now_s: float) -> bool:
+        """Return whether the response misses its objective."""
+        return self.latest_start_s < now_s
+
+    def is_held(self, now_s: float) -> bool:
+        """Return whether it must leave a part of each server's slots free."""
+        return self.is_late(now_s) and now_s < self.held_until_s
+
 
 @attrs.define(eq=False)
 class Admission:
@@ -93,11 +112,11 @@
         :raises calls.CallError: if no server has capacity within ``max_wait_s`` (NO_CAPACITY), or
             no server serves the model and no group of it is forming (NO_SERVER)
         """
-        server = self._try_place_immediately(service, model, excluded)
+        held_until_s = trio.current_time() + LATE_HOLD_FRACTION * max_wait_s
+        waiter = _Waiter(service, model, latest_start_s, held_until_s, excluded)
+        server = self._try_place_immediately(waiter)
         if server is None:
-            server = await self._wait_in_queue(
-                service, model, priority, max_wait_s, latest_start_s, excluded
-            )
+            server = await self._wait_in_queue(waiter, priority, max_wait_s)
         try:
             yield server
         finally:
@@ -118,54 +137,52 @@
         now_s = trio.current_time()
         queued, self._queue = self._queue, []
         # By priority, then requests that can still be on time, then by arrival.
-        queued.sort(key=lambda item: (item[0], item[-1].latest_start_s < now_s, item[1]))
-        full_keys: set[tuple[str, str]] = set()
+        queued.sort(key=lambda item: (item[0], item[-1].is_late(now_s), item[1]))
+        full_keys: set[tuple[str, str, bool]] = set()
         for item in queued:
             waiter = item[-1]
             key = waiter.service.name, waiter.model
+            is_held = waiter.is_held(now_s)
             server = None
-            if key not in full_keys:
-                server = self._try_place(waiter.service, waiter.model, waiter.excluded)
+            if (*key, is_held) not in full_keys:
+                server = self._try_place(waiter, is_held)
             if server is None:
-                full_keys.add(key)
+                # What is full for a request that is not held back is full for the others, too.
+                full_keys |= {(*key, True), (*key, is_held)}
                 self._queue.append(item)
                 continue
             waiter.server = server
             waiter.assigned.set()
 
-    def _try_place_immediately(
-        self, service: table.Service, model: str, excluded: collections.abc.Set[str]
-    ) -> servers.Server | None:
+    def _try_place_immediately(self, waiter: _Waiter) -> servers.Server | None:
+        now_s = trio.current_time()
+        is_late = waiter.is_late(now_s)
         if any(
-            waiter.service.name == service.name and waiter.model == model
-            for *_, waiter in self._queue
+            (other.service.name, other.model) == (waiter.service.name, waiter.model)
+            and (is_late or not other.is_late(now_s))
+            for *_, other in self._queue
         ):
             return None
-        return self._try_place(service, model, excluded)
-
-    def _try_place(
-        self, service: table.Service, model: str, excluded: collections.abc.Set[str]
-    ) -> servers.Server | None:
-        candidates = self.server_selector.find_candidates(service, model)
-        server = self.server_selector.choose(service, candidates, excluded)
+        return self._try_place(waiter, waiter.is_held(now_s))
+
+    def _try_place(self, waiter: _Waiter, is_held: bool) -> servers.Server | None:
+        candidates = self.server_selector.find_candidates(waiter.service, waiter.model)
+        slot_fraction = LATE_SLOT_FRACTION if is_held else 1.0
+        server = self.server_selector.choose(
+            waiter.service, candidates, waiter.excluded, slot_fraction
+        )
         if server is not None:
             self.server_selector.record_placement(server)
         return server
 
     async def _wait_in_queue(
-        self,
-        service: table.Service,
-        model: str,
-        priority: int,
-        max_wait_s: float,
-        latest_start_s: float,
-        excluded: collections.abc.Set[str],
+        self, waiter: _Waiter, priority: int, max_wait_s: float
     ) -> servers.Server:
+        service, model = waiter.service, waiter.model
         if not self.server_selector.find_candidates(
             service, model
         ) and not self._may_become_available(service, model):
             raise self._new_refusal(calls.RefusalReason.NO_SERVER)
-        waiter = _Waiter(service, model, latest_start_s, excluded)
         item = (priority, next(self._arrival_numbers), waiter)
         self._queue_filled.set()
         self._queue.append(item)
--- a/toucanhold/gateway/targets.py
+++ b/toucanhold/gateway/targets.py
@@ -76,11 +76,13 @@
         service: table.Service,
         candidates: list[servers.Server],
         excluded: collections.abc.Set[str],
+        slot_fraction: float = 1.0,
     ) -> servers.Server | None:
         """Return the best server with capacity, or None.
 
         :param candidates: servers to choose from
         :param excluded: IDs of servers to use only if there are no others
+        :param slot_fraction: fraction of a server's slots that may be in use afterwards
         """
         allowed = [
             server for server in candidates if server.server_id not in excluded
@@ -94,7 +96,9 @@
         if service.engine is None:
             fallback = fallback or allowed
         available = [
-            server for server in healthy or fallback if self._has_capacity(service, server)
+            server
+            for server in healthy or fallback
+            if self._has_capacity(service, server, slot_fraction)
         ]
         return min(
             available, key=lambda server: self._placement_cost(service, server), default=None
@@ -128,8 +132,11 @@
             and group.is_open(self.server_registry)
         ]
 
-    def _has_capacity(self, service: table.Service, server: servers.Server) -> bool:
-        if self.load_tracker.estimate(server.server_id) >= _slots(service, server):
+    def _has_capacity(
+        self, service: table.Service, server: servers.Server, slot_fraction: float
+    ) -> bool:
+        usable_slots = max(1, int(slot_fraction * _slots(service, server)))
+        if self.load_tracker.estimate(server.server_id) >= usable_slots:
             return False
         if server.cold_until_s > trio.current_time():
             return self.cold_budget.may_send(server, service.cold_requests_per_s)
