Spare the retry budget where no connection was opened

The budget bounds what reaches the servers a second time; a refused connection reaches none. Change: up to three servers a call that accept no connection cost no retry; more do. Tests: with half of the servers down and no budget all calls are answered (refused before), with all down a call is refused at once.

--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -125,6 +125,7 @@
     :ivar cut_after: number of events after which the connection breaks; None for never
     :ivar stall_after: number of events after which the stream stalls; None for never
     :ivar is_refusing: whether it responds that it has not run the call
+    :ivar is_down: whether it accepts no connections
     :ivar is_answer_lost: whether it runs the call and then breaks the connection
     """
 
@@ -135,6 +136,7 @@
     cut_after: int | None = None
     stall_after: int | None = None
     is_refusing: bool = False
+    is_down: bool = False
     is_answer_lost: bool = False
 
 
@@ -165,6 +167,8 @@
         self.received_calls.append((trio.current_time(), name, forwarded))
         self.active_calls[name] += 1
         try:
+            if behaviour.is_down:
+                raise calls.NotRunError(f"{name}: cannot connect", is_gone=True, was_sent=False)
             if behaviour.is_refusing:
                 await trio.sleep(0.001)
                 raise calls.NotRunError(f"{name}: no free slot; the call was not run")
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -157,6 +157,31 @@
                 await scene.send(gateways.new_call("/lookups/1", body=str(number).encode()))
         self.assertLessEqual(len(scene.server_client.executed_calls), 50 + 0.7 * (0.2 * 50 + 10))
 
+    @clocked.on_test_clock
+    async def test_failed_connections_use_no_shared_retries(self):
+        """Guards against callers that are refused because a zone's servers restart together."""
+        scene = gateways.GatewayFixture(gateways.new_servers(6), retry_slack=0.0)
+        for name in ("b0", "b1", "b2"):
+            scene.server_client.behaviours[name].is_down = True
+        replies = []
+        async with scene.running():
+            for number in range(20):
+                call = gateways.new_call("/lookups/1", body=str(number).encode())
+                replies.append((await scene.send(call))[0])
+        self.assertEqual({200}, {reply.status for reply in replies})
+
+    @clocked.on_test_clock
+    async def test_a_call_gives_up_after_a_few_failed_connections(self):
+        """Guards against a call that tries dead servers until its deadline."""
+        scene = gateways.GatewayFixture(gateways.new_servers(6), retry_slack=0.0)
+        for name in scene.registered_servers:
+            scene.server_client.behaviours[name].is_down = True
+        async with scene.running():
+            began_s = trio.current_time()
+            _, error = await scene.send(gateways.new_call("/lookups/1"))
+        self.assertIs(calls.RefusalReason.NO_SERVER, error.reason)
+        self.assertLess(trio.current_time() - began_s, 0.1)
+
     @clocked.on_test_clock
     async def test_failing_server_gets_fewer_requests(self):
         scene = gateways.GatewayFixture()
--- a/toucanhold/gateway/attempt.py
+++ b/toucanhold/gateway/attempt.py
@@ -36,6 +36,7 @@
     :ivar attempt_count: number of attempts in which a server may have started to run the call
     :ivar extra_attempts: attempts allowed beyond the route's limit, at most one; granted to a
         started stream if a server failed before it sent any event of it
+    :ivar failed_connects: number of servers to which no connection could be opened
     :ivar has_response_started: whether the start of a response was sent to the caller
     :ivar last_event_id: ID of the last event that the caller has received; None before the first
     """
@@ -49,6 +50,7 @@
     server_id: str = ""
     attempt_count: int = 0
     extra_attempts: int = 0
+    failed_connects: int = 0
     has_response_started: bool = False
     last_event_id: int | None = attrs.field(init=False)
     _event_id_before_attempt: int | None = None
--- a/toucanhold/gateway/calls.py
+++ b/toucanhold/gateway/calls.py
@@ -55,12 +55,16 @@
     :ivar is_gone: whether no server, or a different one, listens at the server's address
     :ivar at_fault: ID of the group member that prevents the head from serving; empty if none was
         named
+    :ivar was_sent: whether any of the request was sent; false if no connection was opened
     """
 
-    def __init__(self, detail: str, is_gone: bool = False, at_fault: str = "") -> None:
+    def __init__(
+        self, detail: str, is_gone: bool = False, at_fault: str = "", was_sent: bool = True
+    ) -> None:
         super().__init__(detail)
         self.is_gone = is_gone
         self.at_fault = at_fault
+        self.was_sent = was_sent
 
 
 class ResponseLostError(ExchangeError):
--- a/toucanhold/gateway/gateway.py
+++ b/toucanhold/gateway/gateway.py
@@ -26,6 +26,9 @@
 MAX_WAIT_FRACTION = 0.3
 # Minimum time left for an attempt on another server to be worthwhile.
 MIN_REMAINING_S = 0.05
+# Servers per call that may refuse the connection without a retry of the shared budget: nothing
+# reached them. A whole zone that restarts would otherwise use up the budget within a second.
+MAX_FREE_CONNECTS = 3
 RETRY_AFTER_S = 1.0
 # An entry that starts has read the configuration within this time of its first request. A caller
 # that is sent away comes back too late for its objective.
@@ -233,6 +236,10 @@
                 return "the maximum number of attempts of the route is reached"
         if state.deadline_s - trio.current_time() < MIN_REMAINING_S:
             return "too little time remains before the deadline"
+        if isinstance(error, calls.NotRunError) and not error.was_sent:
+            state.failed_connects += 1
+            if state.failed_connects <= MAX_FREE_CONNECTS:
+                return ""
         if not self.retry_budget.try_acquire(state.service.name):
             return "the retry budget of the service is used up"
         return ""
--- a/toucanhold/platform/servers.py
+++ b/toucanhold/platform/servers.py
@@ -153,7 +153,8 @@
         is_gone = connection_errors.is_connection_refused(error) or isinstance(
             error, httpcore.ConnectTimeout
         )
-        raise calls.NotRunError(f"{address}: cannot connect: {error!r}", is_gone) from error
+        detail = f"{address}: cannot connect: {error!r}"
+        raise calls.NotRunError(detail, is_gone, was_sent=False) from error
     return httpcore.AsyncHTTP11Connection(origin, stream)
 
 
