Tell engines which requests are late and which streams were resumed

Until now no request carried an urgency. Change: a resumed stream, whose caller notices each pause, is the most urgent, a request that can be in time comes before one that is late already. A caller's own header is replaced. CALL_PLACED tells it.

The test of an interrupted stream ended its fault before the fault came and so interrupted nothing; it now ends it later, and also checks the second attempt.

--- a/tests/platform/test_platform_calls.py
+++ b/tests/platform/test_platform_calls.py
@@ -58,11 +58,22 @@
         self.assertEqual(b"payload", payload)
         self.assertEqual("b0", request_headers["x-target-instance"])
         self.assertEqual("m0", request_headers["x-model"])
+        self.assertEqual("5", request_headers["x-request-urgency"])
         self.assertNotIn("x-credential", request_headers)
         self.assertNotIn("x-tenant", request_headers)
         # The route's timeout is shorter than the caller's wait.
         self.assertLessEqual(int(request_headers["x-deadline-remaining-ms"]), 1200)
 
+    @with_server_and_entry
+    async def test_requests_that_are_late_already_are_less_urgent(self, scene, server_app, entry):
+        """Guards against callers back from an outage that make engines read their prompts first."""
+        late = [("x-deadline-remaining-ms", "700"), ("x-request-urgency", "0")]
+        late += [each for each in HEADERS if each[0] != "x-deadline-remaining-ms"]
+        await standins.send_request(entry, "POST", "/orders/1", late)
+        await standins.send_request(entry, "POST", "/orders/1", HEADERS)
+        urgencies = [each["x-request-urgency"] for _, each, _ in server_app.requests]
+        self.assertEqual(["8", "5"], urgencies)
+
     @with_server_and_entry
     async def test_error_of_a_server_keeps_its_status_and_signature(self, scene, server_app, entry):
         async def fail(request_headers, receive, send):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -206,9 +206,11 @@
         self.assertIsNone(error)
         self.assertEqual(list(range(1, 11)), reply.event_ids)
         self.assertTrue(reply.is_complete)
+        urgencies = [forwarded.urgency for _, _, forwarded in scene.server_client.received_calls]
+        self.assertEqual([calls.Urgency.IN_TIME, calls.Urgency.RESUMED], urgencies)
 
     async def _stop_interrupting(self, scene):
-        await trio.sleep(0.1)
+        await trio.sleep(0.25)
         for behaviour in scene.server_client.behaviours.values():
             behaviour.cut_after = None
 
--- a/toucanhold/gateway/attempt.py
+++ b/toucanhold/gateway/attempt.py
@@ -70,6 +70,14 @@
         allowed_s = QUEUE_TIME_FRACTION * self.route.objective_s - max(0.0, waited_before_s)
         return self.call.arrived_s + allowed_s
 
+    @property
+    def urgency(self) -> calls.Urgency:
+        """Urgency of an attempt that starts now."""
+        if self.has_response_started:
+            return calls.Urgency.RESUMED
+        is_late = trio.current_time() > self.latest_start_s
+        return calls.Urgency.LATE if is_late else calls.Urgency.IN_TIME
+
     @property
     def longest_pause_s(self) -> float:
         """Longest pause in seconds between events of a healthy server; 0 if unknown."""
@@ -124,6 +132,7 @@
         state.deadline_s - trio.current_time(),
         state.last_event_id,
         state.route.is_stream,
+        state.urgency,
     )
     _log_attempt(state, server, forwarded)
     state.record_attempt(server.server_id)
@@ -258,5 +267,6 @@
         epoch=membership.epoch if membership is not None else None,
         waited_s=round(trio.current_time() - state.call.arrived_s, 3),
         remaining_s=round(forwarded.remaining_s, 3),
+        urgency=forwarded.urgency.value,
         attempt=state.attempt_count + 1,
     )
--- a/toucanhold/gateway/calls.py
+++ b/toucanhold/gateway/calls.py
@@ -28,6 +28,18 @@
     BODY_TOO_LARGE = "the body is larger than allowed"
 
 
+class Urgency(enum.Enum):
+    """How urgently an engine should admit a call, relative to others that wait there.
+
+    ``RESUMED``: the caller has received a part of the response and notices each further pause.
+    ``IN_TIME``: the response can still meet its objective. ``LATE``: it cannot.
+    """
+
+    RESUMED = "resumed"
+    IN_TIME = "in time"
+    LATE = "late"
+
+
 class CallError(Exception):
     """Raised when a call is refused and no response from a backend server is forwarded.
 
@@ -121,6 +133,7 @@
     remaining_s: float
     last_event_id: int | None
     is_stream: bool
+    urgency: Urgency = Urgency.IN_TIME
 
 
 @attrs.frozen
--- a/toucanhold/platform/headers.py
+++ b/toucanhold/platform/headers.py
@@ -13,6 +13,8 @@
 API_KEY = b"x-credential"
 LAST_EVENT_ID = b"last-event-id"
 MODEL = b"x-model"
+# 0 is the most urgent; an engine admits requests without the header like those with 5.
+URGENCY = b"x-request-urgency"
 # Signature of an answer by the backend server.
 SIGNATURE = b"x-server-seal"
 NOT_RUN = b"x-not-executed"
@@ -44,6 +46,7 @@
         WORKSPACE,
         API_KEY,
         LAST_EVENT_ID,
+        URGENCY,
     )
 )
 
--- a/toucanhold/platform/servers.py
+++ b/toucanhold/platform/servers.py
@@ -26,6 +26,12 @@
 READ_BYTES = 64 * 1024
 REPORT_LIMIT_BYTES = 1024 * 1024
 
+URGENCY_VALUES = {
+    calls.Urgency.RESUMED: b"1",
+    calls.Urgency.IN_TIME: b"5",
+    calls.Urgency.LATE: b"8",
+}
+
 LOGGER = logging.getLogger(__name__)
 
 CONNECT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout)
@@ -178,6 +184,8 @@
     ]
     if call.body or call.method not in ("GET", "HEAD"):
         request_headers.append((b"content-length", str(len(call.body)).encode()))
+    if call.model:
+        request_headers.append((headers.URGENCY, URGENCY_VALUES[forwarded.urgency]))
     if forwarded.workspace:
         request_headers.append((headers.WORKSPACE, forwarded.workspace.encode()))
     if forwarded.last_event_id is not None:
