--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -1,10 +1,11 @@
 """Tests of what an entry does before it serves, for which callers wait after a restart of all."""
 
 import gc
-import subprocess
 import sys
 import unittest
 
+import trio
+
 from toucanhold import startup
 
 UNUSED_MODULES = ("cleo", "opentelemetry", "prometheus_client", "rapidfuzz")
@@ -14,10 +15,8 @@
     def test_entry_imports_no_libraries_that_it_may_never_use(self):
         """Guards against a slow start through an import that only some commands need."""
         code = "import sys, toucanhold.core, toucanhold.platform.running; print(*sys.modules)"
-        finished = subprocess.run(
-            [sys.executable, "-c", code], capture_output=True, check=True, text=True
-        )
-        packages = {name.partition(".")[0] for name in finished.stdout.split()}
+        finished = trio.run(_run_python, code)
+        packages = {name.partition(".")[0] for name in finished.stdout.decode().split()}
         self.assertIn("hypercorn", packages)
         self.assertEqual(set(), packages & set(UNUSED_MODULES))
 
@@ -27,3 +26,7 @@
             self.assertFalse(gc.isenabled())
         self.assertTrue(gc.isenabled())
         self.assertGreater(gc.get_freeze_count(), 0)
+
+
+async def _run_python(code):
+    return await trio.run_process([sys.executable, "-c", code], capture_stdout=True)
