Serve look-ups and readiness with a small server of their own

Cause: an entry answers two or three connections a second for addresses and readiness however few requests it serves, and each made 25 task switches in hypercorn's streams, queues and timers; of 69 entries some 55 do little else. Change: a server on h11 for applications that answer at once; callers' requests stay with hypercorn. An application's error ends its connection only.

--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -109,13 +109,15 @@
         ):
             nursery.start_soon(run)
         front_app = front.FrontApp(self.gateway, self.metrics, lambda: self.entry_list.is_stopping)
-        await self._serve(nursery, front_app, entry_settings.callers_address)
+        streams_server = serving.HypercornServer(IDLE_TIMEOUT_S)
+        await self._serve(nursery, streams_server, front_app, entry_settings.callers_address)
+        short_server = serving.ShortAnswerServer(IDLE_TIMEOUT_S)
         directory_app = directory.DirectoryApp(self.entry_list, self.rng)
-        await self._serve(nursery, directory_app, entry_settings.directory_address)
+        await self._serve(nursery, short_server, directory_app, entry_settings.directory_address)
         readiness_app = directory.ReadinessApp(self.is_ready, self.metrics)
-        await self._serve(nursery, readiness_app, entry_settings.readiness_address)
+        await self._serve(nursery, short_server, readiness_app, entry_settings.readiness_address)
         host = entry_settings.callers_address.rpartition(":")[0]
-        await self._serve(nursery, readiness_app, f"{host}:{METRICS_PORT}")
+        await self._serve(nursery, short_server, readiness_app, f"{host}:{METRICS_PORT}")
         events.log(
             LOGGER,
             events.Event.ENTRY_STARTED,
@@ -315,12 +317,15 @@
                 routes=sum(len(prefixes) for prefixes in routes.routes.values()),
             )
 
-    async def _serve(self, nursery: trio.Nursery, app, address: str) -> None:
+    async def _serve(
+        self, nursery: trio.Nursery, server: serving.HttpServer, app, address: str
+    ) -> None:
         self._running_http_servers += 1
-        await nursery.start(self._serve_until_stop, app, address)
+        await nursery.start(self._serve_until_stop, server, app, address)
 
-    async def _serve_until_stop(self, app, address: str, *, task_status) -> None:
-        server = serving.HypercornServer(IDLE_TIMEOUT_S)
+    async def _serve_until_stop(
+        self, server: serving.HttpServer, app, address: str, *, task_status
+    ) -> None:
         await server.serve(app, address, self._stop_http_servers, task_status=task_status)
         self._running_http_servers -= 1
         if not self._running_http_servers:
--- a/toucanhold/serving.py
+++ b/toucanhold/serving.py
@@ -2,11 +2,14 @@
 
 import abc
 import collections.abc
+import functools
 import logging
 import math
 import socket
+import urllib.parse
 
 import attrs
+import h11
 import hypercorn.config
 import hypercorn.trio
 import trio
@@ -14,6 +17,12 @@
 MAX_HEADER_BYTES = 32 * 1024
 LISTEN_BACKLOG = 512
 STALLED_CLIENT_TIMEOUT_S = 30
+# Time for answers in progress when a server stops.
+STOP_GRACE_S = 0.5
+READ_BYTES = 16 * 1024
+
+
+LOGGER = logging.getLogger(__name__)
 
 
 class ListenError(Exception):
@@ -83,6 +92,130 @@
         return config
 
 
+@attrs.frozen
+class ShortAnswerServer(HttpServer):
+    """Serves ASGI applications that answer short requests at once, over plain HTTP/1.1.
+
+    An entry is asked for addresses and for its readiness several times a second, however few
+    requests it serves. A connection costs less than a third of the task switches that hypercorn
+    needs for its streams, queues and timers.
+
+    :ivar idle_timeout_s: time after which an idle connection is closed, in seconds
+    """
+
+    idle_timeout_s: float
+
+    async def serve(
+        self,
+        app: collections.abc.Callable,
+        address: str,
+        stop: trio.Event,
+        *,
+        task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """See :class:`HttpServer`."""
+        listener = trio.SocketListener(trio.socket.from_stdlib_socket(_listen(address)))
+
+        async def handle(stream: trio.SocketStream) -> None:
+            async with stream:
+                await _ShortAnswerConnection(app, stream, self.idle_timeout_s).run()
+
+        async with trio.open_nursery() as connections:
+            async with trio.open_nursery() as accepting:
+                accepting.start_soon(
+                    functools.partial(
+                        trio.serve_listeners, handle, [listener], handler_nursery=connections
+                    )
+                )
+                task_status.started()
+                await stop.wait()
+                accepting.cancel_scope.cancel()
+            connections.cancel_scope.deadline = trio.current_time() + STOP_GRACE_S
+
+
+@attrs.define(eq=False)
+class _ShortAnswerConnection:
+    """One connection of a client.
+
+    :ivar app: ASGI application; its messages are collected and sent as one answer
+    """
+
+    app: collections.abc.Callable
+    stream: trio.SocketStream
+    idle_timeout_s: float
+    _parser: h11.Connection = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Build the parser."""
+        self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES)
+
+    async def run(self) -> None:
+        """Answer requests until either side closes the connection."""
+        try:
+            while (request := await self._read_request()) is not None:
+                await self.stream.send_all(await self._answer(*request))
+                if self._parser.our_state is not h11.DONE:
+                    return
+                self._parser.start_next_cycle()
+        except (trio.BrokenResourceError, h11.ProtocolError) as error:
+            LOGGER.debug("a connection ended: %r", error)
+        except Exception:
+            # An error of the application must not end the server and all other connections.
+            LOGGER.exception("a request was not answered")
+
+    async def _read_request(self) -> tuple[h11.Request, bytes] | None:
+        """Return a request and its body; None at the end of the connection."""
+        request: h11.Request | None = None
+        body = bytearray()
+        while True:
+            match self._parser.next_event():
+                case h11.NEED_DATA:
+                    with trio.move_on_after(self.idle_timeout_s) as scope:
+                        self._parser.receive_data(await self.stream.receive_some(READ_BYTES))
+                    if scope.cancelled_caught:
+                        return None
+                case h11.Request() as request:
+                    pass
+                case h11.Data() as data:
+                    body += data.data
+                    if len(body) > MAX_HEADER_BYTES:
+                        return None
+                case h11.EndOfMessage() if request is not None:
+                    return request, bytes(body)
+                case _:
+                    return None
+
+    async def _answer(self, request: h11.Request, body: bytes) -> bytes:
+        messages: list[dict] = []
+
+        async def receive() -> dict:
+            return {"type": "http.request", "body": body, "more_body": False}
+
+        async def send(message: dict) -> None:
+            messages.append(message)
+
+        await self.app(_scope(request), receive, send)
+        start = messages[0]
+        answer = self._parser.send(
+            h11.Response(status_code=start["status"], headers=start["headers"])
+        )
+        for message in messages[1:]:
+            answer += self._parser.send(h11.Data(data=message["body"]))
+        return answer + self._parser.send(h11.EndOfMessage())
+
+
+def _scope(request: h11.Request) -> dict:
+    raw_path, _, query_string = request.target.partition(b"?")
+    return {
+        "type": "http",
+        "method": request.method.decode("ascii"),
+        "path": urllib.parse.unquote(raw_path.decode("ascii")),
+        "raw_path": raw_path,
+        "query_string": query_string,
+        "headers": list(request.headers),
+    }
+
+
 def _listen(address: str) -> socket.socket:
     host, _, port = address.rpartition(":")
     host = host.strip("[]")
