Place requests that can be on time on full engines, before late ones

Each entry gives a free slot to a late request when it has no new one waiting at that moment, and of nine entries most have none. Change: a request that can be on time may exceed the slots of an engine by a quarter, where it is admitted before the late ones that wait there; late ones stay within the slots. Services without engines, which run requests as they come, get no more than before.

--- a/tests/test_returning_callers.py
+++ b/tests/test_returning_callers.py
@@ -5,13 +5,15 @@
 """
 
 import unittest
+from unittest import mock
 
 import attrs
 import trio
 
-from standins import gateways
+from standins import gateways, replicas
 from tests import clocked
-from toucanhold.gateway import calls
+from toucanhold.gateway import calls, targets
+from toucanhold.routes import table
 
 SERVER_COUNT = 3
 MAX_WAIT_S = 1.8
@@ -76,3 +78,48 @@
             self.assertEqual(0, outcomes.refused, (slots, run_s))
             self.assertEqual(SERVER_COUNT * slots, len(outcomes.late_waits_s))
             self.assertLess(max(outcomes.late_waits_s), 0.6 * MAX_WAIT_S)
+
+    @clocked.on_test_clock
+    async def test_full_engines_get_requests_that_they_can_still_start_in_time(self):
+        """Guards against new requests that wait while each free slot goes to a late one."""
+        engine = replicas.new_engine()
+        for slots in (4, 17, 34):
+            service = table.Service("desk", 10.0, attrs.evolve(engine, slots=slots))
+            placed = await count_placed(service, slots)
+            self.assertEqual({"late": slots, "new": slots // 4}, placed)
+
+    @clocked.on_test_clock
+    async def test_full_servers_without_engines_get_no_further_requests(self):
+        for slots in (4, 6):
+            placed = await count_placed(table.Service("desk", 10.0), slots)
+            self.assertEqual({"late": slots, "new": 0}, placed)
+
+
+async def count_placed(service, slots):
+    """Return how many late requests, and then new ones, are placed on one server at once."""
+    scene = gateways.GatewayFixture(gateways.new_servers(1, slots=slots))
+    candidates = list(scene.registered_servers.values())
+    placed = {}
+
+    async def request(name, latest_start_s):
+        with trio.move_on_after(0.8):
+            async with scene.gateway.admission.place(service, "", 1, 1.0, latest_start_s):
+                placed[name] += 1
+                await trio.sleep(10)
+
+    find = mock.patch.object(
+        targets.ServerSelector, "find_candidates", lambda *arguments: candidates
+    )
+    with find:
+        async with scene.running() as nursery:
+            for name, latest_start_s, sleep_s in (
+                # Longer than late requests are held back.
+                ("late", trio.current_time() - 1, 0.45),
+                ("new", float("inf"), 0.2),
+            ):
+                placed[name] = 0
+                for _ in range(2 * slots):
+                    nursery.start_soon(request, name, latest_start_s)
+                await trio.sleep(sleep_s)
+            nursery.cancel_scope.cancel()
+    return placed
--- a/toucanhold/gateway/admission.py
+++ b/toucanhold/gateway/admission.py
@@ -27,6 +27,11 @@
 # Capacity also appears without an event in this entry: requests of other entries finish, groups
 # form, servers warm up.
 DISPATCH_INTERVAL_S = 0.02
+# An engine whose slots are all in use admits the most urgent waiting request next, and frees a slot
+# about every twentieth of a request's run time. A request that can be on time waits less behind
+# late ones there than here, where other entries give each free slot to a late one. The fraction
+# bounds how many wait at an engine.
+URGENT_SLOT_FRACTION = 1.25
 # Fraction of a server's slots that late requests use while they are held back, and the fraction of
 # their maximum time in the queue for which they are.
 LATE_SLOT_FRACTION = 2 / 3
@@ -58,9 +63,11 @@
         """Return whether the response misses its objective."""
         return self.latest_start_s < now_s
 
-    def is_held(self, now_s: float) -> bool:
-        """Return whether it must leave a part of each server's slots free."""
-        return self.is_late(now_s) and now_s < self.held_until_s
+    def slot_fraction(self, now_s: float) -> float:
+        """Return the fraction of a server's slots up to which it may be placed there."""
+        if not self.is_late(now_s):
+            return _urgent_slot_fraction(self.service)
+        return LATE_SLOT_FRACTION if now_s < self.held_until_s else 1.0
 
 
 @attrs.define(eq=False)
@@ -91,7 +98,9 @@
             for server in self.server_selector.find_candidates(service, model)
             if server.server_id not in excluded
         ]
-        return self.server_selector.choose(service, candidates, frozenset()) is not None
+        slot_fraction = _urgent_slot_fraction(service)
+        chosen = self.server_selector.choose(service, candidates, frozenset(), slot_fraction)
+        return chosen is not None
 
     @contextlib.asynccontextmanager
     async def place(
@@ -138,17 +147,17 @@
         queued, self._queue = self._queue, []
         # By priority, then requests that can still be on time, then by arrival.
         queued.sort(key=lambda item: (item[0], item[-1].is_late(now_s), item[1]))
-        full_keys: set[tuple[str, str, bool]] = set()
+        full_fractions: dict[tuple[str, str], float] = {}
         for item in queued:
             waiter = item[-1]
             key = waiter.service.name, waiter.model
-            is_held = waiter.is_held(now_s)
+            slot_fraction = waiter.slot_fraction(now_s)
             server = None
-            if (*key, is_held) not in full_keys:
-                server = self._try_place(waiter, is_held)
+            # What is full for one request is full for those that may use no more of it.
+            if slot_fraction > full_fractions.get(key, 0.0):
+                server = self._try_place(waiter, slot_fraction)
             if server is None:
-                # What is full for a request that is not held back is full for the others, too.
-                full_keys |= {(*key, True), (*key, is_held)}
+                full_fractions[key] = max(slot_fraction, full_fractions.get(key, 0.0))
                 self._queue.append(item)
                 continue
             waiter.server = server
@@ -163,11 +172,10 @@
             for *_, other in self._queue
         ):
             return None
-        return self._try_place(waiter, waiter.is_held(now_s))
+        return self._try_place(waiter, waiter.slot_fraction(now_s))
 
-    def _try_place(self, waiter: _Waiter, is_held: bool) -> servers.Server | None:
+    def _try_place(self, waiter: _Waiter, slot_fraction: float) -> servers.Server | None:
         candidates = self.server_selector.find_candidates(waiter.service, waiter.model)
-        slot_fraction = LATE_SLOT_FRACTION if is_held else 1.0
         server = self.server_selector.choose(
             waiter.service, candidates, waiter.excluded, slot_fraction
         )
@@ -206,3 +214,8 @@
     def _new_refusal(self, reason: calls.RefusalReason) -> calls.CallError:
         jitter_s = self.server_selector.rng.uniform(0, RETRY_JITTER_S)
         return calls.CallError(reason, retry_after_s=RETRY_AFTER_S + jitter_s)
+
+
+def _urgent_slot_fraction(service: table.Service) -> float:
+    # Other services run requests in the order of their arrival.
+    return URGENT_SLOT_FRACTION if service.engine is not None else 1.0
