Wait longer for the first event where others are admitted first

Change: where all slots of a head were in use, or a request is late and others come first, its first event may take 1.5 s as long as no other stream there says more; reports of other entries are acted on as before. Requests wait up to 1 s for an entry's first configuration.

--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -12,12 +12,12 @@
 class SilenceTest(unittest.TestCase):
     """A group has streams at many entries, some of which have more evidence than others."""
 
-    async def _start_detector(self, nursery, longest_pause_s=0.0):
+    async def _start_detector(self, nursery, longest_pause_s=0.0, is_behind_others=False):
         self.health = health.Health()
         self.silent = []
         detector = silence.SilenceDetector(self.health, self.silent.append)
         nursery.start_soon(detector.run)
-        stream = silence.WatchedStream("s1", lambda: True, longest_pause_s)
+        stream = silence.WatchedStream("s1", lambda: True, longest_pause_s, is_behind_others)
         detector.add(stream)
         await trio.sleep(0)
         return detector, stream
@@ -68,6 +68,18 @@
             self.assertEqual(["s1"], self.silent)
             nursery.cancel_scope.cancel()
 
+    @clocked.on_test_clock
+    async def test_a_request_behind_others_at_a_full_head_waits_for_its_first_event(self):
+        """Guards against moving requests from full heads to others, which fill up in turn."""
+        async with trio.open_nursery() as nursery:
+            detector, stream = await self._start_detector(nursery, is_behind_others=True)
+            await trio.sleep(1.4)
+            self.assertFalse(stream.scope.cancel_called)
+            detector.add(silence.WatchedStream("s1", lambda: True))
+            await trio.sleep(0.8)
+            self.assertTrue(stream.scope.cancel_called)
+            nursery.cancel_scope.cancel()
+
     @clocked.on_test_clock
     async def test_two_entries_do_not_confirm_each_others_false_positive(self):
         """Guards against a false positive that another entry accepts as confirmation."""
--- a/toucanhold/gateway/admission.py
+++ b/toucanhold/gateway/admission.py
@@ -102,6 +102,10 @@
         chosen = self.server_selector.choose(service, candidates, frozenset(), slot_fraction)
         return chosen is not None
 
+    def may_wait_at(self, service: table.Service, server: servers.Server) -> bool:
+        """Return whether a request may wait at a server because all its slots are in use."""
+        return not self.server_selector.has_free_slot(service, server)
+
     @contextlib.asynccontextmanager
     async def place(
         self,
--- a/toucanhold/gateway/attempt.py
+++ b/toucanhold/gateway/attempt.py
@@ -36,6 +36,7 @@
     :ivar attempt_count: number of attempts in which a server may have started to run the call
     :ivar extra_attempts: attempts allowed beyond the route's limit, at most one; granted to a
         started stream if a server failed before it sent any event of it
+    :ivar may_wait_at_server: whether all slots of the server were in use when the attempt started
     :ivar failed_connects: number of servers to which no connection could be opened
     :ivar has_response_started: whether the start of a response was sent to the caller
     :ivar last_event_id: ID of the last event that the caller has received; None before the first
@@ -50,6 +51,7 @@
     server_id: str = ""
     attempt_count: int = 0
     extra_attempts: int = 0
+    may_wait_at_server: bool = False
     failed_connects: int = 0
     has_response_started: bool = False
     last_event_id: int | None = attrs.field(init=False)
@@ -157,7 +159,10 @@
     server_health: health.Health,
     may_fail_over: collections.abc.Callable[[], bool],
 ) -> int:
-    stream = silence.WatchedStream(server.server_id, may_fail_over, state.longest_pause_s)
+    is_behind_others = state.may_wait_at_server or forwarded.urgency is calls.Urgency.LATE
+    stream = silence.WatchedStream(
+        server.server_id, may_fail_over, state.longest_pause_s, is_behind_others
+    )
     if state.route.may_repeat:
         silence_detector.add(stream)
     status = 0
--- a/toucanhold/gateway/gateway.py
+++ b/toucanhold/gateway/gateway.py
@@ -30,9 +30,9 @@
 # reached them. A whole zone that restarts would otherwise use up the budget within a second.
 MAX_FREE_CONNECTS = 3
 RETRY_AFTER_S = 1.0
-# An entry that starts has read the configuration within this time of its first request. A caller
-# that is sent away comes back too late for its objective.
-CONFIGURATION_WAIT_S = 0.3
+# A small entry that starts has read a large configuration within this time of its first request. A
+# caller that is sent away comes back later than that.
+CONFIGURATION_WAIT_S = 1.0
 # Retries of a request that crashes servers are harmful until the servers have finished their other
 # work.
 CRASHING_RETRY_AFTER_S = 30.0
@@ -166,6 +166,7 @@
                 frozenset(excluded),
             )
             async with placement as server:
+                state.may_wait_at_server = self.admission.may_wait_at(state.service, server)
                 may_fail_over = functools.partial(
                     self._may_fail_over, state, excluded | {server.server_id}
                 )
--- a/toucanhold/gateway/silence.py
+++ b/toucanhold/gateway/silence.py
@@ -31,8 +31,10 @@
 # Weight of the newest pause in the moving average, which covers about ten events, or half a second
 # of one stream.
 EWMA_WEIGHT = 0.1
-# Before its first event, a request may also be queued at the server.
+# Before its first event, a request may also be queued at the server: for longer if all slots are in
+# use, or if more urgent requests are admitted first. Callers wait for two seconds or more.
 FIRST_EVENT_SILENCE_S = 0.7
+QUEUED_FIRST_EVENT_SILENCE_S = 1.5
 # Silence that is sufficient after another entry has reported the server. With sixty entries, most
 # have at most one stream at a head, and it has not started yet.
 CONFIRMED_SILENCE_S = 0.15
@@ -66,6 +68,7 @@
     :ivar may_fail_over: returns whether another server could continue the stream now
     :ivar longest_pause_s: longest pause between two events of a healthy head that prefills long
         prompts between them; 0 if unknown
+    :ivar is_behind_others: whether the server may admit many other requests first
     :ivar scope: cancelled when the server is detected as silent
     :ivar has_started: whether the server has sent anything
     :ivar last_activity_s: trio clock time of the last data, or of the request before the first
@@ -74,6 +77,7 @@
     server_id: str
     may_fail_over: collections.abc.Callable[[], bool]
     longest_pause_s: float = 0.0
+    is_behind_others: bool = False
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     has_started: bool = False
     last_activity_s: float = attrs.field(factory=trio.current_time)
@@ -185,6 +189,8 @@
             return _confirmed_silence_limit_s(streams)
         if any(stream.has_started for stream in streams):
             return self._pause_estimates[server_id].silence_limit_s(_longest_pause_s(streams))
+        if all(stream.is_behind_others for stream in streams):
+            return QUEUED_FIRST_EVENT_SILENCE_S
         return FIRST_EVENT_SILENCE_S
 
     def _handle_silent_server(
--- a/toucanhold/gateway/targets.py
+++ b/toucanhold/gateway/targets.py
@@ -104,6 +104,10 @@
             available, key=lambda server: self._placement_cost(service, server), default=None
         )
 
+    def has_free_slot(self, service: table.Service, server: servers.Server) -> bool:
+        """Return whether the requests in flight at a server, with those of this entry, fit it."""
+        return self.load_tracker.estimate(server.server_id) <= _slots(service, server)
+
     def is_group_forming(self, service: table.Service, model: str) -> bool:
         """Return whether a group that serves the model exists or is being formed."""
         if service.engine is None:
