Hold back only what came late, within each entry's share

Change: only requests that were late on arrival are held back, and meanwhile an entry uses no more than its share of the slots that they may take, at least one.

--- a/tests/test_returning_callers.py
+++ b/tests/test_returning_callers.py
@@ -4,6 +4,7 @@
 at four tenths of what the servers can run.
 """
 
+import math
 import unittest
 from unittest import mock
 
@@ -88,6 +89,16 @@
             placed = await count_placed(service, slots)
             self.assertEqual({"late": slots, "new": slots // 4}, placed)
 
+    @clocked.on_test_clock
+    async def test_entries_that_just_started_leave_slots_to_each_other(self):
+        """Guards against heads that each of nine entries fills before it knows of the others."""
+        for slots, share in ((4, 0.1), (17, 0.1), (17, 0.3), (34, 0.2)):
+            engine = attrs.evolve(replicas.new_engine(), slots=slots)
+            service = table.Service("desk", 10.0, engine)
+            placed = await count_placed(service, slots, share, late_sleep_s=0.1)
+            limit = max(1, math.ceil(2 / 3 * slots * share))
+            self.assertEqual(limit, placed["late"], (slots, share))
+
     @clocked.on_test_clock
     async def test_full_servers_without_engines_get_no_further_requests(self):
         for slots in (4, 6):
@@ -95,10 +106,15 @@
             self.assertEqual({"late": slots, "new": 0}, placed)
 
 
-async def count_placed(service, slots):
-    """Return how many late requests, and then new ones, are placed on one server at once."""
+async def count_placed(service, slots, share=1.0, late_sleep_s=0.45):
+    """Return how many late requests, and then new ones, are placed on one server at once.
+
+    :param share: the entry's share of all callers
+    :param late_sleep_s: time for late requests; they are held back for 0.4 s
+    """
     scene = gateways.GatewayFixture(gateways.new_servers(1, slots=slots))
     candidates = list(scene.registered_servers.values())
+    scene.gateway.admission.server_selector.share = lambda: share
     placed = {}
 
     async def request(name, latest_start_s):
@@ -113,8 +129,7 @@
     with find:
         async with scene.running() as nursery:
             for name, latest_start_s, sleep_s in (
-                # Longer than late requests are held back.
-                ("late", trio.current_time() - 1, 0.45),
+                ("late", trio.current_time() - 1, late_sleep_s),
                 ("new", float("inf"), 0.2),
             ):
                 placed[name] = 0
--- a/toucanhold/gateway/admission.py
+++ b/toucanhold/gateway/admission.py
@@ -46,7 +46,7 @@
     """A queued request.
 
     :ivar latest_start_s: trio clock time after which the response misses its objective
-    :ivar held_until_s: trio clock time until which it is held back if it is late
+    :ivar held_until_s: trio clock time until which it is held back, because it was late on arrival
     :ivar excluded: IDs of servers to use only if there are no others
     :ivar assigned: set when ``server`` has been assigned
     """
@@ -125,7 +125,8 @@
         :raises calls.CallError: if no server has capacity within ``max_wait_s`` (NO_CAPACITY), or
             no server serves the model and no group of it is forming (NO_SERVER)
         """
-        held_until_s = trio.current_time() + LATE_HOLD_FRACTION * max_wait_s
+        now_s = trio.current_time()
+        held_until_s = now_s + LATE_HOLD_FRACTION * max_wait_s if latest_start_s < now_s else now_s
         waiter = _Waiter(service, model, latest_start_s, held_until_s, excluded)
         server = self._try_place_immediately(waiter)
         if server is None:
--- a/toucanhold/gateway/targets.py
+++ b/toucanhold/gateway/targets.py
@@ -4,6 +4,7 @@
 
 import collections
 import collections.abc
+import math
 import random
 
 import attrs
@@ -31,6 +32,7 @@
     :ivar cold_budget: limits requests to servers that have just started
     :ivar closed_zones: availability zones whose servers get no requests
     :ivar zone: this entry's availability zone
+    :ivar share: returns this entry's share of all callers, from 0 to 1
     :ivar placement_counts: number of requests placed, by whether the server is in another zone
     """
 
@@ -42,6 +44,7 @@
     closed_zones: collections.abc.Set[str]
     zone: str
     rng: random.Random
+    share: collections.abc.Callable[[], float] = lambda: 1.0
     placement_counts: collections.Counter[bool] = attrs.field(
         factory=collections.Counter, init=False
     )
@@ -82,7 +85,8 @@
 
         :param candidates: servers to choose from
         :param excluded: IDs of servers to use only if there are no others
-        :param slot_fraction: fraction of a server's slots that may be in use afterwards
+        :param slot_fraction: fraction of a server's slots that may be in use afterwards; below 1,
+            this entry also uses no more than its share of them
         """
         allowed = [
             server for server in candidates if server.server_id not in excluded
@@ -95,10 +99,13 @@
         ]
         if service.engine is None:
             fallback = fallback or allowed
+        # Entries that have just started do not know each other's requests yet, and each would fill
+        # all slots.
+        own_fraction = slot_fraction * self.share() if slot_fraction < 1.0 else math.inf
         available = [
             server
             for server in healthy or fallback
-            if self._has_capacity(service, server, slot_fraction)
+            if self._has_capacity(service, server, slot_fraction, own_fraction)
         ]
         return min(
             available, key=lambda server: self._placement_cost(service, server), default=None
@@ -137,10 +144,17 @@
         ]
 
     def _has_capacity(
-        self, service: table.Service, server: servers.Server, slot_fraction: float
+        self,
+        service: table.Service,
+        server: servers.Server,
+        slot_fraction: float,
+        own_fraction: float,
     ) -> bool:
-        usable_slots = max(1, int(slot_fraction * _slots(service, server)))
-        if self.load_tracker.estimate(server.server_id) >= usable_slots:
+        slots = _slots(service, server)
+        if self.load_tracker.estimate(server.server_id) >= max(1, int(slot_fraction * slots)):
+            return False
+        own_count = self.load_tracker.own_counts.get(server.server_id, 0)
+        if own_count and own_count >= own_fraction * slots:
             return False
         if server.cold_until_s > trio.current_time():
             return self.cold_budget.may_send(server, service.cold_requests_per_s)
