Let late requests use more of the slots the longer they wait

Change: what was late on arrival starts with two thirds of a server's slots and may use more the longer it has waited, all of them after three fifths of its longest wait.

--- a/toucanhold/gateway/admission.py
+++ b/toucanhold/gateway/admission.py
@@ -7,8 +7,8 @@
 
 After an outage, the callers that come back are late already and many. If they filled all slots at
 once, the requests that arrive next would wait for a slot and for the prompts read before their own,
-and be late as well. Late requests therefore leave a part of each server's slots free at first. None
-is refused for it: after a part of its time in the queue, a late request takes any slot.
+and be late as well. A request that was late on arrival therefore leaves a part of each server's
+slots free, the less the longer it has waited. None is refused for it: in the end it takes any slot.
 """
 
 from __future__ import annotations
@@ -32,10 +32,10 @@
 # late ones there than here, where other entries give each free slot to a late one. The fraction
 # bounds how many wait at an engine.
 URGENT_SLOT_FRACTION = 1.25
-# Fraction of a server's slots that late requests use while they are held back, and the fraction of
-# their maximum time in the queue for which they are.
+# Fraction of a server's slots that a request may use that was late on arrival. It grows to 1 over
+# this fraction of its maximum time in the queue.
 LATE_SLOT_FRACTION = 2 / 3
-LATE_HOLD_FRACTION = 0.4
+LATE_GROWTH_FRACTION = 0.6
 # Groups form again within about a second of a loss, so a retry after this delay finds capacity.
 RETRY_AFTER_S = 0.8
 RETRY_JITTER_S = 0.4
@@ -46,7 +46,8 @@
     """A queued request.
 
     :ivar latest_start_s: trio clock time after which the response misses its objective
-    :ivar held_until_s: trio clock time until which it is held back, because it was late on arrival
+    :ivar arrived_s: trio clock time at which it was queued
+    :ivar max_wait_s: maximum time in the queue
     :ivar excluded: IDs of servers to use only if there are no others
     :ivar assigned: set when ``server`` has been assigned
     """
@@ -54,7 +55,8 @@
     service: table.Service
     model: str
     latest_start_s: float
-    held_until_s: float
+    arrived_s: float
+    max_wait_s: float
     excluded: collections.abc.Set[str]
     assigned: trio.Event = attrs.field(factory=trio.Event)
     server: servers.Server | None = None
@@ -67,7 +69,10 @@
         """Return the fraction of a server's slots up to which it may be placed there."""
         if not self.is_late(now_s):
             return _urgent_slot_fraction(self.service)
-        return LATE_SLOT_FRACTION if now_s < self.held_until_s else 1.0
+        if self.latest_start_s >= self.arrived_s:
+            return 1.0
+        growth = (now_s - self.arrived_s) / (LATE_GROWTH_FRACTION * self.max_wait_s)
+        return min(1.0, LATE_SLOT_FRACTION + (1 - LATE_SLOT_FRACTION) * growth)
 
 
 @attrs.define(eq=False)
@@ -125,12 +130,11 @@
         :raises calls.CallError: if no server has capacity within ``max_wait_s`` (NO_CAPACITY), or
             no server serves the model and no group of it is forming (NO_SERVER)
         """
-        now_s = trio.current_time()
-        held_until_s = now_s + LATE_HOLD_FRACTION * max_wait_s if latest_start_s < now_s else now_s
-        waiter = _Waiter(service, model, latest_start_s, held_until_s, excluded)
+        arrived_s = trio.current_time()
+        waiter = _Waiter(service, model, latest_start_s, arrived_s, max_wait_s, excluded)
         server = self._try_place_immediately(waiter)
         if server is None:
-            server = await self._wait_in_queue(waiter, priority, max_wait_s)
+            server = await self._wait_in_queue(waiter, priority)
         try:
             yield server
         finally:
@@ -188,9 +192,7 @@
             self.server_selector.record_placement(server)
         return server
 
-    async def _wait_in_queue(
-        self, waiter: _Waiter, priority: int, max_wait_s: float
-    ) -> servers.Server:
+    async def _wait_in_queue(self, waiter: _Waiter, priority: int) -> servers.Server:
         service, model = waiter.service, waiter.model
         if not self.server_selector.find_candidates(
             service, model
@@ -200,7 +202,7 @@
         self._queue_filled.set()
         self._queue.append(item)
         try:
-            with trio.move_on_after(max_wait_s):
+            with trio.move_on_after(waiter.max_wait_s):
                 await waiter.assigned.wait()
         except trio.Cancelled:
             if waiter.server is not None:
