Apply an entry's share of slots only until it knows the others' requests

A late request whose entry has used its share of each head would wait although slots are free and known to be free; on small sites an entry's share is one request. The share now binds for a second after the first report of others, the time in which heads were filled beyond their slots. A test plays both.

--- a/tests/test_returning_callers.py
+++ b/tests/test_returning_callers.py
@@ -13,7 +13,7 @@
 
 from standins import gateways, replicas
 from tests import clocked
-from toucanhold.gateway import calls, targets
+from toucanhold.gateway import calls, load, targets
 from toucanhold.routes import table
 
 SERVER_COUNT = 3
@@ -98,6 +98,8 @@
             placed = await count_placed(service, slots, share, late_sleep_s=0.1)
             limit = max(1, math.ceil(2 / 3 * slots * share))
             self.assertEqual(limit, placed["late"], (slots, share))
+            settled = await count_placed(service, slots, share, late_sleep_s=0.1, is_settled=True)
+            self.assertGreaterEqual(settled["late"], int(2 / 3 * slots), (slots, share))
 
     @clocked.on_test_clock
     async def test_full_servers_without_engines_get_no_further_requests(self):
@@ -106,15 +108,19 @@
             self.assertEqual({"late": slots, "new": 0}, placed)
 
 
-async def count_placed(service, slots, share=1.0, late_sleep_s=0.65):
+async def count_placed(service, slots, share=1.0, late_sleep_s=0.65, is_settled=False):
     """Return how many late requests, and then new ones, are placed on one server at once.
 
     :param share: the entry's share of all callers
+    :param is_settled: whether the entry has known the requests of others for a while
     :param late_sleep_s: time for late requests; after 0.6 s they take any slot
     """
     scene = gateways.GatewayFixture(gateways.new_servers(1, slots=slots))
     candidates = list(scene.registered_servers.values())
     scene.gateway.admission.server_selector.share = lambda: share
+    if is_settled:
+        scene.loads.update_source("e2", {}, 60.0)
+        await trio.sleep(load.SETTLE_TIME_S)
     placed = {}
 
     async def request(name, latest_start_s):
--- a/toucanhold/gateway/load.py
+++ b/toucanhold/gateway/load.py
@@ -9,6 +9,9 @@
 import attrs
 import trio
 
+# Time after the first report of other entries in which reports may still be missing or outdated.
+SETTLE_TIME_S = 1.0
+
 # Requests in flight by server ID.
 Counts = collections.abc.Mapping[str, int]
 
@@ -35,6 +38,12 @@
     _sources: dict[str, _SourceCounts] = attrs.field(factory=dict, init=False)
     _other_counts: collections.Counter[str] = attrs.field(factory=collections.Counter, init=False)
     _next_expiry_s: float = attrs.field(default=math.inf, init=False)
+    _first_report_s: float = attrs.field(default=math.inf, init=False)
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether the requests of other entries have been known for a while."""
+        return trio.current_time() >= self._first_report_s + SETTLE_TIME_S
 
     def add(self, server_id: str) -> None:
         """Count a request of this entry that is sent to a server."""
@@ -55,7 +64,9 @@
             source reports to this entry
         """
         self.remove_source(source)
-        valid_until_s = trio.current_time() + valid_s
+        now_s = trio.current_time()
+        self._first_report_s = min(self._first_report_s, now_s)
+        valid_until_s = now_s + valid_s
         self._sources[source] = _SourceCounts(counts, valid_until_s, is_local)
         self._other_counts.update(counts)
         self._next_expiry_s = min(self._next_expiry_s, valid_until_s)
--- a/toucanhold/gateway/targets.py
+++ b/toucanhold/gateway/targets.py
@@ -85,8 +85,7 @@
 
         :param candidates: servers to choose from
         :param excluded: IDs of servers to use only if there are no others
-        :param slot_fraction: fraction of a server's slots that may be in use afterwards; below 1,
-            this entry also uses no more than its share of them
+        :param slot_fraction: fraction of a server's slots that may be in use afterwards
         """
         allowed = [
             server for server in candidates if server.server_id not in excluded
@@ -99,9 +98,11 @@
         ]
         if service.engine is None:
             fallback = fallback or allowed
-        # Entries that have just started do not know each other's requests yet, and each would fill
-        # all slots.
-        own_fraction = slot_fraction * self.share() if slot_fraction < 1.0 else math.inf
+        own_fraction = math.inf
+        if slot_fraction < 1.0 and not self.load_tracker.is_settled:
+            # Entries that have just started do not know each other's requests yet, and each would
+            # fill all slots.
+            own_fraction = slot_fraction * self.share()
         available = [
             server
             for server in healthy or fallback
