Report the first request in flight at once

Change: a request that finds nothing in flight wakes the report, and an entry that has not heard from others for a second yet reports as often as before.

--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -113,7 +113,7 @@
         async with trio.open_nursery() as nursery:
             for node in nodes:
                 nursery.start_soon(node.run)
-            await wait_until(lambda: idle.loads.estimate("s1"))
+            await wait_until(lambda: idle.loads.is_settled)
             counts_before = [node.exchange.sent_bytes.total() for node in (busy, idle)]
             await trio.sleep(1.5)
             counts = [node.exchange.sent_bytes.total() for node in (busy, idle)]
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -75,3 +75,17 @@
                 min(timeit.repeat(functools.partial(estimate_all, tracker), number=5))
             )
         self.assertLess(durations_s[1], 2 * durations_s[0])
+
+    @clocked.on_test_clock
+    async def test_the_first_request_in_flight_is_told_at_once(self):
+        """Guards against heads that others fill before an idle entry's next report."""
+        tracker = load.LoadTracker()
+        calls = []
+        tracker.on_busy = lambda: calls.append(tracker.local_counts())
+        for server_id in ("s1", "s1", "s2"):
+            tracker.add(server_id)
+        self.assertEqual(1, len(calls))
+        for server_id in ("s1", "s1", "s2"):
+            tracker.remove(server_id)
+        tracker.add("s2")
+        self.assertEqual(2, len(calls))
--- a/toucanhold/gateway/exchange.py
+++ b/toucanhold/gateway/exchange.py
@@ -62,7 +62,7 @@
     crash_tracker: crashes.CrashTracker
     on_silent: collections.abc.Callable[[str, str], None]
     rng: random.Random
-    _urgent_signal: notifier.Notifier = attrs.field(factory=notifier.Notifier, init=False)
+    _wake_signal: notifier.Notifier = attrs.field(factory=notifier.Notifier, init=False)
     _is_urgent: bool = attrs.field(default=False, init=False)
     _silence_reports: silence_reports.SilenceReports = attrs.field(
         factory=silence_reports.SilenceReports, init=False
@@ -81,6 +81,10 @@
         factory=collections.Counter, init=False
     )
 
+    def __attrs_post_init__(self) -> None:
+        """Report the first request in flight at once."""
+        self.load_tracker.on_busy = self._wake_signal.notify_all
+
     @property
     def digest_age_s(self) -> float:
         """Age of the newest digest in seconds; 0 if this entry is the active aggregator."""
@@ -144,7 +148,7 @@
     async def _send(self, socket: trio.socket.SocketType) -> None:
         while True:
             if not self._is_urgent:
-                await self._urgent_signal.wait(self._next_interval_s() * self.rng.uniform(0.9, 1.1))
+                await self._wake_signal.wait(self._next_interval_s() * self.rng.uniform(0.9, 1.1))
             is_urgent, self._is_urgent = self._is_urgent, False
             self._send_count += 1
             upstream = self.upstream()
@@ -159,8 +163,14 @@
                 await self._send_digests(socket)
 
     def _next_interval_s(self) -> float:
-        if self.is_active_aggregator or self.load_tracker.own_counts or self._has_reported_load:
+        if (
+            self.is_active_aggregator
+            or self.load_tracker.own_counts
+            or self._has_reported_load
+            or not self.load_tracker.is_settled
+        ):
             return self._interval_s
+        # The first request in flight ends the wait.
         return max(self._interval_s, IDLE_REPORT_INTERVAL_S)
 
     async def _send_summary(self, socket: trio.socket.SocketType, is_urgent: bool) -> None:
@@ -287,7 +297,7 @@
 
     def _request_urgent_send(self) -> None:
         self._is_urgent = True
-        self._urgent_signal.notify_all()
+        self._wake_signal.notify_all()
 
     def _warn_once(self, key: str, message: str) -> None:
         # Once per sender, so that a peer that repeats an invalid notice does not flood the log.
--- a/toucanhold/gateway/load.py
+++ b/toucanhold/gateway/load.py
@@ -32,9 +32,11 @@
     The cost of an estimate therefore does not depend on the number of entries.
 
     :ivar own_counts: this entry's requests in flight
+    :ivar on_busy: called when this entry gets a request and had none in flight
     """
 
     own_counts: collections.Counter[str] = attrs.field(factory=collections.Counter, init=False)
+    on_busy: collections.abc.Callable[[], None] = attrs.field(default=lambda: None, init=False)
     _sources: dict[str, _SourceCounts] = attrs.field(factory=dict, init=False)
     _other_counts: collections.Counter[str] = attrs.field(factory=collections.Counter, init=False)
     _next_expiry_s: float = attrs.field(default=math.inf, init=False)
@@ -47,6 +49,8 @@
 
     def add(self, server_id: str) -> None:
         """Count a request of this entry that is sent to a server."""
+        if not self.own_counts:
+            self.on_busy()
         self.own_counts[server_id] += 1
 
     def remove(self, server_id: str) -> None:
