--- a/toucanhold/gateway/admission.py
+++ b/toucanhold/gateway/admission.py
@@ -27,11 +27,6 @@
 # Capacity also appears without an event in this entry: requests of other entries finish, groups
 # form, servers warm up.
 DISPATCH_INTERVAL_S = 0.02
-# An engine whose slots are all in use admits the most urgent waiting request next, and frees a slot
-# about every twentieth of a request's run time. A request that can be on time waits less behind
-# late ones there than here, where other entries give each free slot to a late one. The fraction
-# bounds how many wait at an engine.
-URGENT_SLOT_FRACTION = 1.25
 # Fraction of a server's slots that a request may use that was late on arrival. It grows to 1 over
 # this fraction of its maximum time in the queue.
 LATE_SLOT_FRACTION = 2 / 3
@@ -67,8 +62,6 @@
 
     def slot_fraction(self, now_s: float) -> float:
         """Return the fraction of a server's slots up to which it may be placed there."""
-        if not self.is_late(now_s):
-            return _urgent_slot_fraction(self.service)
         if self.latest_start_s >= self.arrived_s:
             return 1.0
         growth = (now_s - self.arrived_s) / (LATE_GROWTH_FRACTION * self.max_wait_s)
@@ -103,9 +96,7 @@
             for server in self.server_selector.find_candidates(service, model)
             if server.server_id not in excluded
         ]
-        slot_fraction = _urgent_slot_fraction(service)
-        chosen = self.server_selector.choose(service, candidates, frozenset(), slot_fraction)
-        return chosen is not None
+        return self.server_selector.choose(service, candidates, frozenset()) is not None
 
     def may_wait_at(self, service: table.Service, server: servers.Server) -> bool:
         """Return whether a request may wait at a server because all its slots are in use."""
@@ -221,8 +212,3 @@
     def _new_refusal(self, reason: calls.RefusalReason) -> calls.CallError:
         jitter_s = self.server_selector.rng.uniform(0, RETRY_JITTER_S)
         return calls.CallError(reason, retry_after_s=RETRY_AFTER_S + jitter_s)
-
-
-def _urgent_slot_fraction(service: table.Service) -> float:
-    # Other services run requests in the order of their arrival.
-    return URGENT_SLOT_FRACTION if service.engine is not None else 1.0
