--- a/toucanhold/gateway/admission.py
+++ b/toucanhold/gateway/admission.py
@@ -4,11 +4,6 @@
 arrival. Under overload, a queue in arrival order makes every response late, because each request
 waits for those before it until it is late as well. This order spends the servers' time on responses
 that can still be on time; late requests get the remaining capacity.
-
-After an outage, the callers that come back are late already and many. If they filled all slots at
-once, the requests that arrive next would wait for a slot and for the prompts read before their own,
-and be late as well. A request that was late on arrival therefore leaves a part of each server's
-slots free, the less the longer it has waited. None is refused for it: in the end it takes any slot.
 """
 
 from __future__ import annotations
@@ -27,10 +22,6 @@
 # Capacity also appears without an event in this entry: requests of other entries finish, groups
 # form, servers warm up.
 DISPATCH_INTERVAL_S = 0.02
-# Fraction of a server's slots that a request may use that was late on arrival. It grows to 1 over
-# this fraction of its maximum time in the queue.
-LATE_SLOT_FRACTION = 2 / 3
-LATE_GROWTH_FRACTION = 0.6
 # Groups form again within about a second of a loss, so a retry after this delay finds capacity.
 RETRY_AFTER_S = 0.8
 RETRY_JITTER_S = 0.4
@@ -41,8 +32,6 @@
     """A queued request.
 
     :ivar latest_start_s: trio clock time after which the response misses its objective
-    :ivar arrived_s: trio clock time at which it was queued
-    :ivar max_wait_s: maximum time in the queue
     :ivar excluded: IDs of servers to use only if there are no others
     :ivar assigned: set when ``server`` has been assigned
     """
@@ -50,23 +39,10 @@
     service: table.Service
     model: str
     latest_start_s: float
-    arrived_s: float
-    max_wait_s: float
     excluded: collections.abc.Set[str]
     assigned: trio.Event = attrs.field(factory=trio.Event)
     server: servers.Server | None = None
 
-    def is_late(self, now_s: float) -> bool:
-        """Return whether the response misses its objective."""
-        return self.latest_start_s < now_s
-
-    def slot_fraction(self, now_s: float) -> float:
-        """Return the fraction of a server's slots up to which it may be placed there."""
-        if self.latest_start_s >= self.arrived_s:
-            return 1.0
-        growth = (now_s - self.arrived_s) / (LATE_GROWTH_FRACTION * self.max_wait_s)
-        return min(1.0, LATE_SLOT_FRACTION + (1 - LATE_SLOT_FRACTION) * growth)
-
 
 @attrs.define(eq=False)
 class Admission:
@@ -121,11 +97,11 @@
         :raises calls.CallError: if no server has capacity within ``max_wait_s`` (NO_CAPACITY), or
             no server serves the model and no group of it is forming (NO_SERVER)
         """
-        arrived_s = trio.current_time()
-        waiter = _Waiter(service, model, latest_start_s, arrived_s, max_wait_s, excluded)
-        server = self._try_place_immediately(waiter)
+        server = self._try_place_immediately(service, model, excluded)
         if server is None:
-            server = await self._wait_in_queue(waiter, priority)
+            server = await self._wait_in_queue(
+                service, model, priority, max_wait_s, latest_start_s, excluded
+            )
         try:
             yield server
         finally:
@@ -146,54 +122,59 @@
         now_s = trio.current_time()
         queued, self._queue = self._queue, []
         # By priority, then requests that can still be on time, then by arrival.
-        queued.sort(key=lambda item: (item[0], item[-1].is_late(now_s), item[1]))
-        full_fractions: dict[tuple[str, str], float] = {}
+        queued.sort(key=lambda item: (item[0], item[-1].latest_start_s < now_s, item[1]))
+        full_keys: set[tuple[str, str]] = set()
         for item in queued:
             waiter = item[-1]
             key = waiter.service.name, waiter.model
-            slot_fraction = waiter.slot_fraction(now_s)
             server = None
-            # What is full for one request is full for those that may use no more of it.
-            if slot_fraction > full_fractions.get(key, 0.0):
-                server = self._try_place(waiter, slot_fraction)
+            if key not in full_keys:
+                server = self._try_place(waiter.service, waiter.model, waiter.excluded)
             if server is None:
-                full_fractions[key] = max(slot_fraction, full_fractions.get(key, 0.0))
+                full_keys.add(key)
                 self._queue.append(item)
                 continue
             waiter.server = server
             waiter.assigned.set()
 
-    def _try_place_immediately(self, waiter: _Waiter) -> servers.Server | None:
-        now_s = trio.current_time()
-        is_late = waiter.is_late(now_s)
+    def _try_place_immediately(
+        self, service: table.Service, model: str, excluded: collections.abc.Set[str]
+    ) -> servers.Server | None:
         if any(
-            (other.service.name, other.model) == (waiter.service.name, waiter.model)
-            and (is_late or not other.is_late(now_s))
-            for *_, other in self._queue
+            waiter.service.name == service.name and waiter.model == model
+            for *_, waiter in self._queue
         ):
             return None
-        return self._try_place(waiter, waiter.slot_fraction(now_s))
+        return self._try_place(service, model, excluded)
 
-    def _try_place(self, waiter: _Waiter, slot_fraction: float) -> servers.Server | None:
-        candidates = self.server_selector.find_candidates(waiter.service, waiter.model)
-        server = self.server_selector.choose(
-            waiter.service, candidates, waiter.excluded, slot_fraction
-        )
+    def _try_place(
+        self, service: table.Service, model: str, excluded: collections.abc.Set[str]
+    ) -> servers.Server | None:
+        candidates = self.server_selector.find_candidates(service, model)
+        server = self.server_selector.choose(service, candidates, excluded)
         if server is not None:
             self.server_selector.record_placement(server)
         return server
 
-    async def _wait_in_queue(self, waiter: _Waiter, priority: int) -> servers.Server:
-        service, model = waiter.service, waiter.model
+    async def _wait_in_queue(
+        self,
+        service: table.Service,
+        model: str,
+        priority: int,
+        max_wait_s: float,
+        latest_start_s: float,
+        excluded: collections.abc.Set[str],
+    ) -> servers.Server:
         if not self.server_selector.find_candidates(
             service, model
         ) and not self._may_become_available(service, model):
             raise self._new_refusal(calls.RefusalReason.NO_SERVER)
+        waiter = _Waiter(service, model, latest_start_s, excluded)
         item = (priority, next(self._arrival_numbers), waiter)
         self._queue_filled.set()
         self._queue.append(item)
         try:
-            with trio.move_on_after(waiter.max_wait_s):
+            with trio.move_on_after(max_wait_s):
                 await waiter.assigned.wait()
         except trio.Cancelled:
             if waiter.server is not None:
--- a/toucanhold/gateway/attempt.py
+++ b/toucanhold/gateway/attempt.py
@@ -159,9 +159,8 @@
     server_health: health.Health,
     may_fail_over: collections.abc.Callable[[], bool],
 ) -> int:
-    is_behind_others = state.may_wait_at_server or forwarded.urgency is calls.Urgency.LATE
     stream = silence.WatchedStream(
-        server.server_id, may_fail_over, state.longest_pause_s, is_behind_others
+        server.server_id, may_fail_over, state.longest_pause_s, state.may_wait_at_server
     )
     if state.route.may_repeat:
         silence_detector.add(stream)
--- a/toucanhold/gateway/silence.py
+++ b/toucanhold/gateway/silence.py
@@ -31,8 +31,8 @@
 # Weight of the newest pause in the moving average, which covers about ten events, or half a second
 # of one stream.
 EWMA_WEIGHT = 0.1
-# Before its first event, a request may also be queued at the server: for longer if all slots are in
-# use, or if more urgent requests are admitted first. Callers wait for two seconds or more.
+# Before its first event, a request may also be queued at the server, for longer if all slots are in
+# use. Callers wait for two seconds or more.
 FIRST_EVENT_SILENCE_S = 0.7
 QUEUED_FIRST_EVENT_SILENCE_S = 1.5
 # Silence that is sufficient after another entry has reported the server. With sixty entries, most
--- a/toucanhold/gateway/targets.py
+++ b/toucanhold/gateway/targets.py
@@ -4,7 +4,6 @@
 
 import collections
 import collections.abc
-import math
 import random
 
 import attrs
@@ -32,7 +31,6 @@
     :ivar cold_budget: limits requests to servers that have just started
     :ivar closed_zones: availability zones whose servers get no requests
     :ivar zone: this entry's availability zone
-    :ivar share: returns this entry's share of all callers, from 0 to 1
     :ivar placement_counts: number of requests placed, by whether the server is in another zone
     """
 
@@ -44,7 +42,6 @@
     closed_zones: collections.abc.Set[str]
     zone: str
     rng: random.Random
-    share: collections.abc.Callable[[], float] = lambda: 1.0
     placement_counts: collections.Counter[bool] = attrs.field(
         factory=collections.Counter, init=False
     )
@@ -79,13 +76,11 @@
         service: table.Service,
         candidates: list[servers.Server],
         excluded: collections.abc.Set[str],
-        slot_fraction: float = 1.0,
     ) -> servers.Server | None:
         """Return the best server with capacity, or None.
 
         :param candidates: servers to choose from
         :param excluded: IDs of servers to use only if there are no others
-        :param slot_fraction: fraction of a server's slots that may be in use afterwards
         """
         allowed = [
             server for server in candidates if server.server_id not in excluded
@@ -98,15 +93,8 @@
         ]
         if service.engine is None:
             fallback = fallback or allowed
-        own_fraction = math.inf
-        if slot_fraction < 1.0 and not self.load_tracker.is_settled:
-            # Entries that have just started do not know each other's requests yet, and each would
-            # fill all slots.
-            own_fraction = slot_fraction * self.share()
         available = [
-            server
-            for server in healthy or fallback
-            if self._has_capacity(service, server, slot_fraction, own_fraction)
+            server for server in healthy or fallback if self._has_capacity(service, server)
         ]
         return min(
             available, key=lambda server: self._placement_cost(service, server), default=None
@@ -144,18 +132,8 @@
             and group.is_open(self.server_registry)
         ]
 
-    def _has_capacity(
-        self,
-        service: table.Service,
-        server: servers.Server,
-        slot_fraction: float,
-        own_fraction: float,
-    ) -> bool:
-        slots = _slots(service, server)
-        if self.load_tracker.estimate(server.server_id) >= max(1, int(slot_fraction * slots)):
-            return False
-        own_count = self.load_tracker.own_counts.get(server.server_id, 0)
-        if own_count and own_count >= own_fraction * slots:
+    def _has_capacity(self, service: table.Service, server: servers.Server) -> bool:
+        if self.load_tracker.estimate(server.server_id) >= _slots(service, server):
             return False
         if server.cold_until_s > trio.current_time():
             return self.cold_budget.may_send(server, service.cold_requests_per_s)
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -225,7 +225,6 @@
             self.closed_zones,
             self.settings.zone,
             self.rng,
-            self._traffic_share,
         )
         self.gateway = gateway.Gateway(
             self.routes,
