Log and count the limits that backend servers name

The output of the exceeded limits could not tell whether entries never read a limit or each kept to it alone: nothing was logged or counted. All answers, also those to orders and probes, are now read for limits in the adapter; naming and lifting are logged (6008, 6009) with what this entry placed there in 4 s, its use at most once a second (6010), and a gauge tells how many servers are limited. A value that cannot be read costs one line a server (6007). Placement is unchanged.

--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -18,6 +18,7 @@
     entries,
     gateway,
     health,
+    limits,
     load,
     silence,
     targets,
@@ -294,6 +295,7 @@
         self.routes.put(self.new_table(1, LOOKUPS, ORDERS, STREAMS))
         self.closed_zones: set[str] = set()
         self.loads = load.LoadTracker()
+        self.limit_table = limits.LimitTable()
         self.health = health.Health()
         self.crashes = crashes.CrashTracker()
         server_targets = targets.ServerSelector(
@@ -303,6 +305,7 @@
             self.health,
             budget.ColdBudget(1.5, 5, FixedEntryList(new_entry("e1"))),
             self.closed_zones,
+            self.limit_table,
             "zone-a",
             rng,
         )
--- /dev/null
+++ b/tests/platform/test_platform_signals.py
@@ -0,0 +1,35 @@
+"""Tests of the headers in which backend servers tell of themselves."""
+
+import unittest
+
+from toucanhold.platform import signals as platform_signals
+from toucanhold.registry import signals
+
+UNREADABLE = ("", " ", "nan", "inf", "-1", "1e3", "1_0", "1,5", "٣", "0x2", "9" * 400, "a\tb")
+
+
+class SignalTest(unittest.TestCase):
+    def setUp(self):
+        self.decoder = platform_signals.SignalDecoder()
+
+    def _decode(self, *lines):
+        return self.decoder.decode("s1", lines)
+
+    def test_a_limit_is_a_decimal_number(self):
+        for text, rate_per_s in (("1.1", 1.1), ("12", 12.0), (" 0.25 ", 0.25), ("0", 0.0)):
+            with self.subTest(text):
+                decoded = self._decode((b"Server-Limit", text.encode()))
+                self.assertEqual(signals.Signals(rate_per_s), decoded)
+
+    def test_an_answer_without_the_header_names_no_limit(self):
+        self.assertEqual(signals.Signals(), self._decode((b"content-type", b"text/plain")))
+
+    def test_an_unreadable_limit_costs_one_log_line(self):
+        """Guards against a garbled limit that fails requests, floods the log or counts as none."""
+        with self.assertLogs("toucanhold.platform.signals", "WARNING") as logged:
+            for text in UNREADABLE:
+                with self.subTest(text):
+                    decoded = self._decode((b"server-limit", text.encode()))
+                    self.assertEqual(signals.Signals(None, True), decoded)
+            self._decode((b"server-limit", b"\xff\xfe"))
+        self.assertEqual(1, len(logged.records))
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -10,7 +10,7 @@
 from tests import clocked
 from toucanhold import codec
 from toucanhold.coordination import keyvalue, mirror
-from toucanhold.gateway import budget, health, load, targets
+from toucanhold.gateway import budget, health, limits, load, targets
 from toucanhold.registry import registry, servers
 from toucanhold.replicas import records
 
@@ -45,6 +45,7 @@
             health.Health(),
             cold,
             self.closed_zones,
+            limits.LimitTable(),
             "zone-a",
             random.Random(1),
         )
--- a/toucanhold/gateway/targets.py
+++ b/toucanhold/gateway/targets.py
@@ -9,7 +9,7 @@
 import attrs
 import trio
 
-from toucanhold.gateway import budget, health, load
+from toucanhold.gateway import budget, health, limits, load
 from toucanhold.registry import registry, servers
 from toucanhold.replicas import records
 from toucanhold.routes import table
@@ -30,6 +30,7 @@
     :ivar group_table: groups of backend servers, whose heads serve models
     :ivar cold_budget: limits requests to servers that have just started
     :ivar closed_zones: availability zones whose servers get no requests
+    :ivar limit_table: limits that servers name
     :ivar zone: this entry's availability zone
     :ivar placement_counts: number of requests placed, by whether the server is in another zone
     """
@@ -40,6 +41,7 @@
     health: health.Health
     cold_budget: budget.ColdBudget
     closed_zones: collections.abc.Set[str]
+    limit_table: limits.LimitTable
     zone: str
     rng: random.Random
     placement_counts: collections.Counter[bool] = attrs.field(
@@ -53,6 +55,7 @@
     def record_placement(self, server: servers.Server) -> None:
         """Count a request that is placed on a server."""
         self.load_tracker.add(server.server_id)
+        self.limit_table.record_request(server)
         self.placement_counts[server.zone != self.zone] += 1
         if server.cold_until_s > trio.current_time():
             self.cold_budget.record_request(server.server_id)
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -22,6 +22,7 @@
     gateway,
     health,
     hierarchy,
+    limits,
     load,
     sharing,
     silence,
@@ -85,7 +86,8 @@
         self.closed_zones: set[str] = set()
         self.kv_mirror.add_listener(configuration.PREFIX, self._apply_operator_settings)
         self.entry_list = entries.EntryList(self._own_entry(), self.store, self.kv_mirror, self.rng)
-        self.server_client = servers.PlatformServerClient()
+        self.limit_table = limits.LimitTable()
+        self.server_client = servers.PlatformServerClient(self.limit_table)
         self._build_relay()
         self._build_planner()
         self._build_gateway()
@@ -223,6 +225,7 @@
             self.health,
             self.cold_budget,
             self.closed_zones,
+            self.limit_table,
             self.settings.zone,
             self.rng,
         )
--- a/toucanhold/platform/gauges.py
+++ b/toucanhold/platform/gauges.py
@@ -32,6 +32,9 @@
     def load_age() -> metrics.Observations:
         yield entry.exchange.digest_age_s, {}
 
+    def limited_servers() -> metrics.Observations:
+        yield entry.limit_table.limited_count(), {}
+
     entry.metrics.add_counter("toucanhold.store.calls", "{call}", "Calls to the store", store_calls)
     entry.metrics.add_counter(
         "toucanhold.notices.sent", "By", "Datagrams to other entries", notice_bytes
@@ -41,3 +44,6 @@
     )
     entry.metrics.add_gauge("toucanhold.requests.waiting", "{request}", "Waiting for room", waiting)
     entry.metrics.add_gauge("toucanhold.load.age", "s", "Age of the last load digest", load_age)
+    entry.metrics.add_gauge(
+        "toucanhold.servers.limited", "{server}", "Servers that name a limit", limited_servers
+    )
--- a/toucanhold/platform/headers.py
+++ b/toucanhold/platform/headers.py
@@ -20,6 +20,8 @@
 NOT_RUN = b"x-not-executed"
 # Identifier of the group member that prevents the head from serving.
 AT_FAULT = b"at-server"
+# Requests per second that a backend server takes from all entries together.
+RATE_LIMIT = b"server-limit"
 
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -55,10 +57,15 @@
 
 def find(lines: HeaderLines, name: bytes) -> str:
     """Return the first value of the header ``name`` (lower case), or an empty string."""
+    return find_optional(lines, name) or ""
+
+
+def find_optional(lines: HeaderLines, name: bytes) -> str | None:
+    """Return the first value of the header ``name`` (lower case), or None without the header."""
     for key, value in lines:
         if key.lower() == name:
             return value.decode("latin-1")
-    return ""
+    return None
 
 
 def headers_to_forward(lines: HeaderLines) -> tuple[tuple[bytes, bytes], ...]:
--- a/toucanhold/platform/servers.py
+++ b/toucanhold/platform/servers.py
@@ -15,7 +15,8 @@
 from toucanhold.backends import pacing
 from toucanhold.gateway import calls
 from toucanhold.platform import headers, registrations
-from toucanhold.registry import servers
+from toucanhold.platform import signals as platform_signals
+from toucanhold.registry import servers, signals
 from toucanhold.replicas import orders
 
 # A connection between zones takes some milliseconds. A lost first packet is retransmitted only
@@ -25,6 +26,7 @@
 CONTROL_TIMEOUT_S = 0.4
 READ_BYTES = 64 * 1024
 REPORT_LIMIT_BYTES = 1024 * 1024
+MISDIRECTED_STATUS = 421
 
 URGENCY_VALUES = {
     calls.Urgency.RESUMED: b"1",
@@ -45,8 +47,15 @@
     A reused connection may have been closed, may drop packets silently, or may still carry a late
     second answer, and an order that is lost on it cannot be repeated. A new connection costs a
     millisecond and a hundredth of the price of a request.
+
+    :ivar signal_observer: is told what servers say of themselves in any answer
     """
 
+    signal_observer: signals.SignalObserver
+    _signal_decoder: platform_signals.SignalDecoder = attrs.field(
+        factory=platform_signals.SignalDecoder, init=False
+    )
+
     @contextlib.asynccontextmanager
     async def exchange(
         self, server: servers.Server, forwarded: calls.ForwardedCall
@@ -54,9 +63,11 @@
         """See :class:`calls.ServerClient`."""
         connection = await _connect(server.address, min(CONNECT_TIMEOUT_S, forwarded.remaining_s))
         try:
+            sent_s = trio.current_time()
             with _translated_errors(server):
                 request = _request(server, forwarded)
                 response = await connection.handle_async_request(request)
+            self._observe_signals(server, response, sent_s)
             _check_refusal(server, response)
             _check_identity(forwarded.call, response)
             yield calls.Response(
@@ -124,19 +135,21 @@
             request_headers.append((b"content-type", b"application/json"))
         connection = await _connect(server.address, CONTROL_TIMEOUT_S)
         content = bytearray()
+        sent_s = trio.current_time()
         try:
             with _translated_errors(server), trio.fail_after(CONTROL_TIMEOUT_S):
                 request = httpcore.Request(
                     method, _url(server.address, target), headers=request_headers, content=body
                 )
                 response = await connection.handle_async_request(request)
+                self._observe_signals(server, response, sent_s)
                 async for chunk in response.aiter_stream():
                     content += chunk
                     if len(content) > REPORT_LIMIT_BYTES:
                         raise calls.ResponseLostError(
                             f"{server.server_id}: response exceeds {REPORT_LIMIT_BYTES} bytes"
                         )
-            if response.status == 421:
+            if response.status == MISDIRECTED_STATUS:
                 raise calls.NotRunError(
                     f"{server.server_id}: status 421: another server answered", is_gone=True
                 )
@@ -149,6 +162,14 @@
             with trio.CancelScope(shield=True):
                 await connection.aclose()
 
+    def _observe_signals(
+        self, server: servers.Server, response: httpcore.Response, sent_s: float
+    ) -> None:
+        # Another server that has taken over the address also answers 421.
+        if response.status != MISDIRECTED_STATUS:
+            observed = self._signal_decoder.decode(server.server_id, response.headers)
+            self.signal_observer.observe(server, observed, sent_s)
+
 
 async def _connect(address: str, timeout_s: float) -> httpcore.AsyncHTTP11Connection:
     host, _, port = address.rpartition(":")
@@ -197,7 +218,7 @@
 
 def _check_refusal(server: servers.Server, response: httpcore.Response) -> None:
     at_fault = headers.find(response.headers, headers.AT_FAULT)
-    if response.status == 421:
+    if response.status == MISDIRECTED_STATUS:
         raise calls.NotRunError(
             f"{server.server_id}: status 421: another server answered, or not the group's head",
             True,
--- /dev/null
+++ b/toucanhold/registry/signals.py
@@ -0,0 +1,34 @@
+"""Defines what backend servers say of themselves beside their answers."""
+
+from __future__ import annotations
+
+import abc
+
+import attrs
+
+from toucanhold.registry import servers
+
+
+@attrs.frozen
+class Signals:
+    """What one answer says of the server that sent it.
+
+    :ivar rate_limit_per_s: requests per second that the server takes from all entries together;
+        None if it names no limit
+    :ivar is_rate_limit_unreadable: whether it names a limit that cannot be read
+    """
+
+    rate_limit_per_s: float | None = None
+    is_rate_limit_unreadable: bool = False
+
+
+class SignalObserver(abc.ABC):
+    """Is told the signals of every answer, whatever was asked."""
+
+    @abc.abstractmethod
+    def observe(self, server: servers.Server, observed: Signals, sent_s: float) -> None:
+        """Process the signals of one answer.
+
+        :param server: the server that answered
+        :param sent_s: trio clock time at which the answered request was sent
+        """
