--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -16,6 +16,7 @@
     calls,
     crashes,
     entries,
+    exchange,
     gateway,
     health,
     limits,
@@ -23,7 +24,7 @@
     silence,
     targets,
 )
-from toucanhold.registry import servers
+from toucanhold.registry import servers, signals
 from toucanhold.routes import table
 
 HOST = "site.example"
@@ -128,6 +129,7 @@
     :ivar is_refusing: whether it responds that it has not run the call
     :ivar is_down: whether it accepts no connections
     :ivar is_answer_lost: whether it runs the call and then breaks the connection
+    :ivar signals: what it says of itself in each answer
     """
 
     status: int = 200
@@ -139,6 +141,7 @@
     is_refusing: bool = False
     is_down: bool = False
     is_answer_lost: bool = False
+    signals: signals.Signals = signals.Signals()
 
 
 @attrs.define(eq=False)
@@ -149,6 +152,7 @@
     :ivar executed_calls: calls run as (server name, call id)
     :ivar received_calls: calls received as (time on trio's clock, server name, call)
     :ivar active_calls: number of calls in progress by server name
+    :ivar signal_observer: is told what servers say of themselves
     """
 
     behaviours: dict[str, ServerBehaviour] = attrs.field(
@@ -157,6 +161,7 @@
     executed_calls: list[tuple[str, str]] = attrs.field(factory=list)
     received_calls: list[tuple[float, str, calls.ForwardedCall]] = attrs.field(factory=list)
     active_calls: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    signal_observer: signals.SignalObserver | None = None
 
     @contextlib.asynccontextmanager
     async def exchange(
@@ -165,6 +170,7 @@
         """See :class:`calls.ServerClient`."""
         name = server.server_id
         behaviour = self.behaviours[name]
+        sent_s = trio.current_time()
         self.received_calls.append((trio.current_time(), name, forwarded))
         self.active_calls[name] += 1
         try:
@@ -172,11 +178,13 @@
                 raise calls.NotRunError(f"{name}: cannot connect", is_gone=True, was_sent=False)
             if behaviour.is_refusing:
                 await trio.sleep(0.001)
+                self._send_signals(server, sent_s)
                 raise calls.NotRunError(f"{name}: no free slot; the call was not run")
             await trio.sleep(behaviour.response_delay_s)
             self.executed_calls.append((name, forwarded.call.call_id))
             if behaviour.is_answer_lost:
                 raise calls.ResponseLostError(f"{name}: connection lost", is_connection_lost=True)
+            self._send_signals(server, sent_s)
             chunks = self._stream_events(behaviour, forwarded)
             if not forwarded.is_stream or behaviour.status != 200:
                 chunks = self._single_chunk()
@@ -184,6 +192,11 @@
         finally:
             self.active_calls[name] -= 1
 
+    def _send_signals(self, server: servers.Server, sent_s: float) -> None:
+        if self.signal_observer is not None:
+            observed = self.behaviours[server.server_id].signals
+            self.signal_observer.observe(server, observed, sent_s)
+
     async def _single_chunk(self) -> collections.abc.AsyncIterator[bytes]:
         yield b"answer"
 
@@ -281,12 +294,14 @@
     :ivar registered_servers: registered servers by name
     :ivar retry_slack: number of retries permitted in excess of the retry ratio
     :ivar silent_servers: servers reported as silent, in order of the reports
+    :ivar entry: the entry that this gateway belongs to
     """
 
     registered_servers: dict[str, servers.Server] = attrs.field(factory=lambda: new_servers(3))
     server_client: MemoryServerClient = attrs.field(factory=MemoryServerClient)
     retry_slack: float = 100.0
     silent_servers: list[str] = attrs.field(factory=list)
+    entry: entries.Entry = attrs.field(factory=lambda: new_entry("e1"))
 
     def __attrs_post_init__(self) -> None:
         """Build the gateway and its dependencies."""
@@ -295,18 +310,23 @@
         self.routes.put(self.new_table(1, LOOKUPS, ORDERS, STREAMS))
         self.closed_zones: set[str] = set()
         self.loads = load.LoadTracker()
+        self.entry_list = FixedEntryList(self.entry)
         self.limit_table = limits.LimitTable()
+        self.server_client.signal_observer = self.limit_table
         self.health = health.Health()
         self.crashes = crashes.CrashTracker()
+        self.exchange = exchange.Exchange(
+            self.entry_list, self.loads, self.crashes, lambda server_id, entry: None, rng
+        )
         server_targets = targets.ServerSelector(
             FixedRegistry(self.registered_servers),
             EmptyGroupTable(),
             self.loads,
             self.health,
-            budget.ColdBudget(1.5, 5, FixedEntryList(new_entry("e1"))),
+            budget.ColdBudget(1.5, 5, self.entry_list),
             self.closed_zones,
             self.limit_table,
-            "zone-a",
+            self.entry.zone,
             rng,
         )
         self.gateway = gateway.Gateway(
