Keep the limits that backend servers name, all entries together

What callers saw: nothing yet; a server in need that asks to be spared gets its usual load and is lost with the requests on it.

Cause: placement knew what entries have in flight, not what servers say they take: no code read the limit. The class of fault: something that a server says of itself and that no decision takes up. Ruled out: retries and resumed streams (all placements in the incident were first attempts), entries that keep the limit each by itself (the rate did not change at any entry).

Change: limits are told to all entries with a version (gateway/limits.py), so that an old word never outlives a lifted limit. Orders and probes are counted. Where all servers of a model have limits, requests that would wait too long are refused at once.

--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -21,6 +21,7 @@
     health,
     limits,
     load,
+    rate_limiter,
     silence,
     targets,
 )
@@ -152,7 +153,7 @@
     :ivar executed_calls: calls run as (server name, call id)
     :ivar received_calls: calls received as (time on trio's clock, server name, call)
     :ivar active_calls: number of calls in progress by server name
-    :ivar signal_observer: is told what servers say of themselves
+    :ivar observer: is told what servers say of themselves
     """
 
     behaviours: dict[str, ServerBehaviour] = attrs.field(
@@ -161,7 +162,7 @@
     executed_calls: list[tuple[str, str]] = attrs.field(factory=list)
     received_calls: list[tuple[float, str, calls.ForwardedCall]] = attrs.field(factory=list)
     active_calls: collections.Counter[str] = attrs.field(factory=collections.Counter)
-    signal_observer: signals.SignalObserver | None = None
+    observer: signals.ServerObserver | None = None
 
     @contextlib.asynccontextmanager
     async def exchange(
@@ -193,9 +194,8 @@
             self.active_calls[name] -= 1
 
     def _send_signals(self, server: servers.Server, sent_s: float) -> None:
-        if self.signal_observer is not None:
-            observed = self.behaviours[server.server_id].signals
-            self.signal_observer.observe(server, observed, sent_s)
+        if self.observer is not None:
+            self.observer.observe(server, self.behaviours[server.server_id].signals, sent_s)
 
     async def _single_chunk(self) -> collections.abc.AsyncIterator[bytes]:
         yield b"answer"
@@ -312,11 +312,17 @@
         self.loads = load.LoadTracker()
         self.entry_list = FixedEntryList(self.entry)
         self.limit_table = limits.LimitTable()
-        self.server_client.signal_observer = self.limit_table
+        self.rate_limiter = rate_limiter.RateLimiter(self.limit_table, self.entry_list, rng)
+        self.server_client.observer = self.rate_limiter
         self.health = health.Health()
         self.crashes = crashes.CrashTracker()
         self.exchange = exchange.Exchange(
-            self.entry_list, self.loads, self.crashes, lambda server_id, entry: None, rng
+            self.entry_list,
+            self.loads,
+            self.rate_limiter,
+            self.crashes,
+            lambda server_id, entry: None,
+            rng,
         )
         server_targets = targets.ServerSelector(
             FixedRegistry(self.registered_servers),
@@ -325,7 +331,7 @@
             self.health,
             budget.ColdBudget(1.5, 5, self.entry_list),
             self.closed_zones,
-            self.limit_table,
+            self.rate_limiter,
             self.entry.zone,
             rng,
         )
--- a/tests/platform/test_platform_calls.py
+++ b/tests/platform/test_platform_calls.py
@@ -10,7 +10,7 @@
 from standins import gateways
 from tests.platform import standins
 from toucanhold import asgi, metrics
-from toucanhold.gateway import calls, limits
+from toucanhold.gateway import calls
 from toucanhold.platform import front, servers
 from toucanhold.replicas import orders
 
@@ -34,7 +34,7 @@
             async with standins.serve_app(server_app) as address:
                 server = attrs.evolve(gateways.new_servers(1)["b0"], address=address)
                 scene = gateways.GatewayFixture({"b0": server})
-                scene.gateway.server_client = servers.PlatformServerClient(scene.limit_table)
+                scene.gateway.server_client = servers.PlatformServerClient(scene.rate_limiter)
                 app = front.FrontApp(scene.gateway, metrics.Metrics("e"), lambda: False)
                 async with scene.running(), standins.serve_app(app) as entry:
                     with trio.fail_after(20):
@@ -177,7 +177,7 @@
 class OrderTest(unittest.TestCase):
     @with_server_and_entry
     async def test_orders_carry_the_expected_order_count(self, scene, server_app, entry):
-        client = servers.PlatformServerClient(limits.LimitTable())
+        client = servers.PlatformServerClient(gateways.GatewayFixture().rate_limiter)
         server = scene.registered_servers["b0"]
         join = orders.Join("g1", 5, "m0", ("b0", "b1"))
         self.assertIs(orders.OrderOutcome.BEGUN, await client.send(server, join, 0, 9))
@@ -196,7 +196,7 @@
         async def main():
             server = gateways.new_servers(1)["b0"]
             stopped_server = attrs.evolve(server, address=standins.free_address())
-            client = servers.PlatformServerClient(limits.LimitTable())
+            client = servers.PlatformServerClient(gateways.GatewayFixture().rate_limiter)
             outcome = await client.send(stopped_server, orders.Leave("g1", 1), 0, 1)
             self.assertIs(orders.OrderOutcome.UNREACHABLE, outcome)
             with self.assertRaises(calls.NotRunError) as caught:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -11,7 +11,17 @@
 from standins import gateways
 from tests import clocked
 from tests.platform import standins
-from toucanhold.gateway import crashes, entries, exchange, health, load, notices, silence
+from toucanhold.gateway import (
+    crashes,
+    entries,
+    exchange,
+    health,
+    limits,
+    load,
+    notices,
+    rate_limiter,
+    silence,
+)
 
 TIMEOUT_S = 5
 
@@ -34,7 +44,12 @@
         self.silent = []
         self.detector = silence.SilenceDetector(self.health, self.silent.append)
         self.exchange = exchange.Exchange(
-            self.entry_list, self.loads, self.crashes, self._on_silent, random.Random(1)
+            self.entry_list,
+            self.loads,
+            rate_limiter.RateLimiter(limits.LimitTable(), self.entry_list, random.Random(1)),
+            self.crashes,
+            self._on_silent,
+            random.Random(1),
         )
         self.scope = trio.CancelScope()
 
@@ -47,6 +62,10 @@
             await self.exchange.run()
 
 
+def new_limit(rate_per_s):
+    return {"server_id": "s1", "born_ms": 1, "version": 1, "rate_per_s": rate_per_s}
+
+
 def new_site(zones, entries_per_zone):
     """Return nodes that list each other; the first two of each zone are the largest."""
     nodes = [
@@ -191,6 +210,10 @@
                     valid | {"entry": "unknown", "in_flight": {"s1": 7}},
                     valid | {"boot": "replaced", "in_flight": {"s1": 7}},
                     valid | {"kind": "later"},
+                    valid | {"recent": {"sent/s1": -5}},
+                    valid | {"limits": [{"server_id": "s1", "born_ms": 1}]},
+                    valid | {"limits": [new_limit(float("nan"))]},
+                    valid | {"limits": [new_limit(-1.0)]},
                 ),
             ),
         ]
@@ -234,7 +257,9 @@
 
     def test_a_notice_with_thousands_of_servers_fits_a_datagram(self):
         counts = {f"i-{n:016x}": n % 7 for n in range(5000)}
-        notice = notices.Notice(notices.Kind.DIGEST, "e1", "b1", counts, {}, [])
+        recent = {f"sent/{name}": 9 for name in counts}
+        named = [limits.Limit(name, 1_700_000_000_000, 9, 1.1) for name in counts]
+        notice = notices.Notice(notices.Kind.DIGEST, "e1", "b1", counts, {}, [], recent, named)
         data = notices.encode(notice)
         self.assertLess(len(data), notices.DATAGRAM_LIMIT_BYTES)
         self.assertEqual({6}, set(notices.decode(data).in_flight.values()) & {6})
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -118,6 +118,35 @@
         """Guards against limits that hold only at sites of few entries."""
         self._check_limit(Site(60))
 
+    def test_a_limit_is_used_though_one_entry_gets_all_requests(self):
+        """Guards against parts of a limit that lie idle at entries without callers."""
+        site = Site(7, server_count=1)
+        named_s = self._run(site, 3.0, ["b0"], 30, site.scenes[:1])
+        used = [time_s for time_s in site.arrivals("b0") if time_s >= named_s + NOTICE_S]
+        self.assertGreaterEqual(len(used), 0.8 * 3.0 * (AFTER_S - NOTICE_S))
+        self.assertLessEqual(largest_excess(site.arrivals("b0"), 3.0, named_s + NOTICE_S), 0)
+
+    def test_requests_go_to_servers_without_a_limit(self):
+        """Guards against callers that wait for a limited server while others have room."""
+        site = Site(7)
+        self._run(site, 1.5, ["b0"], 40)
+        answered = sum(len(scene.server_client.executed_calls) for scene in site.scenes)
+        self.assertEqual(int(40 * BEFORE_S) + int(40 * AFTER_S), answered)
+
+    def test_a_lifted_limit_no_longer_binds_any_entry(self):
+        """Guards against a server that stays nearly idle after it has recovered."""
+        site = Site(7)
+
+        async def script():
+            site.limit(1.5, "b0")
+            await site.send(40, 4.0)
+            site.limit(None, "b0")
+            await site.send(40, 6.0)
+
+        trio.run(site.run, script)
+        tables = [scene.limit_table for scene in site.scenes]
+        self.assertEqual([0] * 7, [len(table.limited()) for table in tables])
+
     def _check_limit(self, site):
         named_s = self._run(site, 1.5, ["b0"], 40)
         excess = largest_excess(site.arrivals("b0"), 1.5, named_s + NOTICE_S)
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -10,7 +10,7 @@
 from tests import clocked
 from toucanhold import codec
 from toucanhold.coordination import keyvalue, mirror
-from toucanhold.gateway import budget, health, limits, load, targets
+from toucanhold.gateway import budget, health, limits, load, rate_limiter, targets
 from toucanhold.registry import registry, servers
 from toucanhold.replicas import records
 
@@ -37,7 +37,8 @@
         )
         self.group_table = records.GroupTable(self.kv_mirror)
         self.closed_zones = set()
-        cold = budget.ColdBudget(1.5, 5, gateways.FixedEntryList(gateways.new_entry("e1")))
+        entry_list = gateways.FixedEntryList(gateways.new_entry("e1"))
+        cold = budget.ColdBudget(1.5, 5, entry_list)
         self.server_selector = targets.ServerSelector(
             server_registry,
             self.group_table,
@@ -45,7 +46,7 @@
             health.Health(),
             cold,
             self.closed_zones,
-            limits.LimitTable(),
+            rate_limiter.RateLimiter(limits.LimitTable(), entry_list, random.Random(1)),
             "zone-a",
             random.Random(1),
         )
--- a/toucanhold/gateway/admission.py
+++ b/toucanhold/gateway/admission.py
@@ -11,6 +11,7 @@
 import collections.abc
 import contextlib
 import itertools
+import math
 
 import attrs
 import trio
@@ -25,6 +26,8 @@
 # Groups form again within about a second of a loss, so a retry after this delay finds capacity.
 RETRY_AFTER_S = 0.8
 RETRY_JITTER_S = 0.4
+# Limits of servers change sooner than a longer expected wait would end.
+MAX_RETRY_AFTER_S = 5.0
 
 
 @attrs.define(eq=False, order=False)
@@ -97,6 +100,7 @@
         :raises calls.CallError: if no server has capacity within ``max_wait_s`` (NO_CAPACITY), or
             no server serves the model and no group of it is forming (NO_SERVER)
         """
+        self.server_selector.rate_limiter.record_demand(service, model)
         server = self._try_place_immediately(service, model, excluded)
         if server is None:
             server = await self._wait_in_queue(
@@ -169,6 +173,9 @@
             service, model
         ) and not self._may_become_available(service, model):
             raise self._new_refusal(calls.RefusalReason.NO_SERVER)
+        expected_wait_s = self._limited_wait_s(service, model, priority)
+        if expected_wait_s > max_wait_s:
+            raise self._new_refusal(calls.RefusalReason.NO_CAPACITY, expected_wait_s)
         waiter = _Waiter(service, model, latest_start_s, excluded)
         item = (priority, next(self._arrival_numbers), waiter)
         self._queue_filled.set()
@@ -190,6 +197,22 @@
     def _may_become_available(self, service: table.Service, model: str) -> bool:
         return service.engine is None or self.server_selector.is_group_forming(service, model)
 
-    def _new_refusal(self, reason: calls.RefusalReason) -> calls.CallError:
+    def _limited_wait_s(self, service: table.Service, model: str, priority: int) -> float:
+        """Return how long a request waits where all servers limit their requests; 0 elsewhere."""
+        ahead = sum(
+            (waiter.service.name, waiter.model) == (service.name, model) and rank <= priority
+            for rank, _, waiter in self._queue
+        )
+        candidates = self.server_selector.find_candidates(service, model)
+        limiter = self.server_selector.rate_limiter
+        rate_per_s = sum(limiter.sustained_rate_per_s(server) for server in candidates)
+        if not candidates or rate_per_s == math.inf:
+            return 0.0
+        return ahead / rate_per_s if rate_per_s else math.inf
+
+    def _new_refusal(
+        self, reason: calls.RefusalReason, expected_wait_s: float = 0.0
+    ) -> calls.CallError:
         jitter_s = self.server_selector.rng.uniform(0, RETRY_JITTER_S)
-        return calls.CallError(reason, retry_after_s=RETRY_AFTER_S + jitter_s)
+        delay_s = min(MAX_RETRY_AFTER_S, max(RETRY_AFTER_S, expected_wait_s))
+        return calls.CallError(reason, retry_after_s=delay_s + jitter_s)
--- a/toucanhold/gateway/exchange.py
+++ b/toucanhold/gateway/exchange.py
@@ -1,4 +1,4 @@
-"""Exchanges load, silent servers and crash counts between entries by UDP.
+"""Exchanges load, silent servers, rate limits and crash counts between entries by UDP.
 
 Each entry reports to an aggregator in its availability zone and receives a digest of all other
 entries in return. Aggregators send summaries of their zones to each other. The number of datagrams
@@ -21,7 +21,15 @@
 import trio
 
 from toucanhold import notifier
-from toucanhold.gateway import crashes, entries, hierarchy, load, notices, silence_reports
+from toucanhold.gateway import (
+    crashes,
+    entries,
+    hierarchy,
+    load,
+    notices,
+    rate_limiter,
+    silence_reports,
+)
 
 REPORT_INTERVAL_S = 0.1
 # Summaries alternate between the two aggregators of each other zone.
@@ -38,8 +46,9 @@
 # Reported counts expire after this time, because an entry that died has no requests in flight.
 REPORT_VALIDITY_S = 1.0
 MAX_CRASH_COUNTS = 16
-# One notice in this many also repeats older crash counts, for entries that have restarted.
-FULL_CRASHES_EVERY_NOTICES = 10
+# One notice in this many also repeats older crash counts and limits, for entries that have
+# restarted.
+FULL_NOTICE_EVERY = 10
 RECENT_CRASH_MAX_AGE_S = 3.0
 MAX_WARNED_SENDERS = 1000
 UPSTREAM_SOURCE = "upstream"
@@ -59,6 +68,7 @@
 
     entry_list: entries.EntryList
     load_tracker: load.LoadTracker
+    rate_limiter: rate_limiter.RateLimiter
     crash_tracker: crashes.CrashTracker
     on_silent: collections.abc.Callable[[str, str], None]
     rng: random.Random
@@ -155,7 +165,8 @@
             if upstream:
                 counts = self.load_tracker.local_counts()
                 self._has_reported_load = bool(counts)
-                report = self._encode_notice(notices.Kind.REPORT, counts, is_upward=True)
+                recent = self.rate_limiter.counts.local(self.rate_limiter.own_counts())
+                report = self._encode_notice(notices.Kind.REPORT, counts, recent, is_upward=True)
                 await self._send_to(socket, notices.Kind.REPORT, report, upstream)
             if self.is_active_aggregator:
                 await self._send_summary(socket, is_urgent)
@@ -184,9 +195,9 @@
             if zone != self.entry_list.own.zone:
                 receivers += ranked if is_urgent else [ranked[self._summary_count % len(ranked)]]
         if receivers:
-            summary = self._encode_notice(
-                notices.Kind.SUMMARY, self.load_tracker.local_counts(), is_upward=True
-            )
+            counts = self.load_tracker.local_counts()
+            recent = self.rate_limiter.counts.local(self.rate_limiter.own_counts())
+            summary = self._encode_notice(notices.Kind.SUMMARY, counts, recent, is_upward=True)
             await self._send_to(socket, notices.Kind.SUMMARY, summary, receivers)
 
     async def _send_digests(self, socket: trio.socket.SocketType) -> None:
@@ -200,17 +211,26 @@
 
     async def _send_digest(self, socket: trio.socket.SocketType, receiver: entries.Entry) -> None:
         counts = self.load_tracker.counts_without(receiver.entry)
-        digest = self._encode_notice(notices.Kind.DIGEST, counts, is_upward=False)
+        recent = self.rate_limiter.counts.without(receiver.entry, self.rate_limiter.own_counts())
+        digest = self._encode_notice(notices.Kind.DIGEST, counts, recent, is_upward=False)
         await self._send_to(socket, notices.Kind.DIGEST, digest, [receiver])
 
-    def _encode_notice(self, kind: notices.Kind, counts: dict[str, int], is_upward: bool) -> bytes:
+    def _encode_notice(
+        self,
+        kind: notices.Kind,
+        counts: dict[str, int],
+        recent: dict[str, int],
+        is_upward: bool,
+    ) -> bytes:
         """Return a notice as a datagram.
 
+        :param counts: requests in flight by server ID
+        :param recent: counts of the rate limiter
         :param is_upward: whether to include only the silent servers that this entry or one that
             reports to it detected
         """
         own = self.entry_list.own
-        is_full = self._send_count % FULL_CRASHES_EVERY_NOTICES == 0
+        is_full = self._send_count % FULL_NOTICE_EVERY == 0
         max_age_s = crashes.RETENTION_S if is_full else RECENT_CRASH_MAX_AGE_S
         return notices.encode(
             notices.Notice(
@@ -220,6 +240,8 @@
                 counts,
                 self._silence_reports.local() if is_upward else self._silence_reports.all(),
                 self.crash_tracker.recent_counts(MAX_CRASH_COUNTS, max_age_s),
+                recent,
+                self.rate_limiter.limit_table.to_tell(is_full),
             )
         )
 
@@ -251,13 +273,13 @@
             return None
         for fingerprint, count in notice.crashes:
             self.crash_tracker.merge(fingerprint, count)
+        for limit in notice.limits:
+            self.rate_limiter.limit_table.merge(limit, sender.entry)
         self._handle_silence_reports(notice)
         match notice.kind:
             case notices.Kind.REPORT:
                 self._last_report_s[sender.entry] = trio.current_time()
-                self.load_tracker.update_source(
-                    sender.entry, notice.in_flight, REPORT_VALIDITY_S, is_local=True
-                )
+                self._update_source(sender.entry, notice, is_local=True)
                 return sender
             case notices.Kind.DIGEST:
                 self._handle_digest(sender, notice, len(data))
@@ -273,19 +295,25 @@
             return
         interval_s = size_bytes / MAX_CONTROL_BYTES_PER_S
         self._interval_s = min(MAX_REPORT_INTERVAL_S, max(REPORT_INTERVAL_S, interval_s))
-        self.load_tracker.update_source(UPSTREAM_SOURCE, notice.in_flight, REPORT_VALIDITY_S)
+        self._update_source(UPSTREAM_SOURCE, notice)
 
     def _handle_summary(self, sender: entries.Entry, notice: notices.Notice) -> None:
         if sender.zone == self.entry_list.own.zone:
             return
         if self.is_active_aggregator:
-            self.load_tracker.remove_source(UPSTREAM_SOURCE)
-            self.load_tracker.update_source(
-                f"zone {sender.zone}", notice.in_flight, REPORT_VALIDITY_S
-            )
+            self._remove_source(UPSTREAM_SOURCE)
+            self._update_source(f"zone {sender.zone}", notice)
         else:
             # The aggregator's digest includes the other zones.
-            self.load_tracker.remove_source(f"zone {sender.zone}")
+            self._remove_source(f"zone {sender.zone}")
+
+    def _update_source(self, source: str, notice: notices.Notice, is_local: bool = False) -> None:
+        self.load_tracker.update_source(source, notice.in_flight, REPORT_VALIDITY_S, is_local)
+        self.rate_limiter.counts.update_source(source, notice.recent, REPORT_VALIDITY_S, is_local)
+
+    def _remove_source(self, source: str) -> None:
+        self.load_tracker.remove_source(source)
+        self.rate_limiter.counts.remove_source(source)
 
     def _handle_silence_reports(self, notice: notices.Notice) -> None:
         is_local = notice.kind is notices.Kind.REPORT
--- a/toucanhold/gateway/limits.py
+++ b/toucanhold/gateway/limits.py
@@ -1,95 +1,142 @@
-"""Keeps the rate limits that backend servers name."""
+"""Keeps the rate limits that backend servers name, also to other entries."""
 
 from __future__ import annotations
 
-import collections
+import collections.abc
 import logging
+import math
 
 import attrs
 import trio
 
 from toucanhold import events
-from toucanhold.registry import servers, signals
+from toucanhold.registry import servers
 
-# Period over which requests to a server with a limit are counted.
-WINDOW_S = 4.0
-USE_LOG_INTERVAL_S = 1.0
+# Changes are repeated to other entries for this long; several notices may be lost.
+REPEAT_PERIOD_S = 3.0
+MAX_LIMITS = 4096
 
 LOGGER = logging.getLogger(__name__)
 
 
 @attrs.frozen
-class NamedLimit:
-    """What is known of a server's limit.
+class Limit:
+    """A server's limit, as entries tell each other.
 
+    :ivar born_ms: start of the server's process
+    :ivar version: grows with each change that any entry sees; the highest version is in force
     :ivar rate_per_s: requests per second that the server takes from all entries together; None
         after the limit was lifted
-    :ivar learned_s: trio clock time at which this entry learned of it
     """
 
+    server_id: str
+    born_ms: int
+    version: int
     rate_per_s: float | None
-    learned_s: float
+
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """See :attr:`servers.Server.incarnation`."""
+        return self.server_id, self.born_ms
+
+    @property
+    def is_valid(self) -> bool:
+        """Whether the rate is a finite number that is not negative, if there is one."""
+        return self.rate_per_s is None or 0 <= self.rate_per_s < math.inf
+
+    def replaces(self, other: Limit) -> bool:
+        """Return whether this is a later limit, or the lower one of two of the same version."""
+        return (self.version, -self._strictness) > (other.version, -other._strictness)
+
+    @property
+    def _strictness(self) -> float:
+        return math.inf if self.rate_per_s is None else self.rate_per_s
 
 
 @attrs.define(eq=False)
-class LimitTable(signals.SignalObserver):
-    """Rate limits by server, as the servers' answers name them."""
+class LimitTable:
+    """Rate limits by server."""
 
-    _limits: dict[tuple[str, int], NamedLimit] = attrs.field(factory=dict, init=False)
-    _sent_times_s: dict[str, collections.deque[float]] = attrs.field(
-        factory=lambda: collections.defaultdict(collections.deque), init=False
-    )
-    _use_logged_s: dict[str, float] = attrs.field(factory=dict, init=False)
+    _limits: dict[tuple[str, int], Limit] = attrs.field(factory=dict, init=False)
+    _learned_s: dict[tuple[str, int], float] = attrs.field(factory=dict, init=False)
+    _limited_since_s: dict[tuple[str, int], float] = attrs.field(factory=dict, init=False)
 
-    def observe(self, server: servers.Server, observed: signals.Signals, sent_s: float) -> None:
-        """See :class:`signals.SignalObserver`."""
+    def observe(self, server: servers.Server, rate_per_s: float | None, sent_s: float) -> None:
+        """Process what an answer says.
+
+        :param rate_per_s: the named limit; None if the answer names none
+        :param sent_s: trio clock time at which the answered request was sent
+        """
         known = self._limits.get(server.incarnation)
-        rate_per_s = observed.rate_limit_per_s
-        if observed.is_rate_limit_unreadable or rate_per_s == (known and known.rate_per_s):
+        if rate_per_s == (known.rate_per_s if known is not None else None):
             return
         # Answers may overtake each other: one to an earlier request does not lift a limit.
-        if rate_per_s is None and known is not None and sent_s < known.learned_s:
+        if rate_per_s is None and sent_s < self._learned_s[server.incarnation]:
             return
-        self._limits[server.incarnation] = NamedLimit(rate_per_s, trio.current_time())
-        is_lifted = rate_per_s is None
-        events.log(
-            LOGGER,
-            events.Event.SERVER_LIMIT_LIFTED if is_lifted else events.Event.SERVER_LIMIT_NAMED,
-            server=server.server_id,
-            limit_per_s=rate_per_s,
-            placed=self.placed_count(server.server_id),
-        )
+        version = known.version + 1 if known is not None else 1
+        self._put(Limit(server.server_id, server.born_ms, version, rate_per_s), "")
+
+    def merge(self, limit: Limit, entry: str) -> None:
+        """Process what another entry knows.
+
+        :param entry: name of that entry
+        """
+        known = self._limits.get(limit.incarnation)
+        if known is None or limit.replaces(known):
+            self._put(limit, entry)
 
     def rate_per_s(self, server: servers.Server) -> float | None:
         """Return a server's limit in requests per second, or None if it has none."""
         known = self._limits.get(server.incarnation)
         return known.rate_per_s if known is not None else None
 
-    def limited_count(self) -> int:
-        """Return the number of servers with a limit."""
-        return sum(known.rate_per_s is not None for known in self._limits.values())
-
-    def placed_count(self, server_id: str) -> int:
-        """Return the number of this entry's requests to a server within ``WINDOW_S``."""
-        sent_times_s = self._sent_times_s[server_id]
-        while sent_times_s and sent_times_s[0] < trio.current_time() - WINDOW_S:
-            sent_times_s.popleft()
-        return len(sent_times_s)
-
-    def record_request(self, server: servers.Server) -> None:
-        """Count a request of this entry to a server."""
-        now_s = trio.current_time()
-        placed = self.placed_count(server.server_id) + 1
-        self._sent_times_s[server.server_id].append(now_s)
-        limit_per_s = self.rate_per_s(server)
-        last_logged_s = self._use_logged_s.get(server.server_id, float("-inf"))
-        if limit_per_s is None or now_s - last_logged_s < USE_LOG_INTERVAL_S:
+    def limited_since_s(self, server: servers.Server) -> float:
+        """Return the trio clock time since which a server is known to have a limit."""
+        return self._limited_since_s[server.incarnation]
+
+    def limited(self) -> list[Limit]:
+        """Return the limits in force."""
+        return [limit for limit in self._limits.values() if limit.rate_per_s is not None]
+
+    def to_tell(self, is_full: bool) -> list[Limit]:
+        """Return the limits to tell to other entries, the latest first.
+
+        :param is_full: whether to include all limits in force, besides recent changes
+        """
+        oldest_s = trio.current_time() - REPEAT_PERIOD_S
+        return [
+            limit
+            for incarnation, limit in reversed(self._limits.items())
+            if self._learned_s[incarnation] >= oldest_s
+            or (is_full and limit.rate_per_s is not None)
+        ]
+
+    def retain(self, is_known: collections.abc.Callable[[tuple[str, int]], bool]) -> None:
+        """Forget the limits of servers that are gone."""
+        for incarnation in [each for each in self._limits if not is_known(each)]:
+            self._forget(incarnation)
+
+    def _put(self, limit: Limit, entry: str) -> None:
+        incarnation = limit.incarnation
+        previous = self._limits.pop(incarnation, None)
+        if len(self._limits) >= MAX_LIMITS:
+            self._forget(next(iter(self._limits)))
+        self._limits[incarnation] = limit
+        self._learned_s[incarnation] = trio.current_time()
+        if limit.rate_per_s == (previous.rate_per_s if previous is not None else None):
             return
-        self._use_logged_s[server.server_id] = now_s
+        if previous is None or previous.rate_per_s is None:
+            self._limited_since_s[incarnation] = trio.current_time()
+        is_lifted = limit.rate_per_s is None
         events.log(
             LOGGER,
-            events.Event.LIMITED_SERVER_USED,
-            server=server.server_id,
-            limit_per_s=limit_per_s,
-            placed=placed,
+            events.Event.SERVER_LIMIT_LIFTED if is_lifted else events.Event.SERVER_LIMIT_NAMED,
+            server=limit.server_id,
+            limit_per_s=limit.rate_per_s,
+            told_by=entry or None,
         )
+
+    def _forget(self, incarnation: tuple[str, int]) -> None:
+        del self._limits[incarnation]
+        del self._learned_s[incarnation]
+        self._limited_since_s.pop(incarnation, None)
--- a/toucanhold/gateway/notices.py
+++ b/toucanhold/gateway/notices.py
@@ -8,10 +8,13 @@
 import msgpack
 
 from toucanhold import codec
+from toucanhold.gateway import limits
 
 DATAGRAM_LIMIT_BYTES = 32 * 1024
-# Keeps a datagram below its limit; a server ID and its count take about 20 bytes.
+# Keep a datagram below its limit; a server ID and its count take about 20 bytes.
 MAX_SERVER_COUNTS = 1200
+MAX_RECENT_COUNTS = 150
+MAX_LIMITS = 50
 
 
 class NoticeError(Exception):
@@ -39,6 +42,9 @@
     :ivar in_flight: server ID to the number of requests in flight
     :ivar silent: ID of each server that stopped sending, to the name of the entry that detected it
     :ivar crashes: pairs of a request's fingerprint and its number of lost connections
+    :ivar recent: recent requests to limited servers and demand, as
+        :meth:`rate_limiter.RateLimiter.own_counts` returns them
+    :ivar limits: limits that servers have named or lifted
     """
 
     kind: Kind
@@ -47,16 +53,27 @@
     in_flight: dict[str, int]
     silent: dict[str, str]
     crashes: list[tuple[str, int]]
+    recent: dict[str, int] = attrs.field(factory=dict)
+    limits: list[limits.Limit] = attrs.field(factory=list)
 
 
 def encode(notice: Notice) -> bytes:
-    """Return a notice as a datagram, with the ``MAX_SERVER_COUNTS`` largest counts at most."""
-    if len(notice.in_flight) > MAX_SERVER_COUNTS:
-        largest = sorted(notice.in_flight.items(), key=lambda item: -item[1])[:MAX_SERVER_COUNTS]
-        notice = attrs.evolve(notice, in_flight=dict(largest))
+    """Return a notice as a datagram, with the largest counts and the first limits at most."""
+    notice = attrs.evolve(
+        notice,
+        in_flight=_largest(notice.in_flight, MAX_SERVER_COUNTS),
+        recent=_largest(notice.recent, MAX_RECENT_COUNTS),
+        limits=notice.limits[:MAX_LIMITS],
+    )
     return msgpack.packb(codec.CONVERTER.unstructure(notice))
 
 
+def _largest(counts: dict[str, int], max_count: int) -> dict[str, int]:
+    if len(counts) <= max_count:
+        return counts
+    return dict(sorted(counts.items(), key=lambda item: -item[1])[:max_count])
+
+
 def decode(data: bytes) -> Notice:
     """Return the notice that a datagram contains.
 
@@ -66,6 +83,8 @@
         notice = codec.from_plain_tolerant(msgpack.unpackb(data), Notice)
     except (codec.CodecError, ValueError, msgpack.UnpackException) as error:
         raise NoticeError(f"the datagram is not a valid notice: {error!r}") from error
-    if any(count < 0 for count in notice.in_flight.values()):
-        raise NoticeError(f"negative count of requests in flight from entry {notice.entry}")
+    if any(count < 0 for counts in (notice.in_flight, notice.recent) for count in counts.values()):
+        raise NoticeError(f"negative count of requests from entry {notice.entry}")
+    if not all(limit.is_valid for limit in notice.limits):
+        raise NoticeError(f"limits from entry {notice.entry} that are no rates: {notice.limits}")
     return notice
--- a/toucanhold/gateway/targets.py
+++ b/toucanhold/gateway/targets.py
@@ -9,7 +9,7 @@
 import attrs
 import trio
 
-from toucanhold.gateway import budget, health, limits, load
+from toucanhold.gateway import budget, health, load, rate_limiter
 from toucanhold.registry import registry, servers
 from toucanhold.replicas import records
 from toucanhold.routes import table
@@ -30,7 +30,7 @@
     :ivar group_table: groups of backend servers, whose heads serve models
     :ivar cold_budget: limits requests to servers that have just started
     :ivar closed_zones: availability zones whose servers get no requests
-    :ivar limit_table: limits that servers name
+    :ivar rate_limiter: limits requests to servers that name a limit
     :ivar zone: this entry's availability zone
     :ivar placement_counts: number of requests placed, by whether the server is in another zone
     """
@@ -41,7 +41,7 @@
     health: health.Health
     cold_budget: budget.ColdBudget
     closed_zones: collections.abc.Set[str]
-    limit_table: limits.LimitTable
+    rate_limiter: rate_limiter.RateLimiter
     zone: str
     rng: random.Random
     placement_counts: collections.Counter[bool] = attrs.field(
@@ -55,7 +55,7 @@
     def record_placement(self, server: servers.Server) -> None:
         """Count a request that is placed on a server."""
         self.load_tracker.add(server.server_id)
-        self.limit_table.record_request(server)
+        self.rate_limiter.record_request(server)
         self.placement_counts[server.zone != self.zone] += 1
         if server.cold_until_s > trio.current_time():
             self.cold_budget.record_request(server.server_id)
@@ -138,6 +138,8 @@
     def _has_capacity(self, service: table.Service, server: servers.Server) -> bool:
         if self.load_tracker.estimate(server.server_id) >= _slots(service, server):
             return False
+        if not self.rate_limiter.may_send(server):
+            return False
         if server.cold_until_s > trio.current_time():
             return self.cold_budget.may_send(server, service.cold_requests_per_s)
         return True
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -24,6 +24,7 @@
     hierarchy,
     limits,
     load,
+    rate_limiter,
     sharing,
     silence,
     targets,
@@ -87,7 +88,9 @@
         self.kv_mirror.add_listener(configuration.PREFIX, self._apply_operator_settings)
         self.entry_list = entries.EntryList(self._own_entry(), self.store, self.kv_mirror, self.rng)
         self.limit_table = limits.LimitTable()
-        self.server_client = servers.PlatformServerClient(self.limit_table)
+        self.rate_limiter = rate_limiter.RateLimiter(self.limit_table, self.entry_list, self.rng)
+        self.server_registry.add_listener(self._forget_servers)
+        self.server_client = servers.PlatformServerClient(self.rate_limiter)
         self._build_relay()
         self._build_planner()
         self._build_gateway()
@@ -149,6 +152,11 @@
         """Return whether this entry accepts new callers: it has routes and is not stopping."""
         return not self.entry_list.is_stopping and self.routes.table is not None
 
+    def _forget_servers(self) -> None:
+        self.rate_limiter.retain(
+            lambda incarnation: self.server_registry.find(incarnation) is not None
+        )
+
     def _own_entry(self) -> entries.Entry:
         entry_settings = self.settings
         return entries.Entry(
@@ -210,6 +218,7 @@
         self.exchange = exchange.Exchange(
             self.entry_list,
             self.load_tracker,
+            self.rate_limiter,
             self.crash_tracker,
             self._on_silence_report,
             self.rng,
@@ -225,7 +234,7 @@
             self.health,
             self.cold_budget,
             self.closed_zones,
-            self.limit_table,
+            self.rate_limiter,
             self.settings.zone,
             self.rng,
         )
--- a/toucanhold/platform/gauges.py
+++ b/toucanhold/platform/gauges.py
@@ -33,7 +33,7 @@
         yield entry.exchange.digest_age_s, {}
 
     def limited_servers() -> metrics.Observations:
-        yield entry.limit_table.limited_count(), {}
+        yield len(entry.limit_table.limited()), {}
 
     entry.metrics.add_counter("toucanhold.store.calls", "{call}", "Calls to the store", store_calls)
     entry.metrics.add_counter(
--- a/toucanhold/platform/servers.py
+++ b/toucanhold/platform/servers.py
@@ -48,10 +48,10 @@
     second answer, and an order that is lost on it cannot be repeated. A new connection costs a
     millisecond and a hundredth of the price of a request.
 
-    :ivar signal_observer: is told what servers say of themselves in any answer
+    :ivar observer: is told of orders and probes, and what servers say of themselves in any answer
     """
 
-    signal_observer: signals.SignalObserver
+    observer: signals.ServerObserver
     _signal_decoder: platform_signals.SignalDecoder = attrs.field(
         factory=platform_signals.SignalDecoder, init=False
     )
@@ -133,6 +133,7 @@
         ]
         if body:
             request_headers.append((b"content-type", b"application/json"))
+        self.observer.record_control_call(server)
         connection = await _connect(server.address, CONTROL_TIMEOUT_S)
         content = bytearray()
         sent_s = trio.current_time()
@@ -168,7 +169,7 @@
         # Another server that has taken over the address also answers 421.
         if response.status != MISDIRECTED_STATUS:
             observed = self._signal_decoder.decode(server.server_id, response.headers)
-            self.signal_observer.observe(server, observed, sent_s)
+            self.observer.observe(server, observed, sent_s)
 
 
 async def _connect(address: str, timeout_s: float) -> httpcore.AsyncHTTP11Connection:
--- a/toucanhold/registry/signals.py
+++ b/toucanhold/registry/signals.py
@@ -22,8 +22,12 @@
     is_rate_limit_unreadable: bool = False
 
 
-class SignalObserver(abc.ABC):
-    """Is told the signals of every answer, whatever was asked."""
+class ServerObserver(abc.ABC):
+    """Is told what is sent to servers besides callers' requests, and what servers say."""
+
+    @abc.abstractmethod
+    def record_control_call(self, server: servers.Server) -> None:
+        """Count an order or a probe that is sent to a server."""
 
     @abc.abstractmethod
     def observe(self, server: servers.Server, observed: Signals, sent_s: float) -> None:
