Let the soak's servers name limits, and check that entries keep them

Servers of the soak name random limits, also unreadable ones, beside the other faults; the history is checked by the users' rule, over the entries that had passed on such an answer and were not disturbed. Draws come from a generator of their own, so that the seeds that once failed play as before (without limits).

--- a/tests/platform/soak/backends.py
+++ b/tests/platform/soak/backends.py
@@ -157,6 +157,7 @@
     name: str
     fleet: replicas.MemoryServers
     run_log: RunLog
+    signal_record: object
 
     @property
     def server(self):
@@ -173,6 +174,9 @@
         if not self.server.is_reachable:
             return
         headers = {key.decode(): value.decode() for key, value in scope["headers"]}
+        attempt = headers.get("x-attempt-id", "")
+        self.signal_record.arrivals.append((trio.current_time(), self.name, attempt))
+        send = self._with_signals(send)
         if headers.get("x-target-instance", self.name) != self.name:
             await asgi.respond(send, 421, [(b"x-not-executed", b"1")], b"")
         elif scope["path"] == "/report":
@@ -185,6 +189,15 @@
                 await self._run(scope, headers, send)
                 nursery.cancel_scope.cancel()
 
+    def _with_signals(self, send):
+        async def send_with_signals(message):
+            if message["type"] == "http.response.start":
+                added = self.signal_record.response_headers(self.name)
+                message = message | {"headers": [*message["headers"], *added]}
+            await send(message)
+
+        return send_with_signals
+
     async def _report(self, send):
         state = await self.fleet.probe(self.server.registration())
         if state is not None:
--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -93,15 +93,24 @@
             self.record.order_attempts.append(attempt)
         outcome, retry_after_s = "lost", None
         started_at_s = trio.current_time()
+        entry = self.site.entry_at(address)
+        self.site.signal_record.entries[attempt] = entry
         with trio.move_on_after(DEADLINE_S):
             try:
                 response = await self._request(pool, address, kind, attempt, path)
                 outcome, retry_after_s = self._check_response(response, kind, attempt, path)
+                self._record_signals(response, entry)
             except CONNECTION_ERRORS:
                 pass
         self.record.outcomes.append((started_at_s, kind, outcome))
         return retry_after_s
 
+    def _record_signals(self, response, entry):
+        headers = {key.decode().lower(): value.decode() for key, value in response.headers}
+        server = headers.get("x-server-seal")
+        passed_on = trio.current_time(), entry, server, frozenset(headers)
+        self.site.signal_record.passed_on.append(passed_on)
+
     async def _request(self, pool, address, kind, attempt, path):
         headers = [
             ("host", sites.HOST),
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -60,18 +60,22 @@
     async def _kill_entry(self):
         if entry := self._reserve(self.site.entries):
             self._log(f"kill {entry}")
+            disturbance = self.site.signal_record.begin_disturbance(entry)
             await self.site.group.kill(entry)
             await trio.sleep(self.site.rng.uniform(0.1, 2))
             await self.site.start_entry(entry)
+            disturbance[-1] = trio.current_time()
             self.reserved_targets.discard(entry)
 
     async def _pause_entry(self):
         if entry := self._reserve(self.site.entries):
             duration_s = self.site.rng.uniform(0.2, 5)
             self._log(f"pause {entry} for {duration_s:.1f} s")
+            disturbance = self.site.signal_record.begin_disturbance(entry)
             self.site.group.pause(entry)
             await trio.sleep(duration_s)
             self.site.group.resume(entry)
+            disturbance[-1] = trio.current_time()
             self.reserved_targets.discard(entry)
 
     async def _stop_entry(self):
@@ -79,6 +83,7 @@
             # A process that is still starting ends by the signal, without a graceful shutdown.
             await processes.wait_listening(self.site.address(entry, "front"))
             self._log(f"stop {entry}")
+            disturbance = self.site.signal_record.begin_disturbance(entry)
             began_s = trio.current_time()
             status = await self.site.group.stop(entry)
             elapsed_s = trio.current_time() - began_s
@@ -87,6 +92,7 @@
                     f"{entry} ended with {status} after {elapsed_s:.1f} s"
                 )
             await self.site.start_entry(entry)
+            disturbance[-1] = trio.current_time()
             self.reserved_targets.discard(entry)
 
     async def _disturb_store_link(self):
@@ -102,9 +108,11 @@
         mode = self.site.rng.choice(PROXY_MODES)
         duration_s = self.site.rng.uniform(0.3, 5)
         self._log(f"{name}: {mode} for {duration_s:.1f} s")
+        disturbance = self.site.signal_record.begin_disturbance(name.removeprefix("store of "))
         proxy.set_mode(mode)
         await trio.sleep(duration_s)
         proxy.set_mode("pass")
+        disturbance[-1] = trio.current_time()
         self.reserved_targets.discard(name)
 
     async def _refuse_store_calls(self):
@@ -126,6 +134,7 @@
             mode = self.site.rng.choice(("dark", "apart", "unlisted"))
             duration_s = self.site.rng.uniform(0.5, 8)
             self._log(f"{name}: {mode} for {duration_s:.1f} s")
+            disturbance = self.site.signal_record.begin_disturbance(name)
             await self.site.fleet.make_unreachable(name, mode)
             if mode != "unlisted":
                 self.site.server_proxies[name].set_mode("silent")
@@ -135,6 +144,7 @@
                 await self.site.fleet.restart(name)
             else:
                 await self.site.fleet.reconnect(name)
+            disturbance[-1] = trio.current_time()
             self.reserved_targets.discard(name)
 
     async def _announce_server_leaving(self):
--- a/tests/platform/soak/running.py
+++ b/tests/platform/soak/running.py
@@ -8,7 +8,7 @@
 import trio
 
 from standins import processes
-from tests.platform.soak import callers, faults
+from tests.platform.soak import callers, faults, signals
 from tests.platform.soak import site as sites
 
 FAULTS_S = 20.0
@@ -40,8 +40,17 @@
     return f"{64 + seed // 250 % 64}.{seed % 250}"
 
 
-async def run(seed: int, folder: pathlib.Path, subnet: str, faults_s: float = FAULTS_S) -> Result:
-    """Run one seed for ``faults_s`` of faults and the recovery after them."""
+async def run(
+    seed: int,
+    folder: pathlib.Path,
+    subnet: str,
+    faults_s: float = FAULTS_S,
+    has_signals: bool = True,
+) -> Result:
+    """Run one seed for ``faults_s`` of faults and the recovery after them.
+
+    :param has_signals: whether servers also name limits
+    """
     async with sites.running(seed, folder, subnet) as site:
         caller_record = callers.CallerRecord()
         injector = faults.FaultInjector(site)
@@ -51,6 +60,9 @@
             for number in range(callers.CALLERS):
                 nursery.start_soon(callers.Caller(site, caller_record, f"c{seed}-{number}").run)
             await trio.sleep(2)
+            if has_signals:
+                signal_injector = signals.SignalInjector(site, site.signal_record)
+                nursery.start_soon(signal_injector.run, faults_s)
             await injector.run(faults_s)
             await trio.sleep(RECOVERY_S)
             since_s = trio.current_time()
@@ -76,6 +88,7 @@
     violations = [f"group: {text}" for text in site.fleet.violations]
     violations += [f"answer: {text}" for text in caller_record.invalid_responses]
     violations += [f"process: {text}" for text in site.stop_failures]
+    violations += signals.check(site.signal_record)
     order_attempts = set(caller_record.order_attempts)
     for attempt in order_attempts:
         if len(site.run_log.runs_by_attempt.get(attempt, ())) > 1:
--- a/tests/platform/soak/site.py
+++ b/tests/platform/soak/site.py
@@ -10,7 +10,7 @@
 
 from standins import processes, replicas
 from tests.platform import standins
-from tests.platform.soak import backends, proxies
+from tests.platform.soak import backends, proxies, signals
 from toucanhold.routes import table
 
 HOST = "soak.example"
@@ -60,6 +60,7 @@
             random.Random(self.seed),
         )
         self.run_log = backends.RunLog()
+        self.signal_record = signals.SignalRecord()
 
     @property
     def entries(self):
@@ -71,6 +72,10 @@
     def address(self, entry, interface):
         return f"{self.host(entry)}:{PORTS[interface]}"
 
+    def entry_at(self, address):
+        """Return the entry whose callers connect to an address."""
+        return next(entry for entry in self.entries if self.address(entry, "front") == address)
+
     async def start(self):
         """Start the store, the backend servers and the entry processes."""
         self.nursery.start_soon(self.store.run)
@@ -79,7 +84,7 @@
             self.store_proxies[entry] = await self._start_proxy(store_address)
         names = [f"s{n}" for n in range(MODEL_SERVERS)] + [f"p{n}" for n in range(PLAIN_SERVERS)]
         for number, name in enumerate(names):
-            app = backends.BackendApp(name, self.fleet, self.run_log)
+            app = backends.BackendApp(name, self.fleet, self.run_log, self.signal_record)
             self.server_proxies[name] = await self._start_proxy(await self._start_server(app))
             self.addresses[name] = self.server_proxies[name].address
             domain = "d0" if name.startswith("s") else ""
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -26,17 +26,18 @@
     def test_guarantees_hold_while_entries_servers_and_the_store_fail(self):
         for seed in SHORT_SEEDS:
             with self.subTest(seed=seed):
-                self._run_seed(seed, SHORT_FAULTS_S)
+                self._run_seed(seed, SHORT_FAULTS_S, has_signals=True)
 
     def test_seeds_that_failed_before_pass(self):
         for seed in REGRESSION_SEEDS:
             with self.subTest(seed=seed):
-                self._run_seed(seed, running.FAULTS_S)
+                self._run_seed(seed, running.FAULTS_S, has_signals=False)
 
-    def _run_seed(self, seed, faults_s):
+    def _run_seed(self, seed, faults_s, has_signals):
         with tempfile.TemporaryDirectory() as folder:
+            subnet = running.subnet(seed)
             result = trio.run(
-                running.run, seed, pathlib.Path(folder), running.subnet(seed), faults_s
+                running.run, seed, pathlib.Path(folder), subnet, faults_s, has_signals
             )
         self.assertEqual([], result.violations, result.faults)
         self.assertGreater(result.outcome_counts["order served"], 20)
