Log the rests that backend servers ask for

The output of the ignored rests could not tell whether an entry never reads a rest or overrules it. The adapter now reads from each answer, beside the limit, the rest that a refusal asks for and the word that a server leaves; a rest is logged once (SERVER_RESTS). Values that cannot be read, and rests of more than an hour, cost one line a server. Placement is unchanged.

Run: tests of signals, calls, gateway, events, layers.

--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -25,7 +25,7 @@
     silence,
     targets,
 )
-from toucanhold.registry import servers, signals
+from toucanhold.registry import rests, servers, signals
 from toucanhold.routes import table
 
 HOST = "site.example"
@@ -313,7 +313,8 @@
         self.entry_list = FixedEntryList(self.entry)
         self.limit_table = limits.LimitTable()
         self.rate_limiter = rate_limiter.RateLimiter(self.limit_table, self.entry_list, rng)
-        self.server_client.observer = self.rate_limiter
+        self.rest_table = rests.RestTable()
+        self.server_client.observer = signals.ObserverGroup((self.rate_limiter, self.rest_table))
         self.health = health.Health()
         self.crashes = crashes.CrashTracker()
         self.exchange = exchange.Exchange(
--- a/tests/platform/test_platform_signals.py
+++ b/tests/platform/test_platform_signals.py
@@ -12,8 +12,8 @@
     def setUp(self):
         self.decoder = platform_signals.SignalDecoder()
 
-    def _decode(self, *lines):
-        return self.decoder.decode("s1", lines)
+    def _decode(self, *lines, status=200):
+        return self.decoder.decode("s1", status, lines)
 
     def test_a_limit_is_a_decimal_number(self):
         for text, rate_per_s in (("1.1", 1.1), ("12", 12.0), (" 0.25 ", 0.25), ("0", 0.0)):
@@ -33,3 +33,29 @@
                     self.assertEqual(signals.Signals(None, True), decoded)
             self._decode((b"server-limit", b"\xff\xfe"))
         self.assertEqual(1, len(logged.records))
+
+    def test_a_refusal_may_ask_for_rest(self):
+        line = (b"retry-after", b"2.5")
+        self.assertEqual(signals.Signals(rest_s=2.5), self._decode(line, status=503))
+        self.assertEqual(signals.Signals(), self._decode(line, status=200))
+
+    def test_unreadable_rests_cost_one_log_line(self):
+        """Guards against a garbled rest that idles a server or floods the log."""
+        with self.assertLogs("toucanhold.platform.signals", "WARNING") as logged:
+            for text in (*UNREADABLE, "99999999", "Fri, 31 Dec 1999 23:59:59 GMT"):
+                with self.subTest(text):
+                    decoded = self._decode((b"retry-after", text.encode()), status=503)
+                    self.assertEqual(signals.Signals(), decoded)
+        self.assertEqual(1, len(logged.records))
+
+    def test_a_server_may_say_that_it_leaves(self):
+        self.assertEqual(signals.Signals(is_leaving=True), self._decode((b"Server-Leaving", b"1")))
+
+    def test_unreadable_words_of_leaving_cost_one_log_line(self):
+        """Guards against a garbled word that takes a server out of service."""
+        with self.assertLogs("toucanhold.platform.signals", "WARNING") as logged:
+            for text in ("", "0", "yes", "11"):
+                with self.subTest(text):
+                    decoded = self._decode((b"server-leaving", text.encode()))
+                    self.assertEqual(signals.Signals(), decoded)
+        self.assertEqual(1, len(logged.records))
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -40,7 +40,7 @@
     settings,
     store,
 )
-from toucanhold.registry import registry
+from toucanhold.registry import registry, rests, signals
 from toucanhold.relay import following, publishing
 from toucanhold.replicas import plan, planner, records
 from toucanhold.routes import table
@@ -90,7 +90,9 @@
         self.limit_table = limits.LimitTable()
         self.rate_limiter = rate_limiter.RateLimiter(self.limit_table, self.entry_list, self.rng)
         self.server_registry.add_listener(self._forget_servers)
-        self.server_client = servers.PlatformServerClient(self.rate_limiter)
+        self.rest_table = rests.RestTable()
+        observer = signals.ObserverGroup((self.rate_limiter, self.rest_table))
+        self.server_client = servers.PlatformServerClient(observer)
         self._build_relay()
         self._build_planner()
         self._build_gateway()
--- a/toucanhold/platform/servers.py
+++ b/toucanhold/platform/servers.py
@@ -168,7 +168,9 @@
     ) -> None:
         # Another server that has taken over the address also answers 421.
         if response.status != MISDIRECTED_STATUS:
-            observed = self._signal_decoder.decode(server.server_id, response.headers)
+            observed = self._signal_decoder.decode(
+                server.server_id, response.status, response.headers
+            )
             self.observer.observe(server, observed, sent_s)
 
 
--- a/toucanhold/platform/signals.py
+++ b/toucanhold/platform/signals.py
@@ -13,6 +13,10 @@
 
 # A plain decimal number; ``float`` would also accept "nan", "1_0" and digits of other scripts.
 DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+REFUSED_STATUS = 503
+LEAVING_VALUE = "1"
+# A longer rest is taken for garbled, since it would idle the server for good.
+MAX_REST_S = 3600.0
 MAX_LOGGED_SOURCES = 1000
 MAX_LOGGED_VALUE_LENGTH = 40
 
@@ -25,17 +29,44 @@
 
     _logged: set[tuple[str, bytes]] = attrs.field(factory=set, init=False)
 
-    def decode(self, server_id: str, lines: headers.HeaderLines) -> signals.Signals:
-        """Return the signals in the headers of a server's answer."""
+    def decode(self, server_id: str, status: int, lines: headers.HeaderLines) -> signals.Signals:
+        """Return the signals in a server's answer.
+
+        :param status: HTTP status of the answer
+        """
         limit_text = headers.find_optional(lines, headers.RATE_LIMIT)
-        if limit_text is None:
-            return signals.Signals()
-        rate_limit_per_s = self._number(server_id, headers.RATE_LIMIT, limit_text)
-        return signals.Signals(rate_limit_per_s, rate_limit_per_s is None)
+        limit_per_s = self._number(server_id, headers.RATE_LIMIT, limit_text)
+        return signals.Signals(
+            rate_limit_per_s=limit_per_s,
+            is_rate_limit_unreadable=limit_text is not None and limit_per_s is None,
+            rest_s=self._rest_s(server_id, lines) if status == REFUSED_STATUS else 0.0,
+            is_leaving=self._is_leaving(server_id, lines),
+        )
+
+    def _rest_s(self, server_id: str, lines: headers.HeaderLines) -> float:
+        text = headers.find_optional(lines, headers.RETRY_AFTER)
+        rest_s = self._number(server_id, headers.RETRY_AFTER, text)
+        if rest_s is not None and rest_s > MAX_REST_S:
+            self._log(server_id, headers.RETRY_AFTER, f"at most {MAX_REST_S:g} s", text)
+            return 0.0
+        return rest_s or 0.0
+
+    def _is_leaving(self, server_id: str, lines: headers.HeaderLines) -> bool:
+        text = headers.find_optional(lines, headers.LEAVING)
+        if text is None or text.strip() == LEAVING_VALUE:
+            return text is not None
+        self._log(server_id, headers.LEAVING, LEAVING_VALUE, text)
+        return False
 
-    def _number(self, server_id: str, name: bytes, text: str) -> float | None:
+    def _number(self, server_id: str, name: bytes, text: str | None) -> float | None:
+        if text is None:
+            return None
         if DECIMAL.fullmatch(text.strip()):
             return float(text)
+        self._log(server_id, name, "a decimal number", text)
+        return None
+
+    def _log(self, server_id: str, name: bytes, expected: str, text: str) -> None:
         if (server_id, name) not in self._logged and len(self._logged) < MAX_LOGGED_SOURCES:
             self._logged.add((server_id, name))
             events.log(
@@ -43,7 +74,6 @@
                 events.Event.SIGNAL_UNREADABLE,
                 server=server_id,
                 header=name.decode(),
-                expected="a decimal number",
+                expected=expected,
                 value=text[:MAX_LOGGED_VALUE_LENGTH],
             )
-        return None
