Leave backend servers alone that ask for rest

What callers saw: refusals and late answers, a tenth of the questions not served, while eight of twelve heads had room: four heads that turned everything away drew most requests, and the retries that all share were used up.

Cause: a refusal was a matter of one call. Nothing kept, for the next call, that the server had asked for rest; and since a refused request is gone in milliseconds, such a server has the fewest requests in flight and is chosen first. The class of fault is that of the exceeded limits: a statement of a server that no decision takes up. Ruled out: full or avoided other servers (eight heads served on), entries that were not told (the same entry was turned away 38 times).

A resting server has no room for requests, retries and resumed streams of this entry; it gets one order at most and no probes, and counts as alive meanwhile. Requests are refused at once, also out of the queue, if the servers' words say that they cannot be served in time, with the wait as Retry-After.

--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -333,6 +333,7 @@
             budget.ColdBudget(1.5, 5, self.entry_list),
             self.closed_zones,
             self.rate_limiter,
+            self.rest_table,
             self.entry.zone,
             rng,
         )
--- a/tests/test_rests.py
+++ b/tests/test_rests.py
@@ -3,11 +3,13 @@
 import collections
 import unittest
 
+import attrs
 import trio
 
 from standins import gateways
 from tests import clocked
-from toucanhold.registry import signals
+from toucanhold.registry import rests, signals
+from toucanhold.replicas import ordering, orders
 
 REST_S = 3.0
 # Requests that are on their way as a server asks for rest.
@@ -57,3 +59,100 @@
         breach = largest_rest_breach(scene, "b0", refusing_until_s)
         self.assertLessEqual(breach, MAX_REQUESTS_IN_REST)
         self.assertIn("b0", dict(scene.server_client.executed_calls))
+
+    @clocked.on_test_clock
+    async def test_requests_are_refused_at_once_while_all_servers_rest(self):
+        """Guards against callers that wait for servers which have asked for a long rest."""
+        scene = gateways.GatewayFixture()
+        for name in scene.registered_servers:
+            scene.server_client.behaviours[name].is_refusing = True
+            scene.server_client.behaviours[name].signals = signals.Signals(rest_s=REST_S)
+        async with scene.running():
+            await scene.send(gateways.new_call("/orders/1"))
+            began_s = trio.current_time()
+            _, error = await scene.send(gateways.new_call("/orders/1", body=b"2"))
+            self.assertAlmostEqual(began_s, trio.current_time(), delta=0.01)
+        self.assertFalse(error.may_have_run)
+        self.assertGreaterEqual(error.retry_after_s, REST_S - 0.1)
+        self.assertEqual(3, len(scene.server_client.received_calls))
+
+    @clocked.on_test_clock
+    async def test_queued_requests_are_refused_when_all_servers_begin_to_rest(self):
+        """Guards against callers that wait on in a queue that can no longer be served in time."""
+        scene = gateways.GatewayFixture(gateways.new_servers(1, slots=1))
+        scene.server_client.behaviours["b0"].response_delay_s = 0.1
+        async with scene.running() as nursery:
+            nursery.start_soon(scene.send, gateways.new_call("/orders/1"))
+            nursery.start_soon(self._rest_after, scene, 0.05)
+            await trio.sleep(0.01)
+            began_s = trio.current_time()
+            _, error = await scene.send(gateways.new_call("/orders/1", body=b"2"))
+            self.assertLess(trio.current_time() - began_s, 0.1)
+        self.assertFalse(error.may_have_run)
+
+    async def _rest_after(self, scene, delay_s):
+        await trio.sleep(delay_s)
+        server = scene.registered_servers["b0"]
+        scene.rest_table.observe(server, signals.Signals(rest_s=REST_S), trio.current_time())
+
+    @clocked.on_test_clock
+    async def test_a_short_rest_is_waited_for(self):
+        scene = gateways.GatewayFixture(gateways.new_servers(1))
+        server = scene.registered_servers["b0"]
+        scene.rest_table.observe(server, signals.Signals(rest_s=0.2), trio.current_time())
+        async with scene.running():
+            began_s = trio.current_time()
+            reply, _ = await scene.send(gateways.new_call("/lookups/1"))
+        self.assertEqual(200, reply.status)
+        self.assertGreaterEqual(scene.server_client.received_calls[0][0], began_s + 0.2)
+
+    @clocked.on_test_clock
+    async def test_a_stream_is_not_resumed_at_a_server_that_rests(self):
+        """Guards against resumed streams that pass by the rests of servers."""
+        scene = gateways.GatewayFixture()
+        rested = scene.registered_servers["b1"]
+        scene.rest_table.observe(rested, signals.Signals(rest_s=REST_S), trio.current_time())
+        scene.loads.add("b2")
+        scene.server_client.behaviours["b0"].cut_after = 4
+        async with scene.running():
+            reply, _ = await scene.send(gateways.new_call("/streams/1"))
+        self.assertTrue(reply.is_complete)
+        self.assertEqual(["b0", "b2"], [name for _, name, _ in scene.server_client.received_calls])
+
+
+class RecordingEngine(orders.EngineClient):
+    """An engine client that records what reaches engines."""
+
+    def __init__(self):
+        self.received = []
+
+    async def send(self, server, order, order_count, fence):
+        self.received.append(order)
+        return orders.OrderOutcome.BEGUN
+
+    async def probe(self, server):
+        self.received.append("probe")
+        return attrs.evolve(server, order_count=3)
+
+
+class ControlTest(unittest.TestCase):
+    @clocked.on_test_clock
+    async def test_a_resting_server_gets_one_order_and_no_probes(self):
+        """Guards against orders and probes that reach a server which wants no requests."""
+        engine = RecordingEngine()
+        rest_table = rests.RestTable()
+        sender = ordering.OrderSender(engine, None, lambda: 1, rest_table)
+        server = gateways.new_servers(1)["b0"]
+        leave = orders.Leave("g1", 2)
+        rest_table.observe(server, signals.Signals(rest_s=REST_S), trio.current_time())
+        self.assertIs(orders.OrderOutcome.DEFERRED, await sender.send(server, leave))
+        await trio.sleep(REST_S)
+        self.assertIs(orders.OrderOutcome.BEGUN, await sender.send(server, leave))
+        self.assertEqual(["probe", leave], engine.received)
+        rest_table.observe(server, signals.Signals(rest_s=REST_S), trio.current_time())
+        self.assertEqual(server, await sender.probe(server))
+        outcomes = [await sender.send(server, leave) for _ in range(3)]
+        deferred = orders.OrderOutcome.DEFERRED
+        self.assertEqual([orders.OrderOutcome.BEGUN, deferred, deferred], outcomes)
+        self.assertEqual(["probe", leave, leave], engine.received)
+        self.assertFalse(sender.is_unreachable(server.incarnation))
--- a/toucanhold/gateway/admission.py
+++ b/toucanhold/gateway/admission.py
@@ -8,10 +8,10 @@
 
 from __future__ import annotations
 
+import collections
 import collections.abc
 import contextlib
 import itertools
-import math
 
 import attrs
 import trio
@@ -26,7 +26,7 @@
 # Groups form again within about a second of a loss, so a retry after this delay finds capacity.
 RETRY_AFTER_S = 0.8
 RETRY_JITTER_S = 0.4
-# Limits of servers change sooner than a longer expected wait would end.
+# What servers say of themselves changes sooner than a longer wait would end.
 MAX_RETRY_AFTER_S = 5.0
 
 
@@ -35,16 +35,20 @@
     """A queued request.
 
     :ivar latest_start_s: trio clock time after which the response misses its objective
+    :ivar give_up_s: trio clock time until which it may wait
     :ivar excluded: IDs of servers to use only if there are no others
-    :ivar assigned: set when ``server`` has been assigned
+    :ivar decided: set when ``server`` has been assigned or the request is refused
+    :ivar known_wait_s: time that it must still wait because of what servers say of themselves
     """
 
     service: table.Service
     model: str
     latest_start_s: float
+    give_up_s: float
     excluded: collections.abc.Set[str]
-    assigned: trio.Event = attrs.field(factory=trio.Event)
+    decided: trio.Event = attrs.field(factory=trio.Event)
     server: servers.Server | None = None
+    known_wait_s: float = 0.0
 
 
 @attrs.define(eq=False)
@@ -139,7 +143,8 @@
                 self._queue.append(item)
                 continue
             waiter.server = server
-            waiter.assigned.set()
+            waiter.decided.set()
+        self._refuse_hopeless()
 
     def _try_place_immediately(
         self, service: table.Service, model: str, excluded: collections.abc.Set[str]
@@ -173,16 +178,21 @@
             service, model
         ) and not self._may_become_available(service, model):
             raise self._new_refusal(calls.RefusalReason.NO_SERVER)
-        expected_wait_s = self._limited_wait_s(service, model, priority)
-        if expected_wait_s > max_wait_s:
-            raise self._new_refusal(calls.RefusalReason.NO_CAPACITY, expected_wait_s)
-        waiter = _Waiter(service, model, latest_start_s, excluded)
+        ahead = sum(
+            (waiter.service.name, waiter.model) == (service.name, model) and rank <= priority
+            for rank, _, waiter in self._queue
+        )
+        known_wait_s = self.server_selector.restrictions(service, model).wait_s(ahead)
+        if known_wait_s > max_wait_s:
+            raise self._new_refusal(calls.RefusalReason.NO_CAPACITY, known_wait_s)
+        give_up_s = trio.current_time() + max_wait_s
+        waiter = _Waiter(service, model, latest_start_s, give_up_s, excluded)
         item = (priority, next(self._arrival_numbers), waiter)
         self._queue_filled.set()
         self._queue.append(item)
         try:
             with trio.move_on_after(max_wait_s):
-                await waiter.assigned.wait()
+                await waiter.decided.wait()
         except trio.Cancelled:
             if waiter.server is not None:
                 self.server_selector.load_tracker.remove(waiter.server.server_id)
@@ -191,28 +201,33 @@
             if item in self._queue:
                 self._queue.remove(item)
         if waiter.server is None:
-            raise self._new_refusal(calls.RefusalReason.NO_CAPACITY)
+            raise self._new_refusal(calls.RefusalReason.NO_CAPACITY, waiter.known_wait_s)
         return waiter.server
 
     def _may_become_available(self, service: table.Service, model: str) -> bool:
         return service.engine is None or self.server_selector.is_group_forming(service, model)
 
-    def _limited_wait_s(self, service: table.Service, model: str, priority: int) -> float:
-        """Return how long a request waits where all servers limit their requests; 0 elsewhere."""
-        ahead = sum(
-            (waiter.service.name, waiter.model) == (service.name, model) and rank <= priority
-            for rank, _, waiter in self._queue
-        )
-        candidates = self.server_selector.find_candidates(service, model)
-        limiter = self.server_selector.rate_limiter
-        rate_per_s = sum(limiter.sustained_rate_per_s(server) for server in candidates)
-        if not candidates or rate_per_s == math.inf:
-            return 0.0
-        return ahead / rate_per_s if rate_per_s else math.inf
+    def _refuse_hopeless(self) -> None:
+        """Refuse queued requests that can't be served in time for what servers have said since."""
+        now_s = trio.current_time()
+        counts: collections.Counter[tuple[str, str]] = collections.Counter()
+        restrictions: dict[tuple[str, str], targets.Restrictions] = {}
+        queued, self._queue = self._queue, []
+        for item in queued:
+            waiter = item[-1]
+            key = waiter.service.name, waiter.model
+            if key not in restrictions:
+                restrictions[key] = self.server_selector.restrictions(waiter.service, waiter.model)
+            waiter.known_wait_s = restrictions[key].wait_s(counts[key])
+            if now_s + waiter.known_wait_s > waiter.give_up_s:
+                waiter.decided.set()
+                continue
+            counts[key] += 1
+            self._queue.append(item)
 
     def _new_refusal(
-        self, reason: calls.RefusalReason, expected_wait_s: float = 0.0
+        self, reason: calls.RefusalReason, known_wait_s: float = 0.0
     ) -> calls.CallError:
         jitter_s = self.server_selector.rng.uniform(0, RETRY_JITTER_S)
-        delay_s = min(MAX_RETRY_AFTER_S, max(RETRY_AFTER_S, expected_wait_s))
+        delay_s = min(MAX_RETRY_AFTER_S, max(RETRY_AFTER_S, known_wait_s))
         return calls.CallError(reason, retry_after_s=delay_s + jitter_s)
--- a/toucanhold/gateway/targets.py
+++ b/toucanhold/gateway/targets.py
@@ -4,13 +4,14 @@
 
 import collections
 import collections.abc
+import math
 import random
 
 import attrs
 import trio
 
 from toucanhold.gateway import budget, health, load, rate_limiter
-from toucanhold.registry import registry, servers
+from toucanhold.registry import registry, rests, servers
 from toucanhold.replicas import records
 from toucanhold.routes import table
 
@@ -22,6 +23,26 @@
 FAILURE_PENALTY_REQUESTS = 10.0
 
 
+@attrs.frozen
+class Restrictions:
+    """How servers restrict requests by what they say of themselves.
+
+    :ivar rate_per_s: rate at which this entry may send to servers that do not rest; infinity if
+        one of them has no limit
+    :ivar shortest_rest_s: time until the first of the others may be used; infinity if none rests
+    """
+
+    rate_per_s: float
+    shortest_rest_s: float
+
+    def wait_s(self, queued_count: int) -> float:
+        """Return how long a request must wait at least that so many others go before."""
+        if self.rate_per_s:
+            return min(queued_count / self.rate_per_s, self.shortest_rest_s)
+        # Without any server, groups may still form.
+        return self.shortest_rest_s if self.shortest_rest_s < math.inf else 0.0
+
+
 @attrs.define(eq=False)
 class ServerSelector:
     """Selects servers by load, failure rate and availability zone.
@@ -31,6 +52,7 @@
     :ivar cold_budget: limits requests to servers that have just started
     :ivar closed_zones: availability zones whose servers get no requests
     :ivar rate_limiter: limits requests to servers that name a limit
+    :ivar rest_table: servers that want no requests for a time
     :ivar zone: this entry's availability zone
     :ivar placement_counts: number of requests placed, by whether the server is in another zone
     """
@@ -42,6 +64,7 @@
     cold_budget: budget.ColdBudget
     closed_zones: collections.abc.Set[str]
     rate_limiter: rate_limiter.RateLimiter
+    rest_table: rests.RestTable
     zone: str
     rng: random.Random
     placement_counts: collections.Counter[bool] = attrs.field(
@@ -107,6 +130,17 @@
         """Return whether the requests in flight at a server, with those of this entry, fit it."""
         return self.load_tracker.estimate(server.server_id) <= _slots(service, server)
 
+    def restrictions(self, service: table.Service, model: str) -> Restrictions:
+        """Return how servers of a service and model restrict this entry's requests now."""
+        rests_s = []
+        rate_per_s = 0.0
+        for server in self.find_candidates(service, model):
+            if rest_s := self.rest_table.remaining_s(server):
+                rests_s.append(rest_s)
+            else:
+                rate_per_s += self.rate_limiter.sustained_rate_per_s(server)
+        return Restrictions(rate_per_s, min(rests_s, default=math.inf))
+
     def is_group_forming(self, service: table.Service, model: str) -> bool:
         """Return whether a group that serves the model exists or is being formed."""
         if service.engine is None:
@@ -138,7 +172,7 @@
     def _has_capacity(self, service: table.Service, server: servers.Server) -> bool:
         if self.load_tracker.estimate(server.server_id) >= _slots(service, server):
             return False
-        if not self.rate_limiter.may_send(server):
+        if self.rest_table.remaining_s(server) or not self.rate_limiter.may_send(server):
             return False
         if server.cold_until_s > trio.current_time():
             return self.cold_budget.may_send(server, service.cold_requests_per_s)
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -210,6 +210,7 @@
             self.server_client,
             lambda: frozenset(self.closed_zones),
             self.settings.bounds.stall_s,
+            self.rest_table,
         )
 
     def _build_gateway(self) -> None:
@@ -237,6 +238,7 @@
             self.cold_budget,
             self.closed_zones,
             self.rate_limiter,
+            self.rest_table,
             self.settings.zone,
             self.rng,
         )
--- a/toucanhold/registry/rests.py
+++ b/toucanhold/registry/rests.py
@@ -18,6 +18,7 @@
     """Servers that asked this entry for rest, with the end of it."""
 
     _until_s: dict[tuple[str, int], float] = attrs.field(factory=dict, init=False)
+    _excepted: set[tuple[str, int]] = attrs.field(factory=set, init=False)
 
     def record_control_call(self, server: servers.Server) -> None:
         """See :class:`signals.ServerObserver`."""
@@ -44,7 +45,15 @@
         until_s = self._until_s.get(server.incarnation)
         return max(0.0, until_s - trio.current_time()) if until_s is not None else 0.0
 
+    def take_exception(self, server: servers.Server) -> bool:
+        """Return whether one order may be sent to a server that rests; once in each rest."""
+        if server.incarnation in self._excepted:
+            return False
+        self._excepted.add(server.incarnation)
+        return True
+
     def _forget_ended(self) -> None:
         now_s = trio.current_time()
         for incarnation in [each for each, until_s in self._until_s.items() if until_s <= now_s]:
             del self._until_s[incarnation]
+            self._excepted.discard(incarnation)
