Send nothing more to backend servers that say they leave

Cause: that a server leaves was read from the key-value service alone. During its outage, or from servers that only lose their registration, entries learn it seconds late, though each answer says so.

Change: the word in an answer marks the server's process as leaving in the registry, whatever its registration says from then on; heads and groups follow as with a registration that says so. Notices tell it to all entries, so that the planner replaces the server's group in time.

--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -15,6 +15,7 @@
     budget,
     calls,
     crashes,
+    departures,
     entries,
     exchange,
     gateway,
@@ -234,6 +235,12 @@
         """Return the servers of one service."""
         return [server for server in self.servers.values() if server.service == service]
 
+    def mark_leaving(self, incarnation: tuple[str, int]) -> None:
+        """See :class:`registry.Registry`."""
+        name = incarnation[0]
+        if self.servers[name].incarnation == incarnation:
+            self.servers[name] = attrs.evolve(self.servers[name], is_leaving=True)
+
 
 @attrs.define(eq=False)
 class EmptyGroupTable:
@@ -314,13 +321,16 @@
         self.limit_table = limits.LimitTable()
         self.rate_limiter = rate_limiter.RateLimiter(self.limit_table, self.entry_list, rng)
         self.rest_table = rests.RestTable()
-        self.server_client.observer = signals.ObserverGroup((self.rate_limiter, self.rest_table))
+        self.departures = departures.DepartureTable(FixedRegistry(self.registered_servers))
+        observers = self.rate_limiter, self.rest_table, self.departures
+        self.server_client.observer = signals.ObserverGroup(observers)
         self.health = health.Health()
         self.crashes = crashes.CrashTracker()
         self.exchange = exchange.Exchange(
             self.entry_list,
             self.loads,
             self.rate_limiter,
+            self.departures,
             self.crashes,
             lambda server_id, entry: None,
             rng,
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -13,6 +13,7 @@
 from tests.platform import standins
 from toucanhold.gateway import (
     crashes,
+    departures,
     entries,
     exchange,
     health,
@@ -22,6 +23,7 @@
     rate_limiter,
     silence,
 )
+from toucanhold.registry import signals
 
 TIMEOUT_S = 5
 
@@ -41,12 +43,15 @@
         self.loads = load.LoadTracker()
         self.health = health.Health()
         self.crashes = crashes.CrashTracker()
+        self.registry = gateways.FixedRegistry(gateways.new_servers(1))
+        self.departures = departures.DepartureTable(self.registry)
         self.silent = []
         self.detector = silence.SilenceDetector(self.health, self.silent.append)
         self.exchange = exchange.Exchange(
             self.entry_list,
             self.loads,
             rate_limiter.RateLimiter(limits.LimitTable(), self.entry_list, random.Random(1)),
+            self.departures,
             self.crashes,
             self._on_silent,
             random.Random(1),
@@ -182,6 +187,22 @@
         # Each entry acts on the report once, however often it is repeated.
         self.assertEqual({1}, {len(node.silent) for node in nodes if node is not nodes[4]})
 
+    def test_a_leaving_server_is_told_to_all_zones(self):
+        """Guards against a planner that keeps a leaving server in its group until it is gone."""
+        trio.run(self._tell_departure)
+
+    async def _tell_departure(self):
+        nodes = new_site("abc", 3)
+        server = nodes[0].registry.servers["b0"]
+        async with trio.open_nursery() as nursery:
+            for node in nodes:
+                nursery.start_soon(node.run)
+            await wait_until(lambda: nodes[8].loads.is_settled)
+            leaving = signals.Signals(is_leaving=True)
+            nodes[4].departures.observe(server, leaving, trio.current_time())
+            await wait_until(lambda: all(each.registry.servers["b0"].is_leaving for each in nodes))
+            nursery.cancel_scope.cancel()
+
     def test_invalid_datagrams_are_ignored(self):
         """Guards against entries that exit or miscount because of a foreign or invalid datagram."""
         trio.run(self._send_invalid)
@@ -214,6 +235,7 @@
                     valid | {"limits": [{"server_id": "s1", "born_ms": 1}]},
                     valid | {"limits": [new_limit(float("nan"))]},
                     valid | {"limits": [new_limit(-1.0)]},
+                    valid | {"leaving": [{"server_id": "s1"}]},
                 ),
             ),
         ]
@@ -259,7 +281,10 @@
         counts = {f"i-{n:016x}": n % 7 for n in range(5000)}
         recent = {f"sent/{name}": 9 for name in counts}
         named = [limits.Limit(name, 1_700_000_000_000, 9, 1.1) for name in counts]
-        notice = notices.Notice(notices.Kind.DIGEST, "e1", "b1", counts, {}, [], recent, named)
+        leaving = [departures.Departure(name, 1_700_000_000_000) for name in counts]
+        notice = notices.Notice(
+            notices.Kind.DIGEST, "e1", "b1", counts, {}, [], recent, named, leaving
+        )
         data = notices.encode(notice)
         self.assertLess(len(data), notices.DATAGRAM_LIMIT_BYTES)
         self.assertEqual({6}, set(notices.decode(data).in_flight.values()) & {6})
--- a/toucanhold/events.py
+++ b/toucanhold/events.py
@@ -56,6 +56,7 @@
     SERVER_LIMIT_LIFTED = (6009, logging.INFO, "a backend server no longer limits its requests")
     LIMITED_SERVER_USED = (6010, logging.INFO, "requests were sent to a server with a limit")
     SERVER_RESTS = (6011, logging.INFO, "a backend server wants no requests from this entry")
+    SERVER_LEAVES = (6012, logging.INFO, "a backend server says that it is leaving")
     GROUP_UNREADABLE = (3014, logging.ERROR, "a stored group could not be read")
     GROUP_ENDING = (3015, logging.INFO, "a group gets no new work and is being dissolved")
     GROUP_REMOVED = (3016, logging.INFO, "a group was removed; its servers are free again")
--- a/toucanhold/gateway/exchange.py
+++ b/toucanhold/gateway/exchange.py
@@ -23,6 +23,7 @@
 from toucanhold import notifier
 from toucanhold.gateway import (
     crashes,
+    departures,
     entries,
     hierarchy,
     load,
@@ -69,6 +70,7 @@
     entry_list: entries.EntryList
     load_tracker: load.LoadTracker
     rate_limiter: rate_limiter.RateLimiter
+    departures: departures.DepartureTable
     crash_tracker: crashes.CrashTracker
     on_silent: collections.abc.Callable[[str, str], None]
     rng: random.Random
@@ -242,6 +244,7 @@
                 self.crash_tracker.recent_counts(MAX_CRASH_COUNTS, max_age_s),
                 recent,
                 self.rate_limiter.limit_table.to_tell(is_full),
+                self.departures.to_tell(),
             )
         )
 
@@ -275,6 +278,8 @@
             self.crash_tracker.merge(fingerprint, count)
         for limit in notice.limits:
             self.rate_limiter.limit_table.merge(limit, sender.entry)
+        for departure in notice.leaving:
+            self.departures.merge(departure, sender.entry)
         self._handle_silence_reports(notice)
         match notice.kind:
             case notices.Kind.REPORT:
--- a/toucanhold/gateway/notices.py
+++ b/toucanhold/gateway/notices.py
@@ -8,13 +8,14 @@
 import msgpack
 
 from toucanhold import codec
-from toucanhold.gateway import limits
+from toucanhold.gateway import departures, limits
 
 DATAGRAM_LIMIT_BYTES = 32 * 1024
 # Keep a datagram below its limit; a server ID and its count take about 20 bytes.
 MAX_SERVER_COUNTS = 1200
 MAX_RECENT_COUNTS = 150
-MAX_LIMITS = 50
+MAX_LIMITS = 40
+MAX_DEPARTURES = 20
 
 
 class NoticeError(Exception):
@@ -45,6 +46,7 @@
     :ivar recent: recent requests to limited servers and demand, as
         :meth:`rate_limiter.RateLimiter.own_counts` returns them
     :ivar limits: limits that servers have named or lifted
+    :ivar leaving: servers that say that they leave
     """
 
     kind: Kind
@@ -55,6 +57,7 @@
     crashes: list[tuple[str, int]]
     recent: dict[str, int] = attrs.field(factory=dict)
     limits: list[limits.Limit] = attrs.field(factory=list)
+    leaving: list[departures.Departure] = attrs.field(factory=list)
 
 
 def encode(notice: Notice) -> bytes:
@@ -64,6 +67,7 @@
         in_flight=_largest(notice.in_flight, MAX_SERVER_COUNTS),
         recent=_largest(notice.recent, MAX_RECENT_COUNTS),
         limits=notice.limits[:MAX_LIMITS],
+        leaving=notice.leaving[:MAX_DEPARTURES],
     )
     return msgpack.packb(codec.CONVERTER.unstructure(notice))
 
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -17,6 +17,7 @@
     admission,
     budget,
     crashes,
+    departures,
     entries,
     exchange,
     gateway,
@@ -91,7 +92,8 @@
         self.rate_limiter = rate_limiter.RateLimiter(self.limit_table, self.entry_list, self.rng)
         self.server_registry.add_listener(self._forget_servers)
         self.rest_table = rests.RestTable()
-        observer = signals.ObserverGroup((self.rate_limiter, self.rest_table))
+        self.departures = departures.DepartureTable(self.server_registry)
+        observer = signals.ObserverGroup((self.rate_limiter, self.rest_table, self.departures))
         self.server_client = servers.PlatformServerClient(observer)
         self._build_relay()
         self._build_planner()
@@ -155,9 +157,11 @@
         return not self.entry_list.is_stopping and self.routes.table is not None
 
     def _forget_servers(self) -> None:
-        self.rate_limiter.retain(
-            lambda incarnation: self.server_registry.find(incarnation) is not None
-        )
+        def is_known(incarnation: tuple[str, int]) -> bool:
+            return self.server_registry.find(incarnation) is not None
+
+        self.rate_limiter.retain(is_known)
+        self.departures.retain(is_known)
 
     def _own_entry(self) -> entries.Entry:
         entry_settings = self.settings
@@ -222,6 +226,7 @@
             self.entry_list,
             self.load_tracker,
             self.rate_limiter,
+            self.departures,
             self.crash_tracker,
             self._on_silence_report,
             self.rng,
--- a/toucanhold/registry/registry.py
+++ b/toucanhold/registry/registry.py
@@ -44,6 +44,7 @@
     lapsed: dict[str, servers.Server] = attrs.field(factory=dict, init=False)
     version: int = attrs.field(default=0, init=False)
     _lapsed_at_s: dict[str, float] = attrs.field(factory=dict, init=False)
+    _leaving: set[tuple[str, int]] = attrs.field(factory=set, init=False)
     _missing_since_s: dict[str, float] = attrs.field(factory=dict, init=False)
     _listeners: list[collections.abc.Callable[[], None]] = attrs.field(factory=list, init=False)
 
@@ -75,10 +76,20 @@
         server = self.servers.get(name) or self.lapsed.get(name)
         return server if server is not None and server.incarnation == incarnation else None
 
+    def mark_leaving(self, incarnation: tuple[str, int]) -> None:
+        """Consider a process of a server to be leaving, whatever its registration says."""
+        self._leaving = {each for each in self._leaving if self.find(each) is not None}
+        self._leaving.add(incarnation)
+        name = incarnation[0]
+        for known in (self.servers, self.lapsed):
+            if name in known:
+                known[name] = self._with_departure(known[name])
+        self._notify()
+
     def update_lapsed(self, server: servers.Server) -> None:
         """Update a lapsed server with the state that it reported to a probe."""
         if server.server_id in self.lapsed:
-            self.lapsed[server.server_id] = server
+            self.lapsed[server.server_id] = self._with_departure(server)
 
     def remove(self, name: str) -> None:
         """Drop a lapsed server, as it is dead or registered again."""
@@ -125,9 +136,13 @@
                 domain=server.domain,
                 revision=item.mod_revision,
             )
-        self.servers[name] = server
+        self.servers[name] = self._with_departure(server)
         self.remove(name)
 
+    def _with_departure(self, server: servers.Server) -> servers.Server:
+        is_marked = server.incarnation in self._leaving
+        return attrs.evolve(server, is_leaving=True) if is_marked else server
+
     def _drop_missing(self) -> None:
         if not self._missing_since_s or not self._may_drop():
             return
