Let the soak's servers ask for rest and leave by word alone

Servers of the soak now also refuse all they get and ask for rest, and say that they leave while their registration says nothing. The history is checked by the users' rules for each entry that was not disturbed: two requests within a rest, none that a caller sent two seconds after its entry had passed on a departure.

--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -94,7 +94,7 @@
         outcome, retry_after_s = "lost", None
         started_at_s = trio.current_time()
         entry = self.site.entry_at(address)
-        self.site.signal_record.entries[attempt] = entry
+        self.site.signal_record.entries[attempt] = entry, started_at_s
         with trio.move_on_after(DEADLINE_S):
             try:
                 response = await self._request(pool, address, kind, attempt, path)
--- a/tests/platform/soak/running.py
+++ b/tests/platform/soak/running.py
@@ -49,7 +49,7 @@
 ) -> Result:
     """Run one seed for ``faults_s`` of faults and the recovery after them.
 
-    :param has_signals: whether servers also name limits
+    :param has_signals: whether servers also name limits, ask for rest and say that they leave
     """
     async with sites.running(seed, folder, subnet) as site:
         caller_record = callers.CallerRecord()
@@ -61,7 +61,9 @@
                 nursery.start_soon(callers.Caller(site, caller_record, f"c{seed}-{number}").run)
             await trio.sleep(2)
             if has_signals:
-                signal_injector = signals.SignalInjector(site, site.signal_record)
+                signal_injector = signals.SignalInjector(
+                    site, site.signal_record, injector.reserved_targets
+                )
                 nursery.start_soon(signal_injector.run, faults_s)
             await injector.run(faults_s)
             await trio.sleep(RECOVERY_S)
