--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -174,6 +174,7 @@
         response
     :ivar order_count: number of accepted orders, the next order's precondition
     :ivar active: number of requests in progress
+    :ivar signals: headers in which it tells of itself in each answer
     """
 
     server_id: str = "i-1"
@@ -182,12 +183,14 @@
     orders: list = attrs.field(factory=list)
     order_count: int = 0
     active: int = 0
+    signals: list = attrs.field(factory=list)
 
     async def __call__(self, scope, receive, send):
         if scope["type"] == "lifespan":
             await asgi.acknowledge_lifespan(receive, send)
             return
         body = await asgi.read_body(receive, 10_000_000)
+        send = self._with_signals(send)
         if scope["path"] == "/report":
             await asgi.respond_json(send, 200, {"seq": self.order_count, "busy": False})
             return
@@ -205,6 +208,14 @@
         finally:
             self.active -= 1
 
+    def _with_signals(self, send):
+        async def send_with_signals(message):
+            if message["type"] == "http.response.start":
+                message = message | {"headers": [*message["headers"], *self.signals]}
+            await send(message)
+
+        return send_with_signals
+
     def seal(self, request_headers):
         return [
             (b"x-attempt-id", request_headers.get("x-attempt-id", "").encode()),
@@ -227,5 +238,6 @@
         response = await pool.request(
             method, f"http://{address}{target}", headers=list(headers), content=body
         )
-        response_headers = {key.decode().lower(): value.decode() for key, value in response.headers}
+        lines = response.headers
+        response_headers = {key.decode().lower(): value.decode("latin-1") for key, value in lines}
         return response.status, response_headers, response.content
--- a/tests/platform/test_platform_calls.py
+++ b/tests/platform/test_platform_calls.py
@@ -34,7 +34,8 @@
             async with standins.serve_app(server_app) as address:
                 server = attrs.evolve(gateways.new_servers(1)["b0"], address=address)
                 scene = gateways.GatewayFixture({"b0": server})
-                scene.gateway.server_client = servers.PlatformServerClient(scene.rate_limiter)
+                observer = scene.server_client.observer
+                scene.gateway.server_client = servers.PlatformServerClient(observer)
                 app = front.FrontApp(scene.gateway, metrics.Metrics("e"), lambda: False)
                 async with scene.running(), standins.serve_app(app) as entry:
                     with trio.fail_after(20):
@@ -174,6 +175,66 @@
             await trio.sleep(after_s)
 
 
+class SignalTest(unittest.TestCase):
+    @with_server_and_entry
+    async def test_an_answer_names_a_limit_and_is_passed_on(self, scene, server_app, entry):
+        server_app.signals = [(b"server-limit", b"1.5")]
+        status, answer_headers, _ = await standins.send_request(entry, "POST", "/orders/1", HEADERS)
+        self.assertEqual((200, "1.5"), (status, answer_headers["server-limit"]))
+        self.assertEqual(1.5, scene.limit_table.rate_per_s(scene.registered_servers["b0"]))
+
+    @with_server_and_entry
+    async def test_a_refusal_that_asks_for_rest_is_the_last_request(self, scene, server_app, entry):
+        """Guards against requests that wait for a server which has asked for a long rest."""
+
+        async def refuse(request_headers, receive, send):
+            refusal = [(b"x-not-executed", b"1"), (b"retry-after", b"3")]
+            await asgi.respond(send, 503, refusal, b"")
+
+        server_app.handler = refuse
+        for _ in range(3):
+            status, answer_headers, _ = await standins.send_request(
+                entry, "POST", "/orders/1", HEADERS
+            )
+            self.assertEqual(503, status)
+            self.assertGreater(float(answer_headers["retry-after"]), 2.0)
+        self.assertEqual(1, len(server_app.requests))
+
+    @with_server_and_entry
+    async def test_an_answer_of_another_server_says_nothing(self, scene, server_app, entry):
+        """Guards against words of a server that has taken over the address of another one."""
+
+        async def misdirect(request_headers, receive, send):
+            words = [(b"server-leaving", b"1"), (b"server-limit", b"0")]
+            await asgi.respond(send, 421, [(b"x-not-executed", b"1"), *words], b"")
+
+        server_app.handler = misdirect
+        await standins.send_request(entry, "POST", "/orders/1", HEADERS)
+        server = scene.registered_servers["b0"]
+        self.assertFalse(server.is_leaving)
+        self.assertIsNone(scene.limit_table.rate_per_s(server))
+
+    @with_server_and_entry
+    async def test_garbled_words_change_nothing(self, scene, server_app, entry):
+        """Guards against requests that fail because of a value beside their answer."""
+        words = (b"server-limit", b"\xff"), (b"server-leaving", b"maybe"), (b"retry-after", b"-3")
+        server_app.signals = list(words)
+        for _ in range(3):
+            status, _, body = await standins.send_request(entry, "POST", "/orders/1", HEADERS)
+            self.assertEqual((200, b"answer"), (status, body))
+
+    @with_server_and_entry
+    async def test_answers_to_probes_and_orders_are_read_too(self, scene, server_app, entry):
+        """Guards against words that count only in answers to callers' requests."""
+        server = scene.registered_servers["b0"]
+        server_app.signals = [(b"server-limit", b"2")]
+        await scene.gateway.server_client.probe(server)
+        self.assertEqual(2.0, scene.limit_table.rate_per_s(server))
+        server_app.signals = [(b"server-leaving", b"1")]
+        await scene.gateway.server_client.send(server, orders.Leave("g1", 1), 0, 9)
+        self.assertTrue(scene.registered_servers["b0"].is_leaving)
+
+
 class OrderTest(unittest.TestCase):
     @with_server_and_entry
     async def test_orders_carry_the_expected_order_count(self, scene, server_app, entry):
--- a/toucanhold/gateway/rate_limiter.py
+++ b/toucanhold/gateway/rate_limiter.py
@@ -183,6 +183,8 @@
         for server_id in [each for each, recent in self._sent.items() if not recent.total()]:
             del self._sent[server_id]
             self._use_logged_s.pop(server_id, None)
+        for key in [each for each, recent in self._demand.items() if not recent.total()]:
+            del self._demand[key]
 
     def _own_rate_per_s(self, server: servers.Server, limit_per_s: float) -> float:
         if not self._is_settled(server):
