Tell other entries of any number of limits, and refuse at once at limits of zero

A notice holds 40 limits and 20 departures; of more it took the first, and the others were never told. It now takes a random choice, so that later notices tell of the rest. A model whose servers all name a limit of zero kept requests waiting until their time in the queue was over; they are refused at once, except those that try. Orders that a rest defers are logged.

--- a/toucanhold/gateway/exchange.py
+++ b/toucanhold/gateway/exchange.py
@@ -47,6 +47,8 @@
 # Reported counts expire after this time, because an entry that died has no requests in flight.
 REPORT_VALIDITY_S = 1.0
 MAX_CRASH_COUNTS = 16
+MAX_LIMITS = 40
+MAX_DEPARTURES = 20
 # One notice in this many also repeats older crash counts and limits, for entries that have
 # restarted.
 FULL_NOTICE_EVERY = 10
@@ -243,11 +245,15 @@
                 self._silence_reports.local() if is_upward else self._silence_reports.all(),
                 self.crash_tracker.recent_counts(MAX_CRASH_COUNTS, max_age_s),
                 recent,
-                self.rate_limiter.limit_table.to_tell(is_full),
-                self.departures.to_tell(),
+                self._sample(self.rate_limiter.limit_table.to_tell(is_full), MAX_LIMITS),
+                self._sample(self.departures.to_tell(), MAX_DEPARTURES),
             )
         )
 
+    def _sample(self, items: list, max_count: int) -> list:
+        """Return all items, or a random choice of them: later notices tell of the others."""
+        return items if len(items) <= max_count else self.rng.sample(items, max_count)
+
     async def _receive(self, socket: trio.socket.SocketType) -> None:
         while True:
             try:
--- a/toucanhold/gateway/notices.py
+++ b/toucanhold/gateway/notices.py
@@ -14,8 +14,6 @@
 # Keep a datagram below its limit; a server ID and its count take about 20 bytes.
 MAX_SERVER_COUNTS = 1200
 MAX_RECENT_COUNTS = 150
-MAX_LIMITS = 40
-MAX_DEPARTURES = 20
 
 
 class NoticeError(Exception):
@@ -61,13 +59,11 @@
 
 
 def encode(notice: Notice) -> bytes:
-    """Return a notice as a datagram, with the largest counts and the first limits at most."""
+    """Return a notice as a datagram, with the largest counts at most."""
     notice = attrs.evolve(
         notice,
         in_flight=_largest(notice.in_flight, MAX_SERVER_COUNTS),
         recent=_largest(notice.recent, MAX_RECENT_COUNTS),
-        limits=notice.limits[:MAX_LIMITS],
-        leaving=notice.leaving[:MAX_DEPARTURES],
     )
     return msgpack.packb(codec.CONVERTER.unstructure(notice))
 
--- a/toucanhold/gateway/targets.py
+++ b/toucanhold/gateway/targets.py
@@ -28,7 +28,7 @@
     """How servers restrict requests by what they say of themselves.
 
     :ivar rate_per_s: rate at which this entry may send to servers that do not rest; infinity if
-        one of them has no limit
+        one of them has no limit, or if there are no servers
     :ivar shortest_rest_s: time until the first of the others may be used; infinity if none rests
     """
 
@@ -37,10 +37,8 @@
 
     def wait_s(self, queued_count: int) -> float:
         """Return how long a request must wait at least that so many others go before."""
-        if self.rate_per_s:
-            return min(queued_count / self.rate_per_s, self.shortest_rest_s)
-        # Without any server, groups may still form.
-        return self.shortest_rest_s if self.shortest_rest_s < math.inf else 0.0
+        until_rate_allows_s = queued_count / self.rate_per_s if self.rate_per_s else math.inf
+        return min(until_rate_allows_s, self.shortest_rest_s)
 
 
 @attrs.define(eq=False)
@@ -132,9 +130,10 @@
 
     def restrictions(self, service: table.Service, model: str) -> Restrictions:
         """Return how servers of a service and model restrict this entry's requests now."""
+        candidates = self.find_candidates(service, model)
         rests_s = []
-        rate_per_s = 0.0
-        for server in self.find_candidates(service, model):
+        rate_per_s = 0.0 if candidates else math.inf
+        for server in candidates:
             if rest_s := self.rest_table.remaining_s(server):
                 rests_s.append(rest_s)
             else:
--- a/toucanhold/replicas/ordering.py
+++ b/toucanhold/replicas/ordering.py
@@ -90,6 +90,7 @@
     ) -> orders.OrderOutcome:
         is_count_known = server.incarnation in self._order_counts
         if not is_count_known or not self.rest_table.take_exception(server):
+            _log_answer(server, order, None, orders.OrderOutcome.DEFERRED)
             return orders.OrderOutcome.DEFERRED
         return await self._send_once(server, order)
 
@@ -152,17 +153,23 @@
             self._order_counts[server.incarnation] = count + 1
         if outcome is orders.OrderOutcome.UNREACHABLE:
             self._mark_unreachable(server.incarnation)
-        events.log(
-            LOGGER,
-            events.Event.ORDER_ANSWERED,
-            server=server.server_id,
-            order=type(order).__name__.lower(),
-            group=getattr(order, "group", None),
-            epoch=getattr(order, "epoch", None),
-            expected_orders=count,
-            outcome=outcome.value,
-        )
+        _log_answer(server, order, count, outcome)
         return outcome
 
     def _mark_unreachable(self, incarnation: tuple[str, int]) -> None:
         self._unreachable_until_s[incarnation] = trio.current_time() + UNREACHABLE_PERIOD_S
+
+
+def _log_answer(
+    server: servers.Server, order: orders.Order, count: int | None, outcome: orders.OrderOutcome
+) -> None:
+    events.log(
+        LOGGER,
+        events.Event.ORDER_ANSWERED,
+        server=server.server_id,
+        order=type(order).__name__.lower(),
+        group=getattr(order, "group", None),
+        epoch=getattr(order, "epoch", None),
+        expected_orders=count,
+        outcome=outcome.value,
+    )
