--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -15,7 +15,7 @@
     budget,
     calls,
     crashes,
-    departures,
+    draining,
     entries,
     exchange,
     gateway,
@@ -26,7 +26,7 @@
     silence,
     targets,
 )
-from toucanhold.registry import rests, servers, signals
+from toucanhold.registry import backoffs, servers, signals
 from toucanhold.routes import table
 
 HOST = "site.example"
@@ -131,7 +131,7 @@
     :ivar is_refusing: whether it responds that it has not run the call
     :ivar is_down: whether it accepts no connections
     :ivar is_answer_lost: whether it runs the call and then breaks the connection
-    :ivar signals: what it says of itself in each answer
+    :ivar signals: signals in each of its answers
     """
 
     status: int = 200
@@ -154,7 +154,7 @@
     :ivar executed_calls: calls run as (server name, call id)
     :ivar received_calls: calls received as (time on trio's clock, server name, call)
     :ivar active_calls: number of calls in progress by server name
-    :ivar observer: is told what servers say of themselves
+    :ivar observer: notified of the signals in answers
     """
 
     behaviours: dict[str, ServerBehaviour] = attrs.field(
@@ -320,9 +320,9 @@
         self.entry_list = FixedEntryList(self.entry)
         self.limit_table = limits.LimitTable()
         self.rate_limiter = rate_limiter.RateLimiter(self.limit_table, self.entry_list, rng)
-        self.rest_table = rests.RestTable()
-        self.departures = departures.DepartureTable(FixedRegistry(self.registered_servers))
-        observers = self.rate_limiter, self.rest_table, self.departures
+        self.backoff_table = backoffs.BackoffTable()
+        self.draining_table = draining.DrainingTable(FixedRegistry(self.registered_servers))
+        observers = self.rate_limiter, self.backoff_table, self.draining_table
         self.server_client.observer = signals.ObserverGroup(observers)
         self.health = health.Health()
         self.crashes = crashes.CrashTracker()
@@ -330,7 +330,7 @@
             self.entry_list,
             self.loads,
             self.rate_limiter,
-            self.departures,
+            self.draining_table,
             self.crashes,
             lambda server_id, entry: None,
             rng,
@@ -343,7 +343,7 @@
             budget.ColdBudget(1.5, 5, self.entry_list),
             self.closed_zones,
             self.rate_limiter,
-            self.rest_table,
+            self.backoff_table,
             self.entry.zone,
             rng,
         )
--- a/tests/platform/soak/backends.py
+++ b/tests/platform/soak/backends.py
@@ -179,9 +179,12 @@
         send = self._with_signals(send)
         if headers.get("x-target-instance", self.name) != self.name:
             await asgi.respond(send, 421, [(b"x-not-executed", b"1")], b"")
-        elif (rest_s := self.signal_record.refuse(self.name, attempt)) is not None:
+        elif (backoff_s := self.signal_record.refuse(self.name, attempt)) is not None:
             await asgi.respond(
-                send, 503, [(b"x-not-executed", b"1"), (b"retry-after", str(rest_s).encode())], b""
+                send,
+                503,
+                [(b"x-not-executed", b"1"), (b"retry-after", str(backoff_s).encode())],
+                b"",
             )
         elif scope["path"] == "/report":
             await self._report(send)
--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -108,8 +108,8 @@
     def _record_signals(self, response, entry):
         headers = {key.decode().lower(): value.decode() for key, value in response.headers}
         server = headers.get("x-server-seal")
-        passed_on = trio.current_time(), entry, server, frozenset(headers)
-        self.site.signal_record.passed_on.append(passed_on)
+        forwarded = trio.current_time(), entry, server, frozenset(headers)
+        self.site.signal_record.forwarded.append(forwarded)
 
     async def _request(self, pool, address, kind, attempt, path):
         headers = [
--- a/tests/platform/soak/running.py
+++ b/tests/platform/soak/running.py
@@ -49,7 +49,7 @@
 ) -> Result:
     """Run one seed for ``faults_s`` of faults and the recovery after them.
 
-    :param has_signals: whether servers also name limits, ask for rest and say that they leave
+    :param has_signals: whether servers also send signals, see :mod:`signals`
     """
     async with sites.running(seed, folder, subnet) as site:
         caller_record = callers.CallerRecord()
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -174,7 +174,7 @@
         response
     :ivar order_count: number of accepted orders, the next order's precondition
     :ivar active: number of requests in progress
-    :ivar signals: headers in which it tells of itself in each answer
+    :ivar signals: headers that it adds to each answer
     """
 
     server_id: str = "i-1"
--- a/tests/platform/test_platform_calls.py
+++ b/tests/platform/test_platform_calls.py
@@ -184,8 +184,10 @@
         self.assertEqual(1.5, scene.limit_table.rate_per_s(scene.registered_servers["b0"]))
 
     @with_server_and_entry
-    async def test_a_refusal_that_asks_for_rest_is_the_last_request(self, scene, server_app, entry):
-        """Guards against requests that wait for a server which has asked for a long rest."""
+    async def test_a_refusal_that_asks_for_a_backoff_is_the_last_request(
+        self, scene, server_app, entry
+    ):
+        """Guards against requests that wait for a server which has asked for a long backoff."""
 
         async def refuse(request_headers, receive, send):
             refusal = [(b"x-not-executed", b"1"), (b"retry-after", b"3")]
@@ -201,12 +203,12 @@
         self.assertEqual(1, len(server_app.requests))
 
     @with_server_and_entry
-    async def test_an_answer_of_another_server_says_nothing(self, scene, server_app, entry):
-        """Guards against words of a server that has taken over the address of another one."""
+    async def test_signals_of_another_server_are_ignored(self, scene, server_app, entry):
+        """Guards against signals of a server that has taken over another one's address."""
 
         async def misdirect(request_headers, receive, send):
-            words = [(b"server-leaving", b"1"), (b"server-limit", b"0")]
-            await asgi.respond(send, 421, [(b"x-not-executed", b"1"), *words], b"")
+            lines = [(b"server-leaving", b"1"), (b"server-limit", b"0")]
+            await asgi.respond(send, 421, [(b"x-not-executed", b"1"), *lines], b"")
 
         server_app.handler = misdirect
         await standins.send_request(entry, "POST", "/orders/1", HEADERS)
@@ -215,17 +217,17 @@
         self.assertIsNone(scene.limit_table.rate_per_s(server))
 
     @with_server_and_entry
-    async def test_garbled_words_change_nothing(self, scene, server_app, entry):
+    async def test_unreadable_signals_change_nothing(self, scene, server_app, entry):
         """Guards against requests that fail because of a value beside their answer."""
-        words = (b"server-limit", b"\xff"), (b"server-leaving", b"maybe"), (b"retry-after", b"-3")
-        server_app.signals = list(words)
+        lines = (b"server-limit", b"\xff"), (b"server-leaving", b"maybe"), (b"retry-after", b"-3")
+        server_app.signals = list(lines)
         for _ in range(3):
             status, _, body = await standins.send_request(entry, "POST", "/orders/1", HEADERS)
             self.assertEqual((200, b"answer"), (status, body))
 
     @with_server_and_entry
     async def test_answers_to_probes_and_orders_are_read_too(self, scene, server_app, entry):
-        """Guards against words that count only in answers to callers' requests."""
+        """Guards against signals that are read only in answers to callers' requests."""
         server = scene.registered_servers["b0"]
         server_app.signals = [(b"server-limit", b"2")]
         await scene.gateway.server_client.probe(server)
--- a/tests/platform/test_platform_signals.py
+++ b/tests/platform/test_platform_signals.py
@@ -1,4 +1,4 @@
-"""Tests of the headers in which backend servers tell of themselves."""
+"""Tests of the signals in headers of backend servers' answers."""
 
 import unittest
 
@@ -34,13 +34,13 @@
             self._decode((b"server-limit", b"\xff\xfe"))
         self.assertEqual(1, len(logged.records))
 
-    def test_a_refusal_may_ask_for_rest(self):
+    def test_a_refusal_may_ask_for_a_backoff(self):
         line = (b"retry-after", b"2.5")
-        self.assertEqual(signals.Signals(rest_s=2.5), self._decode(line, status=503))
+        self.assertEqual(signals.Signals(backoff_s=2.5), self._decode(line, status=503))
         self.assertEqual(signals.Signals(), self._decode(line, status=200))
 
-    def test_unreadable_rests_cost_one_log_line(self):
-        """Guards against a garbled rest that idles a server or floods the log."""
+    def test_unreadable_backoffs_cost_one_log_line(self):
+        """Guards against a garbled backoff that idles a server or floods the log."""
         with self.assertLogs("toucanhold.platform.signals", "WARNING") as logged:
             for text in (*UNREADABLE, "99999999", "Fri, 31 Dec 1999 23:59:59 GMT"):
                 with self.subTest(text):
@@ -48,11 +48,11 @@
                     self.assertEqual(signals.Signals(), decoded)
         self.assertEqual(1, len(logged.records))
 
-    def test_a_server_may_say_that_it_leaves(self):
+    def test_a_server_may_say_that_it_is_draining(self):
         self.assertEqual(signals.Signals(is_leaving=True), self._decode((b"Server-Leaving", b"1")))
 
-    def test_unreadable_words_of_leaving_cost_one_log_line(self):
-        """Guards against a garbled word that takes a server out of service."""
+    def test_unreadable_draining_flags_cost_one_log_line(self):
+        """Guards against a garbled flag that takes a server out of service."""
         with self.assertLogs("toucanhold.platform.signals", "WARNING") as logged:
             for text in ("", "0", "yes", "11"):
                 with self.subTest(text):
--- a/tests/test_rests.py
+++ b/tests/test_backoffs.py
@@ -1,4 +1,4 @@
-"""Tests of backend servers that turn requests away and ask for rest."""
+"""Tests of backend servers that refuse requests and ask for a backoff."""
 
 import collections
 import unittest
@@ -8,26 +8,26 @@
 
 from standins import gateways
 from tests import clocked
-from toucanhold.registry import rests, signals
+from toucanhold.registry import backoffs, signals
 from toucanhold.replicas import ordering, orders
 
-REST_S = 3.0
-# Requests that are on their way as a server asks for rest.
+BACKOFF_S = 3.0
+# Requests may be on their way to a server when it asks for a backoff.
 ON_THE_WAY_S = 0.5
-MAX_REQUESTS_IN_REST = 2
+MAX_REQUESTS_IN_BACKOFF = 2
 
 
-def largest_rest_breach(scene, name, refusing_until_s):
-    """Return the highest number of requests that a server got within a rest it had asked for."""
+def largest_backoff_breach(scene, name, refusing_until_s):
+    """Return the highest number of requests that a server got within a backoff it had asked for."""
     times_s = [time_s for time_s, server, _ in scene.server_client.received_calls if server == name]
     return max(
-        sum(told_s + ON_THE_WAY_S <= time_s < told_s + REST_S for time_s in times_s)
-        for told_s in times_s
-        if told_s < refusing_until_s
+        sum(refused_s + ON_THE_WAY_S <= time_s < refused_s + BACKOFF_S for time_s in times_s)
+        for refused_s in times_s
+        if refused_s < refusing_until_s
     )
 
 
-class RestTest(unittest.TestCase):
+class BackoffTest(unittest.TestCase):
     async def _send(self, scene, duration_s):
         """Send twenty requests a second; return the number of each status."""
         statuses = collections.Counter()
@@ -43,12 +43,12 @@
         return statuses
 
     @clocked.on_test_clock
-    async def test_a_server_that_asks_for_rest_is_left_alone(self):
+    async def test_a_server_that_asks_for_a_backoff_gets_no_requests(self):
         """Guards against refusals that draw more requests, since they leave a server idle."""
         scene = gateways.GatewayFixture()
         behaviour = scene.server_client.behaviours["b0"]
         behaviour.is_refusing = True
-        behaviour.signals = signals.Signals(rest_s=REST_S)
+        behaviour.signals = signals.Signals(backoff_s=BACKOFF_S)
         async with scene.running():
             statuses = await self._send(scene, 8)
             refusing_until_s = trio.current_time()
@@ -56,50 +56,52 @@
             behaviour.signals = signals.Signals()
             await self._send(scene, 6)
         self.assertEqual({200: 160}, statuses)
-        breach = largest_rest_breach(scene, "b0", refusing_until_s)
-        self.assertLessEqual(breach, MAX_REQUESTS_IN_REST)
+        breach = largest_backoff_breach(scene, "b0", refusing_until_s)
+        self.assertLessEqual(breach, MAX_REQUESTS_IN_BACKOFF)
         self.assertIn("b0", dict(scene.server_client.executed_calls))
 
     @clocked.on_test_clock
-    async def test_requests_are_refused_at_once_while_all_servers_rest(self):
-        """Guards against callers that wait for servers which have asked for a long rest."""
+    async def test_requests_are_refused_at_once_while_all_servers_back_off(self):
+        """Guards against callers that wait for servers which have asked for a long backoff."""
         scene = gateways.GatewayFixture()
         for name in scene.registered_servers:
             scene.server_client.behaviours[name].is_refusing = True
-            scene.server_client.behaviours[name].signals = signals.Signals(rest_s=REST_S)
+            scene.server_client.behaviours[name].signals = signals.Signals(backoff_s=BACKOFF_S)
         async with scene.running():
             await scene.send(gateways.new_call("/orders/1"))
             began_s = trio.current_time()
             _, error = await scene.send(gateways.new_call("/orders/1", body=b"2"))
             self.assertAlmostEqual(began_s, trio.current_time(), delta=0.01)
         self.assertFalse(error.may_have_run)
-        self.assertGreaterEqual(error.retry_after_s, REST_S - 0.1)
+        self.assertGreaterEqual(error.retry_after_s, BACKOFF_S - 0.1)
         self.assertEqual(3, len(scene.server_client.received_calls))
 
     @clocked.on_test_clock
-    async def test_queued_requests_are_refused_when_all_servers_begin_to_rest(self):
+    async def test_queued_requests_are_refused_when_all_servers_ask_for_a_backoff(self):
         """Guards against callers that wait on in a queue that can no longer be served in time."""
         scene = gateways.GatewayFixture(gateways.new_servers(1, slots=1))
         scene.server_client.behaviours["b0"].response_delay_s = 0.1
         async with scene.running() as nursery:
             nursery.start_soon(scene.send, gateways.new_call("/orders/1"))
-            nursery.start_soon(self._rest_after, scene, 0.05)
+            nursery.start_soon(self._ask_for_backoff_after, scene, 0.05)
             await trio.sleep(0.01)
             began_s = trio.current_time()
             _, error = await scene.send(gateways.new_call("/orders/1", body=b"2"))
             self.assertLess(trio.current_time() - began_s, 0.1)
         self.assertFalse(error.may_have_run)
 
-    async def _rest_after(self, scene, delay_s):
+    async def _ask_for_backoff_after(self, scene, delay_s):
         await trio.sleep(delay_s)
         server = scene.registered_servers["b0"]
-        scene.rest_table.observe(server, signals.Signals(rest_s=REST_S), trio.current_time())
+        scene.backoff_table.observe(
+            server, signals.Signals(backoff_s=BACKOFF_S), trio.current_time()
+        )
 
     @clocked.on_test_clock
-    async def test_a_short_rest_is_waited_for(self):
+    async def test_requests_wait_for_the_end_of_a_short_backoff(self):
         scene = gateways.GatewayFixture(gateways.new_servers(1))
         server = scene.registered_servers["b0"]
-        scene.rest_table.observe(server, signals.Signals(rest_s=0.2), trio.current_time())
+        scene.backoff_table.observe(server, signals.Signals(backoff_s=0.2), trio.current_time())
         async with scene.running():
             began_s = trio.current_time()
             reply, _ = await scene.send(gateways.new_call("/lookups/1"))
@@ -107,11 +109,13 @@
         self.assertGreaterEqual(scene.server_client.received_calls[0][0], began_s + 0.2)
 
     @clocked.on_test_clock
-    async def test_a_stream_is_not_resumed_at_a_server_that_rests(self):
-        """Guards against resumed streams that pass by the rests of servers."""
+    async def test_a_stream_is_not_resumed_at_a_server_with_a_backoff(self):
+        """Guards against resumed streams that ignore backoffs."""
         scene = gateways.GatewayFixture()
-        rested = scene.registered_servers["b1"]
-        scene.rest_table.observe(rested, signals.Signals(rest_s=REST_S), trio.current_time())
+        avoided = scene.registered_servers["b1"]
+        scene.backoff_table.observe(
+            avoided, signals.Signals(backoff_s=BACKOFF_S), trio.current_time()
+        )
         scene.loads.add("b2")
         scene.server_client.behaviours["b0"].cut_after = 4
         async with scene.running():
@@ -137,19 +141,19 @@
 
 class ControlTest(unittest.TestCase):
     @clocked.on_test_clock
-    async def test_a_resting_server_gets_one_order_and_no_probes(self):
-        """Guards against orders and probes that reach a server which wants no requests."""
+    async def test_a_server_with_a_backoff_gets_one_order_and_no_probes(self):
+        """Guards against orders and probes that reach a server which asked for a backoff."""
         engine = RecordingEngine()
-        rest_table = rests.RestTable()
-        sender = ordering.OrderSender(engine, None, lambda: 1, rest_table)
+        backoff_table = backoffs.BackoffTable()
+        sender = ordering.OrderSender(engine, None, lambda: 1, backoff_table)
         server = gateways.new_servers(1)["b0"]
         leave = orders.Leave("g1", 2)
-        rest_table.observe(server, signals.Signals(rest_s=REST_S), trio.current_time())
+        backoff_table.observe(server, signals.Signals(backoff_s=BACKOFF_S), trio.current_time())
         self.assertIs(orders.OrderOutcome.DEFERRED, await sender.send(server, leave))
-        await trio.sleep(REST_S)
+        await trio.sleep(BACKOFF_S)
         self.assertIs(orders.OrderOutcome.BEGUN, await sender.send(server, leave))
         self.assertEqual(["probe", leave], engine.received)
-        rest_table.observe(server, signals.Signals(rest_s=REST_S), trio.current_time())
+        backoff_table.observe(server, signals.Signals(backoff_s=BACKOFF_S), trio.current_time())
         self.assertEqual(server, await sender.probe(server))
         outcomes = [await sender.send(server, leave) for _ in range(3)]
         deferred = orders.OrderOutcome.DEFERRED
--- a/tests/test_departures.py
+++ b/tests/test_draining.py
@@ -1,4 +1,4 @@
-"""Tests of backend servers that say in their answers that they leave."""
+"""Tests of backend servers whose answers say that they are draining."""
 
 import unittest
 
@@ -9,7 +9,7 @@
 from tests import clocked
 from toucanhold import codec
 from toucanhold.coordination import keyvalue, mirror
-from toucanhold.gateway import departures
+from toucanhold.gateway import draining
 from toucanhold.registry import registry, signals
 
 SERVER = gateways.new_servers(1)["b0"]
@@ -21,10 +21,10 @@
     return keyvalue.Item(key, codec.to_json(server), revision, revision)
 
 
-class DepartureTest(unittest.TestCase):
+class DrainingTest(unittest.TestCase):
     @clocked.on_test_clock
-    async def test_a_leaving_server_gets_no_more_requests(self):
-        """Guards against requests to a server whose leaving the key-value service has not told."""
+    async def test_a_draining_server_gets_no_more_requests(self):
+        """Guards against requests to a draining server whose registration does not say so yet."""
         scene = gateways.GatewayFixture()
         scene.server_client.behaviours["b0"].signals = LEAVING
         scene.loads.add("b1")
@@ -38,7 +38,7 @@
         self.assertEqual(["b0"], [name for name in names if name == "b0"])
 
     @clocked.on_test_clock
-    async def test_a_refusal_also_tells_that_a_server_leaves(self):
+    async def test_a_refusal_also_says_that_a_server_is_draining(self):
         scene = gateways.GatewayFixture()
         scene.server_client.behaviours["b0"].signals = LEAVING
         scene.server_client.behaviours["b0"].is_refusing = True
@@ -61,11 +61,11 @@
         self.kv_mirror.apply(mirror.Changes(self.kv_mirror.revision, revision, (item,)))
 
     @clocked.on_test_clock
-    async def test_a_heartbeat_does_not_bring_a_leaving_server_back(self):
-        """Guards against registrations that overrule what a server says in its answers."""
+    async def test_a_heartbeat_does_not_bring_a_draining_server_back(self):
+        """Guards against registrations that override a draining flag in an answer."""
         self.kv_mirror.replace(keyvalue.RangeResult(1, ()))
         self._put(SERVER, 2)
-        table = departures.DepartureTable(self.registry)
+        table = draining.DrainingTable(self.registry)
         version = self.registry.version
         table.observe(SERVER, LEAVING, trio.current_time())
         self.assertGreater(self.registry.version, version)
@@ -76,13 +76,13 @@
         self.assertFalse(self.registry.servers["b0"].is_leaving)
 
     @clocked.on_test_clock
-    async def test_departures_are_told_for_a_while_and_forgotten_with_the_server(self):
-        """Guards against entries that tell each other of departures for ever."""
-        table = departures.DepartureTable(self.registry)
+    async def test_draining_servers_are_announced_for_a_while_and_forgotten_when_gone(self):
+        """Guards against entries that repeat each other's announcements for ever."""
+        table = draining.DrainingTable(self.registry)
         table.observe(SERVER, LEAVING, trio.current_time())
-        self.assertEqual([departures.Departure("b0", 1)], table.to_tell())
-        await trio.sleep(2 * departures.REPEAT_PERIOD_S + 0.1)
-        table.merge(departures.Departure("b0", 1), "e2")
-        self.assertEqual([], table.to_tell())
+        self.assertEqual([draining.DrainingServer("b0", 1)], table.to_announce())
+        await trio.sleep(2 * draining.REPEAT_PERIOD_S + 0.1)
+        table.merge(draining.DrainingServer("b0", 1), "e2")
+        self.assertEqual([], table.to_announce())
         table.retain(lambda incarnation: False)
         self.assertEqual({}, table._learned_s)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -13,7 +13,7 @@
 from tests.platform import standins
 from toucanhold.gateway import (
     crashes,
-    departures,
+    draining,
     entries,
     exchange,
     health,
@@ -44,14 +44,14 @@
         self.health = health.Health()
         self.crashes = crashes.CrashTracker()
         self.registry = gateways.FixedRegistry(gateways.new_servers(1))
-        self.departures = departures.DepartureTable(self.registry)
+        self.draining_table = draining.DrainingTable(self.registry)
         self.silent = []
         self.detector = silence.SilenceDetector(self.health, self.silent.append)
         self.exchange = exchange.Exchange(
             self.entry_list,
             self.loads,
             rate_limiter.RateLimiter(limits.LimitTable(), self.entry_list, random.Random(1)),
-            self.departures,
+            self.draining_table,
             self.crashes,
             self._on_silent,
             random.Random(1),
@@ -187,11 +187,11 @@
         # Each entry acts on the report once, however often it is repeated.
         self.assertEqual({1}, {len(node.silent) for node in nodes if node is not nodes[4]})
 
-    def test_a_leaving_server_is_told_to_all_zones(self):
+    def test_a_draining_server_is_announced_to_all_zones(self):
         """Guards against a planner that keeps a leaving server in its group until it is gone."""
-        trio.run(self._tell_departure)
+        trio.run(self._announce_draining)
 
-    async def _tell_departure(self):
+    async def _announce_draining(self):
         nodes = new_site("abc", 3)
         server = nodes[0].registry.servers["b0"]
         async with trio.open_nursery() as nursery:
@@ -199,7 +199,7 @@
                 nursery.start_soon(node.run)
             await wait_until(lambda: nodes[8].loads.is_settled)
             leaving = signals.Signals(is_leaving=True)
-            nodes[4].departures.observe(server, leaving, trio.current_time())
+            nodes[4].draining_table.observe(server, leaving, trio.current_time())
             await wait_until(lambda: all(each.registry.servers["b0"].is_leaving for each in nodes))
             nursery.cancel_scope.cancel()
 
@@ -283,7 +283,9 @@
         names = list(counts)
         born_ms = 1_700_000_000_000
         named = [limits.Limit(each, born_ms, 9, 1.1) for each in names[: exchange.MAX_LIMITS]]
-        leaving = [departures.Departure(each, born_ms) for each in names[: exchange.MAX_DEPARTURES]]
+        leaving = [
+            draining.DrainingServer(each, born_ms) for each in names[: exchange.MAX_DRAINING]
+        ]
         notice = notices.Notice(
             notices.Kind.DIGEST, "e1", "b1", counts, {}, [], recent, named, leaving
         )
@@ -291,11 +293,11 @@
         self.assertLess(len(data), notices.DATAGRAM_LIMIT_BYTES)
         self.assertEqual({6}, set(notices.decode(data).in_flight.values()) & {6})
 
-    def test_limits_of_many_servers_are_told_in_several_notices(self):
-        """Guards against limits that no notice ever tells, as there are too many for one."""
-        trio.run(self._tell_many)
+    def test_limits_of_many_servers_are_announced_in_several_notices(self):
+        """Guards against limits that are never announced, since a notice holds only some."""
+        trio.run(self._announce_many)
 
-    async def _tell_many(self):
+    async def _announce_many(self):
         first, second = new_site("a", 2)
         for number in range(3 * exchange.MAX_LIMITS):
             first.exchange.rate_limiter.limit_table.merge(limits.Limit(f"s{number}", 1, 1, 1.5), "")
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -53,13 +53,13 @@
         """Guards against a lifted limit that entries keep telling each other."""
         other = limits.LimitTable()
         self._observe(1.5)
-        for limit in self.table.to_tell(False):
+        for limit in self.table.to_announce(False):
             other.merge(limit, "e1")
         self.assertEqual(1.5, other.rate_per_s(SERVER))
         other.observe(SERVER, None, trio.current_time())
-        for limit in other.to_tell(False):
+        for limit in other.to_announce(False):
             self.table.merge(limit, "e2")
-        for limit in self.table.to_tell(False) + [new_limit(1, 1.5)]:
+        for limit in self.table.to_announce(False) + [new_limit(1, 1.5)]:
             other.merge(limit, "e1")
         self.assertEqual([None, None], [each.rate_per_s(SERVER) for each in (self.table, other)])
 
@@ -77,11 +77,11 @@
         """Guards against notices that grow with all limits of the past."""
         self._observe(1.5)
         await trio.sleep(limits.REPEAT_PERIOD_S + 0.1)
-        self.assertEqual([], self.table.to_tell(False))
-        self.assertEqual([new_limit(1, 1.5)], self.table.to_tell(True))
+        self.assertEqual([], self.table.to_announce(False))
+        self.assertEqual([new_limit(1, 1.5)], self.table.to_announce(True))
         self._observe(None)
         await trio.sleep(limits.REPEAT_PERIOD_S + 0.1)
-        self.assertEqual([], self.table.to_tell(True))
+        self.assertEqual([], self.table.to_announce(True))
 
     @clocked.on_test_clock
     async def test_servers_that_are_gone_are_forgotten(self):
--- a/tests/test_rate_limiter.py
+++ b/tests/test_rate_limiter.py
@@ -20,7 +20,7 @@
 NOTICE_DELAY_S = 0.5
 MAX_QUEUE_TIME_S = 1.0
 OVERAGE, SLACK, WINDOW_S = 1.5, 5, 4.0
-# Time from the first word of a limit after which it must be kept.
+# Time after a limit was first named from which it must be kept.
 NOTICE_S = 3.0
 
 
--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -14,7 +14,7 @@
 WINDOW_S = 4.0
 OVERAGE = 1.5
 SLACK = 5
-# Time from a server's first word of its limit after which it must be kept.
+# Time after a server first named its limit from which it must be kept.
 NOTICE_S = 3.0
 BEFORE_S = 2.0
 AFTER_S = 9.0
@@ -98,7 +98,7 @@
 
 class LimitTest(unittest.TestCase):
     def _run(self, site, rate_per_s, limited, demand_per_s, scenes=None):
-        """Limit some servers while requests arrive; return the time of their first word."""
+        """Limit some servers while requests arrive; return the time at which they name it."""
         named_s = []
 
         async def script():
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -11,7 +11,7 @@
 from toucanhold import codec
 from toucanhold.coordination import keyvalue, mirror
 from toucanhold.gateway import budget, health, limits, load, rate_limiter, targets
-from toucanhold.registry import registry, rests, servers
+from toucanhold.registry import backoffs, registry, servers
 from toucanhold.replicas import records
 
 SERVICE = replicas.new_routes(replicas.new_engine()).services[replicas.SERVICE]
@@ -47,7 +47,7 @@
             cold,
             self.closed_zones,
             rate_limiter.RateLimiter(limits.LimitTable(), entry_list, random.Random(1)),
-            rests.RestTable(),
+            backoffs.BackoffTable(),
             "zone-a",
             random.Random(1),
         )
--- a/toucanhold/gateway/admission.py
+++ b/toucanhold/gateway/admission.py
@@ -26,7 +26,7 @@
 # Groups form again within about a second of a loss, so a retry after this delay finds capacity.
 RETRY_AFTER_S = 0.8
 RETRY_JITTER_S = 0.4
-# What servers say of themselves changes sooner than a longer wait would end.
+# Limits and backoffs of servers change within a few seconds.
 MAX_RETRY_AFTER_S = 5.0
 
 
@@ -38,7 +38,7 @@
     :ivar give_up_s: trio clock time until which it may wait
     :ivar excluded: IDs of servers to use only if there are no others
     :ivar decided: set when ``server`` has been assigned or the request is refused
-    :ivar known_wait_s: time that it must still wait because of what servers say of themselves
+    :ivar known_wait_s: time that it must still wait because of limits and backoffs of servers
     """
 
     service: table.Service
@@ -144,7 +144,7 @@
                 continue
             waiter.server = server
             waiter.decided.set()
-        self._refuse_hopeless()
+        self._reject_unservable()
 
     def _try_place_immediately(
         self, service: table.Service, model: str, excluded: collections.abc.Set[str]
@@ -207,8 +207,8 @@
     def _may_become_available(self, service: table.Service, model: str) -> bool:
         return service.engine is None or self.server_selector.is_group_forming(service, model)
 
-    def _refuse_hopeless(self) -> None:
-        """Refuse queued requests that can't be served in time for what servers have said since."""
+    def _reject_unservable(self) -> None:
+        """Refuse queued requests that limits and backoffs keep from being served in time."""
         now_s = trio.current_time()
         counts: collections.Counter[tuple[str, str]] = collections.Counter()
         restrictions: dict[tuple[str, str], targets.Restrictions] = {}
--- a/toucanhold/gateway/exchange.py
+++ b/toucanhold/gateway/exchange.py
@@ -23,7 +23,7 @@
 from toucanhold import notifier
 from toucanhold.gateway import (
     crashes,
-    departures,
+    draining,
     entries,
     hierarchy,
     load,
@@ -48,7 +48,7 @@
 REPORT_VALIDITY_S = 1.0
 MAX_CRASH_COUNTS = 16
 MAX_LIMITS = 40
-MAX_DEPARTURES = 20
+MAX_DRAINING = 20
 # One notice in this many also repeats older crash counts and limits, for entries that have
 # restarted.
 FULL_NOTICE_EVERY = 10
@@ -72,7 +72,7 @@
     entry_list: entries.EntryList
     load_tracker: load.LoadTracker
     rate_limiter: rate_limiter.RateLimiter
-    departures: departures.DepartureTable
+    draining_table: draining.DrainingTable
     crash_tracker: crashes.CrashTracker
     on_silent: collections.abc.Callable[[str, str], None]
     rng: random.Random
@@ -245,13 +245,13 @@
                 self._silence_reports.local() if is_upward else self._silence_reports.all(),
                 self.crash_tracker.recent_counts(MAX_CRASH_COUNTS, max_age_s),
                 recent,
-                self._sample(self.rate_limiter.limit_table.to_tell(is_full), MAX_LIMITS),
-                self._sample(self.departures.to_tell(), MAX_DEPARTURES),
+                self._sample(self.rate_limiter.limit_table.to_announce(is_full), MAX_LIMITS),
+                self._sample(self.draining_table.to_announce(), MAX_DRAINING),
             )
         )
 
     def _sample(self, items: list, max_count: int) -> list:
-        """Return all items, or a random choice of them: later notices tell of the others."""
+        """Return all items, or a random choice of them; later notices include the others."""
         return items if len(items) <= max_count else self.rng.sample(items, max_count)
 
     async def _receive(self, socket: trio.socket.SocketType) -> None:
@@ -284,8 +284,8 @@
             self.crash_tracker.merge(fingerprint, count)
         for limit in notice.limits:
             self.rate_limiter.limit_table.merge(limit, sender.entry)
-        for departure in notice.leaving:
-            self.departures.merge(departure, sender.entry)
+        for server in notice.draining:
+            self.draining_table.merge(server, sender.entry)
         self._handle_silence_reports(notice)
         match notice.kind:
             case notices.Kind.REPORT:
--- a/toucanhold/gateway/limits.py
+++ b/toucanhold/gateway/limits.py
@@ -1,4 +1,4 @@
-"""Keeps the rate limits that backend servers name, also to other entries."""
+"""Tracks the rate limits that backend servers name; entries announce them to each other."""
 
 from __future__ import annotations
 
@@ -12,8 +12,8 @@
 from toucanhold import events
 from toucanhold.registry import servers
 
-# Changes are repeated to other entries for this long: notices may be lost, and each holds only some
-# of many changes.
+# Changes are repeated to other entries for this long: notices may be lost, and hold only some of
+# many limits.
 REPEAT_PERIOD_S = 10.0
 MAX_LIMITS = 4096
 
@@ -22,7 +22,7 @@
 
 @attrs.frozen
 class Limit:
-    """A server's limit, as entries tell each other.
+    """A server's limit, as entries announce it to each other.
 
     :ivar born_ms: start of the server's process
     :ivar version: grows with each change that any entry sees; the highest version is in force
@@ -63,7 +63,7 @@
     _limited_since_s: dict[tuple[str, int], float] = attrs.field(factory=dict, init=False)
 
     def observe(self, server: servers.Server, rate_per_s: float | None, sent_s: float) -> None:
-        """Process what an answer says.
+        """Process the limit in an answer.
 
         :param rate_per_s: the named limit; None if the answer names none
         :param sent_s: trio clock time at which the answered request was sent
@@ -71,14 +71,14 @@
         known = self._limits.get(server.incarnation)
         if rate_per_s == (known.rate_per_s if known is not None else None):
             return
-        # Answers may overtake each other: one to an earlier request does not lift a limit.
+        # Answers may overtake each other: an answer to an earlier request does not lift a limit.
         if rate_per_s is None and sent_s < self._learned_s[server.incarnation]:
             return
         version = known.version + 1 if known is not None else 1
         self._put(Limit(server.server_id, server.born_ms, version, rate_per_s), "")
 
     def merge(self, limit: Limit, entry: str) -> None:
-        """Process what another entry knows.
+        """Process a limit that another entry announces.
 
         :param entry: name of that entry
         """
@@ -99,8 +99,8 @@
         """Return the limits in force."""
         return [limit for limit in self._limits.values() if limit.rate_per_s is not None]
 
-    def to_tell(self, is_full: bool) -> list[Limit]:
-        """Return the limits to tell to other entries, the latest first.
+    def to_announce(self, is_full: bool) -> list[Limit]:
+        """Return the limits to announce to other entries, the latest first.
 
         :param is_full: whether to include all limits in force, besides recent changes
         """
@@ -134,7 +134,7 @@
             events.Event.SERVER_LIMIT_LIFTED if is_lifted else events.Event.SERVER_LIMIT_NAMED,
             server=limit.server_id,
             limit_per_s=limit.rate_per_s,
-            told_by=entry or None,
+            reported_by=entry or None,
         )
 
     def _forget(self, incarnation: tuple[str, int]) -> None:
--- a/toucanhold/gateway/notices.py
+++ b/toucanhold/gateway/notices.py
@@ -8,7 +8,7 @@
 import msgpack
 
 from toucanhold import codec
-from toucanhold.gateway import departures, limits
+from toucanhold.gateway import draining, limits
 
 DATAGRAM_LIMIT_BYTES = 32 * 1024
 # Keep a datagram below its limit; a server ID and its count take about 20 bytes.
@@ -44,7 +44,7 @@
     :ivar recent: recent requests to limited servers and demand, as
         :meth:`rate_limiter.RateLimiter.own_counts` returns them
     :ivar limits: limits that servers have named or lifted
-    :ivar leaving: servers that say that they leave
+    :ivar draining: servers whose answers say that they are draining
     """
 
     kind: Kind
@@ -55,7 +55,7 @@
     crashes: list[tuple[str, int]]
     recent: dict[str, int] = attrs.field(factory=dict)
     limits: list[limits.Limit] = attrs.field(factory=list)
-    leaving: list[departures.Departure] = attrs.field(factory=list)
+    draining: list[draining.DrainingServer] = attrs.field(factory=list)
 
 
 def encode(notice: Notice) -> bytes:
--- a/toucanhold/gateway/rate_limiter.py
+++ b/toucanhold/gateway/rate_limiter.py
@@ -1,10 +1,10 @@
 """Decides how many requests this entry may send to a backend server that limits them.
 
-A limit binds all entries together. Each entry knows, from the notices of the others, how many
-requests all of them have sent to the server lately, and how much of the demand for its model is its
-own. From the first follows the rate at which all may send now, from the second this entry's part of
-it. Entries without demand therefore leave the limit to the others, and errors in the parts are made
-up for: if too few requests reach the server, the rate grows, and if too many do, it falls.
+A limit applies to all entries together. From the notices of the others, each entry knows how many
+requests all of them have recently sent to the server, and which share of the demand for its model
+is its own. The first gives the rate at which all may send now, the second this entry's share of it.
+Entries without demand therefore leave the limit to the others. Errors in the shares are corrected:
+the rate grows if too few requests reach the server, and falls if too many do.
 """
 
 from __future__ import annotations
@@ -28,7 +28,7 @@
 BUCKET_S = 0.5
 # The newest buckets, of which other entries may not have heard.
 SETTLE_BUCKETS = 2
-# Time in which a difference from the limit is made up for. Entries learn of each other's requests
+# Time in which a difference from the limit is corrected. Entries learn of each other's requests
 # within half a second; a correction that is not much slower than that overshoots.
 CORRECTION_S = 2.5
 # Bounds of the rate of all entries, as fractions of the limit.
@@ -38,8 +38,8 @@
 EXTRA_RATE_PER_S = 1.0
 # Even a server with a limit of zero is tried: only an answer shows that it has lifted its limit.
 MIN_REQUESTS_PER_WINDOW = 1.0
-# Credit is gained for at most this time without a request, or all entries would use theirs at once
-# when demand sets in.
+# Credit accrues for at most this time without a request; otherwise all entries would use theirs at
+# once when demand sets in.
 MAX_ACCRUAL_S = 1.0
 USE_LOG_INTERVAL_S = 1.0
 
@@ -101,7 +101,7 @@
 
 @attrs.define(eq=False)
 class RateLimiter(signals.ServerObserver):
-    """Keeps this entry's part of the limits of servers.
+    """Limits this entry's requests to its share of the limits that servers name.
 
     :ivar limit_table: limits that servers name
     :ivar entry_list: entries that share the limits
@@ -193,7 +193,7 @@
         return share * site_rate_per_s(limit_per_s, self._sent_by_all(server.server_id))
 
     def _is_settled(self, server: servers.Server) -> bool:
-        """Return whether other entries have had time to tell what they sent before the limit."""
+        """Return whether other entries have had time to report requests sent before the limit."""
         if not self.entry_list.others():
             return True
         settled_s = self.limit_table.limited_since_s(server) + SETTLE_BUCKETS * BUCKET_S
@@ -206,7 +206,7 @@
     def _demand_share(self, key: str) -> float:
         recent = self._demand.get(key)
         settled = recent.settled_total() if recent is not None else 0
-        # Until others know of its demand, an entry takes no larger part than its size gives it.
+        # Until others know of its demand, an entry takes no larger share than its size gives it.
         if not settled or not self.counts.has_sources:
             return self._share_by_size()
         return settled / (settled + self.counts.others(key))
--- a/toucanhold/gateway/targets.py
+++ b/toucanhold/gateway/targets.py
@@ -11,7 +11,7 @@
 import trio
 
 from toucanhold.gateway import budget, health, load, rate_limiter
-from toucanhold.registry import registry, rests, servers
+from toucanhold.registry import backoffs, registry, servers
 from toucanhold.replicas import records
 from toucanhold.routes import table
 
@@ -25,20 +25,21 @@
 
 @attrs.frozen
 class Restrictions:
-    """How servers restrict requests by what they say of themselves.
+    """How rate limits and backoffs of servers restrict this entry's requests.
 
-    :ivar rate_per_s: rate at which this entry may send to servers that do not rest; infinity if
+    :ivar rate_per_s: rate at which this entry may send to servers without a backoff; infinity if
         one of them has no limit, or if there are no servers
-    :ivar shortest_rest_s: time until the first of the others may be used; infinity if none rests
+    :ivar shortest_backoff_s: time until the first of the others may be used; infinity if there are
+        none
     """
 
     rate_per_s: float
-    shortest_rest_s: float
+    shortest_backoff_s: float
 
     def wait_s(self, queued_count: int) -> float:
         """Return how long a request must wait at least that so many others go before."""
         until_rate_allows_s = queued_count / self.rate_per_s if self.rate_per_s else math.inf
-        return min(until_rate_allows_s, self.shortest_rest_s)
+        return min(until_rate_allows_s, self.shortest_backoff_s)
 
 
 @attrs.define(eq=False)
@@ -50,7 +51,7 @@
     :ivar cold_budget: limits requests to servers that have just started
     :ivar closed_zones: availability zones whose servers get no requests
     :ivar rate_limiter: limits requests to servers that name a limit
-    :ivar rest_table: servers that want no requests for a time
+    :ivar backoff_table: servers that this entry must not send to for a time
     :ivar zone: this entry's availability zone
     :ivar placement_counts: number of requests placed, by whether the server is in another zone
     """
@@ -62,7 +63,7 @@
     cold_budget: budget.ColdBudget
     closed_zones: collections.abc.Set[str]
     rate_limiter: rate_limiter.RateLimiter
-    rest_table: rests.RestTable
+    backoff_table: backoffs.BackoffTable
     zone: str
     rng: random.Random
     placement_counts: collections.Counter[bool] = attrs.field(
@@ -131,14 +132,14 @@
     def restrictions(self, service: table.Service, model: str) -> Restrictions:
         """Return how servers of a service and model restrict this entry's requests now."""
         candidates = self.find_candidates(service, model)
-        rests_s = []
+        backoffs_s = []
         rate_per_s = 0.0 if candidates else math.inf
         for server in candidates:
-            if rest_s := self.rest_table.remaining_s(server):
-                rests_s.append(rest_s)
+            if backoff_s := self.backoff_table.remaining_s(server):
+                backoffs_s.append(backoff_s)
             else:
                 rate_per_s += self.rate_limiter.sustained_rate_per_s(server)
-        return Restrictions(rate_per_s, min(rests_s, default=math.inf))
+        return Restrictions(rate_per_s, min(backoffs_s, default=math.inf))
 
     def is_group_forming(self, service: table.Service, model: str) -> bool:
         """Return whether a group that serves the model exists or is being formed."""
@@ -171,7 +172,7 @@
     def _has_capacity(self, service: table.Service, server: servers.Server) -> bool:
         if self.load_tracker.estimate(server.server_id) >= _slots(service, server):
             return False
-        if self.rest_table.remaining_s(server) or not self.rate_limiter.may_send(server):
+        if self.backoff_table.remaining_s(server) or not self.rate_limiter.may_send(server):
             return False
         if server.cold_until_s > trio.current_time():
             return self.cold_budget.may_send(server, service.cold_requests_per_s)
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -17,7 +17,7 @@
     admission,
     budget,
     crashes,
-    departures,
+    draining,
     entries,
     exchange,
     gateway,
@@ -41,7 +41,7 @@
     settings,
     store,
 )
-from toucanhold.registry import registry, rests, signals
+from toucanhold.registry import backoffs, registry, signals
 from toucanhold.relay import following, publishing
 from toucanhold.replicas import plan, planner, records
 from toucanhold.routes import table
@@ -91,9 +91,11 @@
         self.limit_table = limits.LimitTable()
         self.rate_limiter = rate_limiter.RateLimiter(self.limit_table, self.entry_list, self.rng)
         self.server_registry.add_listener(self._forget_servers)
-        self.rest_table = rests.RestTable()
-        self.departures = departures.DepartureTable(self.server_registry)
-        observer = signals.ObserverGroup((self.rate_limiter, self.rest_table, self.departures))
+        self.backoff_table = backoffs.BackoffTable()
+        self.draining_table = draining.DrainingTable(self.server_registry)
+        observer = signals.ObserverGroup(
+            (self.rate_limiter, self.backoff_table, self.draining_table)
+        )
         self.server_client = servers.PlatformServerClient(observer)
         self._build_relay()
         self._build_planner()
@@ -161,7 +163,7 @@
             return self.server_registry.find(incarnation) is not None
 
         self.rate_limiter.retain(is_known)
-        self.departures.retain(is_known)
+        self.draining_table.retain(is_known)
 
     def _own_entry(self) -> entries.Entry:
         entry_settings = self.settings
@@ -214,7 +216,7 @@
             self.server_client,
             lambda: frozenset(self.closed_zones),
             self.settings.bounds.stall_s,
-            self.rest_table,
+            self.backoff_table,
         )
 
     def _build_gateway(self) -> None:
@@ -226,7 +228,7 @@
             self.entry_list,
             self.load_tracker,
             self.rate_limiter,
-            self.departures,
+            self.draining_table,
             self.crash_tracker,
             self._on_silence_report,
             self.rng,
@@ -243,7 +245,7 @@
             self.cold_budget,
             self.closed_zones,
             self.rate_limiter,
-            self.rest_table,
+            self.backoff_table,
             self.settings.zone,
             self.rng,
         )
--- a/toucanhold/platform/headers.py
+++ b/toucanhold/platform/headers.py
@@ -22,9 +22,9 @@
 AT_FAULT = b"at-server"
 # Requests per second that a backend server takes from all entries together.
 RATE_LIMIT = b"server-limit"
-# Sent by a backend server that is leaving, in all its answers.
+# Sent by a draining backend server in all its answers.
 LEAVING = b"server-leaving"
-# Seconds for which a backend server that refuses a request wants nothing from this entry.
+# Seconds for which this entry must not send to a backend server that refuses a request.
 RETRY_AFTER = b"retry-after"
 
 HOP_BY_HOP_HEADERS = frozenset(
--- a/toucanhold/platform/servers.py
+++ b/toucanhold/platform/servers.py
@@ -48,7 +48,7 @@
     second answer, and an order that is lost on it cannot be repeated. A new connection costs a
     millisecond and a hundredth of the price of a request.
 
-    :ivar observer: is told of orders and probes, and what servers say of themselves in any answer
+    :ivar observer: notified of orders and probes, and of the signals in all answers
     """
 
     observer: signals.ServerObserver
--- a/toucanhold/platform/signals.py
+++ b/toucanhold/platform/signals.py
@@ -1,4 +1,4 @@
-"""Decodes what backend servers say of themselves in the headers of their answers."""
+"""Decodes the limits, backoffs and draining flags in the answers of backend servers."""
 
 from __future__ import annotations
 
@@ -15,8 +15,8 @@
 DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 REFUSED_STATUS = 503
 LEAVING_VALUE = "1"
-# A longer rest is taken for garbled, since it would idle the server for good.
-MAX_REST_S = 3600.0
+# A longer backoff is considered unreadable, since it would idle the server for good.
+MAX_BACKOFF_S = 3600.0
 MAX_LOGGED_SOURCES = 1000
 MAX_LOGGED_VALUE_LENGTH = 40
 
@@ -39,17 +39,17 @@
         return signals.Signals(
             rate_limit_per_s=limit_per_s,
             is_rate_limit_unreadable=limit_text is not None and limit_per_s is None,
-            rest_s=self._rest_s(server_id, lines) if status == REFUSED_STATUS else 0.0,
+            backoff_s=self._backoff_s(server_id, lines) if status == REFUSED_STATUS else 0.0,
             is_leaving=self._is_leaving(server_id, lines),
         )
 
-    def _rest_s(self, server_id: str, lines: headers.HeaderLines) -> float:
+    def _backoff_s(self, server_id: str, lines: headers.HeaderLines) -> float:
         text = headers.find_optional(lines, headers.RETRY_AFTER)
-        rest_s = self._number(server_id, headers.RETRY_AFTER, text)
-        if rest_s is not None and rest_s > MAX_REST_S:
-            self._log(server_id, headers.RETRY_AFTER, f"at most {MAX_REST_S:g} s", text)
+        backoff_s = self._number(server_id, headers.RETRY_AFTER, text)
+        if backoff_s is not None and backoff_s > MAX_BACKOFF_S:
+            self._log(server_id, headers.RETRY_AFTER, f"at most {MAX_BACKOFF_S:g} s", text)
             return 0.0
-        return rest_s or 0.0
+        return backoff_s or 0.0
 
     def _is_leaving(self, server_id: str, lines: headers.HeaderLines) -> bool:
         text = headers.find_optional(lines, headers.LEAVING)
--- a/toucanhold/registry/rests.py
+++ b/toucanhold/registry/backoffs.py
@@ -1,4 +1,4 @@
-"""Keeps which backend servers want no requests from this entry for a time."""
+"""Tracks backend servers that asked this entry to send nothing for a time."""
 
 from __future__ import annotations
 
@@ -14,8 +14,8 @@
 
 
 @attrs.define(eq=False)
-class RestTable(signals.ServerObserver):
-    """Servers that asked this entry for rest, with the end of it."""
+class BackoffTable(signals.ServerObserver):
+    """End of the backoff of each server that asked for one."""
 
     _until_s: dict[tuple[str, int], float] = attrs.field(factory=dict, init=False)
     _excepted: set[tuple[str, int]] = attrs.field(factory=set, init=False)
@@ -25,28 +25,28 @@
 
     def observe(self, server: servers.Server, observed: signals.Signals, sent_s: float) -> None:
         """See :class:`signals.ServerObserver`."""
-        if not observed.rest_s:
+        if not observed.backoff_s:
             return
         self._forget_ended()
-        until_s = trio.current_time() + observed.rest_s
+        until_s = trio.current_time() + observed.backoff_s
         if server.incarnation not in self._until_s:
             events.log(
                 LOGGER,
-                events.Event.SERVER_RESTS,
+                events.Event.SERVER_BACKOFF,
                 server=server.server_id,
-                rest_s=round(observed.rest_s, 3),
+                backoff_s=round(observed.backoff_s, 3),
             )
         self._until_s[server.incarnation] = max(
             until_s, self._until_s.get(server.incarnation, until_s)
         )
 
     def remaining_s(self, server: servers.Server) -> float:
-        """Return for how long a server wants no requests from this entry, in seconds."""
+        """Return the remaining backoff of a server in seconds; 0 if it has none."""
         until_s = self._until_s.get(server.incarnation)
         return max(0.0, until_s - trio.current_time()) if until_s is not None else 0.0
 
-    def take_exception(self, server: servers.Server) -> bool:
-        """Return whether one order may be sent to a server that rests; once in each rest."""
+    def allow_one_order(self, server: servers.Server) -> bool:
+        """Return whether an order may be sent despite a backoff; true once in each backoff."""
         if server.incarnation in self._excepted:
             return False
         self._excepted.add(server.incarnation)
--- a/toucanhold/registry/registry.py
+++ b/toucanhold/registry/registry.py
@@ -83,13 +83,13 @@
         name = incarnation[0]
         for known in (self.servers, self.lapsed):
             if name in known:
-                known[name] = self._with_departure(known[name])
+                known[name] = self._with_draining(known[name])
         self._notify()
 
     def update_lapsed(self, server: servers.Server) -> None:
         """Update a lapsed server with the state that it reported to a probe."""
         if server.server_id in self.lapsed:
-            self.lapsed[server.server_id] = self._with_departure(server)
+            self.lapsed[server.server_id] = self._with_draining(server)
 
     def remove(self, name: str) -> None:
         """Drop a lapsed server, as it is dead or registered again."""
@@ -136,10 +136,10 @@
                 domain=server.domain,
                 revision=item.mod_revision,
             )
-        self.servers[name] = self._with_departure(server)
+        self.servers[name] = self._with_draining(server)
         self.remove(name)
 
-    def _with_departure(self, server: servers.Server) -> servers.Server:
+    def _with_draining(self, server: servers.Server) -> servers.Server:
         is_marked = server.incarnation in self._leaving
         return attrs.evolve(server, is_leaving=True) if is_marked else server
 
--- a/toucanhold/registry/signals.py
+++ b/toucanhold/registry/signals.py
@@ -1,4 +1,4 @@
-"""Defines what backend servers say of themselves beside their answers."""
+"""Defines the signals on their load and life cycle that backend servers add to answers."""
 
 from __future__ import annotations
 
@@ -12,23 +12,23 @@
 
 @attrs.frozen
 class Signals:
-    """What one answer says of the server that sent it.
+    """Signals of a server in one answer.
 
     :ivar rate_limit_per_s: requests per second that the server takes from all entries together;
         None if it names no limit
     :ivar is_rate_limit_unreadable: whether it names a limit that cannot be read
-    :ivar rest_s: for how long the server wants no requests from this entry, in seconds
-    :ivar is_leaving: whether the server is leaving and wants no new requests
+    :ivar backoff_s: time for which the server asks this entry to send nothing; 0 for none
+    :ivar is_leaving: whether the server is draining
     """
 
     rate_limit_per_s: float | None = None
     is_rate_limit_unreadable: bool = False
-    rest_s: float = 0.0
+    backoff_s: float = 0.0
     is_leaving: bool = False
 
 
 class ServerObserver(abc.ABC):
-    """Is told what is sent to servers besides callers' requests, and what servers say."""
+    """Observes orders and probes to servers, and the signals in all their answers."""
 
     @abc.abstractmethod
     def record_control_call(self, server: servers.Server) -> None:
@@ -45,7 +45,7 @@
 
 @attrs.frozen
 class ObserverGroup(ServerObserver):
-    """Tells several observers."""
+    """Notifies several observers."""
 
     observers: collections.abc.Sequence[ServerObserver]
 
--- a/toucanhold/replicas/ordering.py
+++ b/toucanhold/replicas/ordering.py
@@ -10,7 +10,7 @@
 import trio
 
 from toucanhold import events
-from toucanhold.registry import registry, rests, servers
+from toucanhold.registry import backoffs, registry, servers
 from toucanhold.replicas import orders, reachability
 
 # How long a server that did not answer is considered unreachable and not used in new groups. A
@@ -42,15 +42,15 @@
     """Sends orders to servers, one at a time per server, while this entry is the planner.
 
     :ivar fence: returns the planner's fencing number, or 0 if this entry may not send orders
-    :ivar rest_table: servers that want no requests for a time; they get one order in it at most,
-        because their group may need it, and no probes
+    :ivar backoff_table: servers that asked for a backoff; each gets at most one order in it, which
+        its group may need, and no probes
     :ivar reachability: the results of recent probes, by availability zone
     """
 
     engine_client: orders.EngineClient
     server_registry: registry.Registry
     fence: collections.abc.Callable[[], int]
-    rest_table: rests.RestTable = attrs.field(factory=rests.RestTable)
+    backoff_table: backoffs.BackoffTable = attrs.field(factory=backoffs.BackoffTable)
     reachability: reachability.Reachability = attrs.field(
         factory=reachability.Reachability, init=False
     )
@@ -70,8 +70,8 @@
         :raises NotPlannerError: if this entry may not send orders now
         """
         async with self._locks[server.server_id]:
-            if self.rest_table.remaining_s(server):
-                return await self._send_during_rest(server, order)
+            if self.backoff_table.remaining_s(server):
+                return await self._send_during_backoff(server, order)
             if server.incarnation not in self._order_counts and await self.probe(server) is None:
                 return orders.OrderOutcome.UNREACHABLE
             outcome = await self._send_once(server, order)
@@ -85,11 +85,11 @@
                 outcome = await self._send_after_probe(server, order)
             return outcome
 
-    async def _send_during_rest(
+    async def _send_during_backoff(
         self, server: servers.Server, order: orders.Order
     ) -> orders.OrderOutcome:
         is_count_known = server.incarnation in self._order_counts
-        if not is_count_known or not self.rest_table.take_exception(server):
+        if not is_count_known or not self.backoff_table.allow_one_order(server):
             _log_answer(server, order, None, orders.OrderOutcome.DEFERRED)
             return orders.OrderOutcome.DEFERRED
         return await self._send_once(server, order)
@@ -100,7 +100,7 @@
         # Reports lag behind: an immediate probe would return the order count that has just been
         # refused, and the group would wait a second for the next attempt.
         await trio.sleep(MAX_REPORT_AGE_S)
-        if self.rest_table.remaining_s(server):
+        if self.backoff_table.remaining_s(server):
             return orders.OrderOutcome.DEFERRED
         if await self.probe(server) is None:
             return orders.OrderOutcome.UNREACHABLE
@@ -109,9 +109,9 @@
     async def probe(self, server: servers.Server) -> servers.Server | None:
         """Return the server's current state, or None if it does not answer or has restarted.
 
-        A server that rests is not asked: it has just answered, and is returned as it is known.
+        A server with a backoff is not probed: it has answered recently, and is returned as known.
         """
-        if self.rest_table.remaining_s(server):
+        if self.backoff_table.remaining_s(server):
             return server
         report = await self._probe_twice(server)
         self.reachability.record_probe(server, report is not None)
--- a/toucanhold/replicas/planner.py
+++ b/toucanhold/replicas/planner.py
@@ -11,7 +11,7 @@
 
 from toucanhold import events, notifier
 from toucanhold.coordination import lease, mirror
-from toucanhold.registry import registry, rests, servers
+from toucanhold.registry import backoffs, registry, servers
 from toucanhold.replicas import (
     composition,
     conversion,
@@ -49,7 +49,7 @@
 
     :ivar closed_zones: returns the availability zones that get no requests
     :ivar stall_s: time after which a head that lacks a member breaks by itself
-    :ivar rest_table: servers that want no requests for a time
+    :ivar backoff_table: servers that asked for a backoff
     """
 
     kv_mirror: mirror.Mirror
@@ -61,7 +61,7 @@
     engine_client: orders.EngineClient
     closed_zones: collections.abc.Callable[[], frozenset[str]]
     stall_s: float
-    rest_table: rests.RestTable = attrs.field(factory=rests.RestTable)
+    backoff_table: backoffs.BackoffTable = attrs.field(factory=backoffs.BackoffTable)
     order_sender: ordering.OrderSender = attrs.field(init=False)
     prober: probing.Prober = attrs.field(init=False)
     _changed: notifier.Notifier = attrs.field(factory=notifier.Notifier, init=False)
@@ -77,7 +77,7 @@
     def __attrs_post_init__(self) -> None:
         """Subscribe to registrations, group records and the planner key."""
         self.order_sender = ordering.OrderSender(
-            self.engine_client, self.server_registry, self._fence, self.rest_table
+            self.engine_client, self.server_registry, self._fence, self.backoff_table
         )
         self.prober = probing.Prober(
             self.group_table, self.server_registry, self.order_sender, self._changed.notify_all
