Keep marks of draining servers that are not registered here yet

An entry that starts gets notices before it knows any registration. Each mark of a draining server dropped the earlier ones of servers that were not registered, and as the announcement was known already, neither it nor the server's own answer marked the server again: the entry could send to a draining server for as long as it lived. Marks are now dropped only when there are thousands, and then those of unknown servers.

Found by reading the change; the new test failed before (the first of two servers was not marked).

--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -75,6 +75,18 @@
         self._put(attrs.evolve(SERVER, born_ms=2), 4)
         self.assertFalse(self.registry.servers["b0"].is_leaving)
 
+    @clocked.on_test_clock
+    async def test_announcements_before_the_registrations_are_kept(self):
+        """Guards against an entry that starts and forgets which servers were announced to it."""
+        self.kv_mirror.replace(keyvalue.RangeResult(1, ()))
+        table = draining.DrainingTable(self.registry)
+        names = ("b0", "b1")
+        for name in names:
+            table.merge(draining.DrainingServer(name, 1), "e2")
+        for revision, name in enumerate(names, start=2):
+            self._put(attrs.evolve(SERVER, server_id=name), revision)
+        self.assertEqual([True, True], [self.registry.servers[name].is_leaving for name in names])
+
     @clocked.on_test_clock
     async def test_draining_servers_are_announced_for_a_while_and_forgotten_when_gone(self):
         """Guards against entries that repeat each other's announcements for ever."""
--- a/toucanhold/platform/signals.py
+++ b/toucanhold/platform/signals.py
@@ -53,10 +53,12 @@
 
     def _is_leaving(self, server_id: str, lines: headers.HeaderLines) -> bool:
         text = headers.find_optional(lines, headers.LEAVING)
-        if text is None or text.strip() == LEAVING_VALUE:
-            return text is not None
-        self._log(server_id, headers.LEAVING, LEAVING_VALUE, text)
-        return False
+        if text is None:
+            return False
+        is_leaving = text.strip() == LEAVING_VALUE
+        if not is_leaving:
+            self._log(server_id, headers.LEAVING, LEAVING_VALUE, text)
+        return is_leaving
 
     def _number(self, server_id: str, name: bytes, text: str | None) -> float | None:
         if text is None:
--- a/toucanhold/registry/backoffs.py
+++ b/toucanhold/registry/backoffs.py
@@ -36,9 +36,7 @@
                 server=server.server_id,
                 backoff_s=round(observed.backoff_s, 3),
             )
-        self._until_s[server.incarnation] = max(
-            until_s, self._until_s.get(server.incarnation, until_s)
-        )
+        self._until_s[server.incarnation] = max(until_s, self._until_s.get(server.incarnation, 0.0))
 
     def remaining_s(self, server: servers.Server) -> float:
         """Return the remaining backoff of a server in seconds; 0 if it has none."""
--- a/toucanhold/registry/registry.py
+++ b/toucanhold/registry/registry.py
@@ -19,6 +19,8 @@
 # A server that is partitioned from the key-value service keeps working for its group. Partitions
 # rarely last longer than this, and the server's last known state is too old to be useful by then.
 LAPSED_RETENTION_S = 30.0
+# Processes that were marked as leaving, also before their registrations are known here.
+MAX_LEAVING = 4096
 
 LOGGER = logging.getLogger(__name__)
 
@@ -78,7 +80,8 @@
 
     def mark_leaving(self, incarnation: tuple[str, int]) -> None:
         """Consider a process of a server to be leaving, whatever its registration says."""
-        self._leaving = {each for each in self._leaving if self.find(each) is not None}
+        if len(self._leaving) >= MAX_LEAVING:
+            self._leaving = {each for each in self._leaving if self.find(each) is not None}
         self._leaving.add(incarnation)
         name = incarnation[0]
         for known in (self.servers, self.lapsed):
