--- a/tests/test_rate_limits.py
+++ b/tests/test_rate_limits.py
@@ -22,10 +22,7 @@
 
 @attrs.define(eq=False, slots=False)
 class Site:
-    """Entries that send requests to the same servers and exchange notices on loopback.
-
-    :ivar behaviours: behaviour of the servers, by name
-    """
+    """Entries that send requests to the same servers and exchange notices on loopback."""
 
     entry_count: int
     server_count: int = 3
@@ -81,10 +78,7 @@
 
 
 def largest_excess(arrivals_s, rate_per_s, since_s):
-    """Return by how many requests the worst window exceeds what a limited server bears.
-
-    :param since_s: time from which the limit must be kept, also in windows that began before
-    """
+    """Return by how many requests the worst window that ends after a time exceeds the bound."""
     bound = OVERAGE * rate_per_s * WINDOW_S + SLACK
     return max(
         (
