Let draining servers of the soak end before they start again

The soak started a draining server anew without ending the old process: its group's head, which the stand-in lets stall when a member is lost, served on with a member that knew nothing of the group. Nobody knew of the draining, as members get no requests. The server now goes dark first, like in the fault that restarts servers; the check is unchanged. Signals are listed with the faults of a run.

--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -45,7 +45,7 @@
                 nursery.start_soon(self.site.rng.choice(injections))
                 await trio.sleep(self.site.rng.uniform(0.1, 2.5))
 
-    def _log(self, text):
+    def log(self, text):
         self.events.append((round(trio.current_time(), 2), text))
 
     def _reserve(self, names):
@@ -59,7 +59,7 @@
 
     async def _kill_entry(self):
         if entry := self._reserve(self.site.entries):
-            self._log(f"kill {entry}")
+            self.log(f"kill {entry}")
             disturbance = self.site.signal_record.begin_disturbance(entry)
             await self.site.group.kill(entry)
             await trio.sleep(self.site.rng.uniform(0.1, 2))
@@ -70,7 +70,7 @@
     async def _pause_entry(self):
         if entry := self._reserve(self.site.entries):
             duration_s = self.site.rng.uniform(0.2, 5)
-            self._log(f"pause {entry} for {duration_s:.1f} s")
+            self.log(f"pause {entry} for {duration_s:.1f} s")
             disturbance = self.site.signal_record.begin_disturbance(entry)
             self.site.group.pause(entry)
             await trio.sleep(duration_s)
@@ -82,7 +82,7 @@
         if entry := self._reserve(self.site.entries):
             # A process that is still starting ends by the signal, without a graceful shutdown.
             await processes.wait_listening(self.site.address(entry, "front"))
-            self._log(f"stop {entry}")
+            self.log(f"stop {entry}")
             disturbance = self.site.signal_record.begin_disturbance(entry)
             began_s = trio.current_time()
             status = await self.site.group.stop(entry)
@@ -107,7 +107,7 @@
     async def _apply_proxy_mode(self, proxy, name):
         mode = self.site.rng.choice(PROXY_MODES)
         duration_s = self.site.rng.uniform(0.3, 5)
-        self._log(f"{name}: {mode} for {duration_s:.1f} s")
+        self.log(f"{name}: {mode} for {duration_s:.1f} s")
         disturbance = self.site.signal_record.begin_disturbance(name.removeprefix("store of "))
         proxy.set_mode(mode)
         await trio.sleep(duration_s)
@@ -118,14 +118,14 @@
     async def _refuse_store_calls(self):
         if self._reserve(["store"]):
             duration_s = self.site.rng.uniform(0.3, 4)
-            self._log(f"store refuses all for {duration_s:.1f} s")
+            self.log(f"store refuses all for {duration_s:.1f} s")
             self.site.store.refusal_status = 503
             await trio.sleep(duration_s)
             self.site.store.refusal_status = 0
             self.reserved_targets.discard("store")
 
     async def _drop_store_responses(self):
-        self._log("answers of the store are lost")
+        self.log("answers of the store are lost")
         self.site.store.responses_to_drop = self.site.rng.randint(1, 4)
         await trio.sleep(0)
 
@@ -133,7 +133,7 @@
         if name := self._reserve(self.site.server_proxies):
             mode = self.site.rng.choice(("dark", "apart", "unlisted"))
             duration_s = self.site.rng.uniform(0.5, 8)
-            self._log(f"{name}: {mode} for {duration_s:.1f} s")
+            self.log(f"{name}: {mode} for {duration_s:.1f} s")
             disturbance = self.site.signal_record.begin_disturbance(name)
             await self.site.fleet.make_unreachable(name, mode)
             if mode != "unlisted":
@@ -149,7 +149,7 @@
 
     async def _announce_server_leaving(self):
         if name := self._reserve(self.site.server_proxies):
-            self._log(f"{name} leaves")
+            self.log(f"{name} leaves")
             server = self.site.fleet.servers[name]
             server.is_leaving = True
             await self.site.fleet.register(server)
@@ -163,14 +163,14 @@
         self.site.fleet.order_loss_ratio = 0.0
 
     async def _change_configuration(self):
-        self._log("a new configuration")
+        self.log("a new configuration")
         self.site.put_configuration()
         await trio.sleep(0)
 
     async def _evacuate_zone(self):
         zone = self._reserve(sites.ZONES[:1])
         if zone:
-            self._log(f"{zone} is evacuated")
+            self.log(f"{zone} is evacuated")
             key = f"op/evacuate/{zone}"
             self.site.store.put(key, b"{}")
             await trio.sleep(self.site.rng.uniform(1, 6))
--- a/tests/platform/soak/running.py
+++ b/tests/platform/soak/running.py
@@ -62,7 +62,7 @@
             await trio.sleep(2)
             if has_signals:
                 signal_injector = signals.SignalInjector(
-                    site, site.signal_record, injector.reserved_targets
+                    site, site.signal_record, injector.reserved_targets, injector.log
                 )
                 nursery.start_soon(signal_injector.run, faults_s)
             await injector.run(faults_s)
--- a/tests/platform/soak/signals.py
+++ b/tests/platform/soak/signals.py
@@ -1,5 +1,6 @@
 """Signals in the answers of the soak's servers, and checks that entries act on them."""
 
+import collections.abc
 import random
 
 import attrs
@@ -101,11 +102,13 @@
     """Adds random signals to the answers of servers, in parallel to the faults.
 
     :ivar reserved_targets: names of targets that have a fault now, shared with the faults
+    :ivar log: adds a description to the faults of the run
     """
 
     site: object
     record: SignalRecord
     reserved_targets: set
+    log: collections.abc.Callable
 
     async def run(self, duration_s):
         """Start signals for ``duration_s``; return when all have ended."""
@@ -127,6 +130,7 @@
     async def _ask_for_backoff(self, rng):
         if server := self._choose(rng):
             self.record.refusing[server] = round(rng.uniform(1.0, 4.0), 2)
+            self.log(f"{server} asks for {self.record.refusing[server]} s of backoff")
             await trio.sleep(rng.uniform(1.0, 6.0))
             del self.record.refusing[server]
 
@@ -135,12 +139,16 @@
         if not server or server in self.reserved_targets:
             return
         self.reserved_targets.add(server)
+        self.log(f"{server} is draining")
         period = [server, trio.current_time(), float("inf")]
         self.record.draining.append(period)
         self.record.headers[server] = {"server-leaving": "1"}
         await trio.sleep(rng.uniform(4.0, 7.0))
         period[-1] = trio.current_time()
         del self.record.headers[server]
+        # Heads without a member stall, also if nobody knew that it was draining.
+        await self.site.fleet.make_unreachable(server, "dark")
+        await trio.sleep(rng.uniform(0.1, 0.5))
         await self.site.fleet.restart(server)
         self.reserved_targets.discard(server)
 
@@ -150,6 +158,7 @@
             return
         rate_per_s = round(rng.uniform(0.0, 2.0), 2)
         limit = Limit(server, rate_per_s, trio.current_time())
+        self.log(f"{server} takes {rate_per_s} requests a second")
         self.record.limits.append(limit)
         self.record.headers[server] = {"server-limit": str(rate_per_s)}
         for _ in range(rng.randint(1, 3)):
