Let optional policies order, delay, place and observe requests

Cause: admission and the choice of a server were closed: a further decision under load would have had to be written into both.

Change: queued requests, selection and attempts have hooks that policies fill in; further counts can travel in the notices that entries exchange; the settings name the policies that are on (TOUCANHOLD_POLICIES), none by default. No policy exists yet, so nothing is decided differently.

--- a/tests/platform/test_platform_parsing.py
+++ b/tests/platform/test_platform_parsing.py
@@ -1,11 +1,13 @@
 """Tests of parsing the platform's settings, registrations and configurations."""
 
 import json
+import tempfile
 import unittest
 
 import trio
 
 from toucanhold.coordination import keyvalue
+from toucanhold.gateway import policies
 from toucanhold.platform import configuration, registrations, settings
 from toucanhold.registry import servers
 from toucanhold.routes import table
@@ -95,6 +97,20 @@
         with self.assertRaisesRegex(settings.SettingsError, "nowhere"):
             settings.load({settings.FILE_VARIABLE: "/nowhere"})
 
+    def test_policies_are_off_unless_named(self):
+        """Guards against policies that act in a deployment that did not ask for them."""
+        with tempfile.NamedTemporaryFile("w") as file:
+            file.write(SETTINGS)
+            file.flush()
+            variables = {settings.FILE_VARIABLE: file.name}
+            self.assertEqual(frozenset(), settings.load(variables).policies)
+            named = {settings.POLICIES_VARIABLE: "server-trials, fair-shares"}
+            expected = {policies.Policy.SERVER_TRIALS, policies.Policy.FAIR_SHARES}
+            self.assertEqual(expected, settings.load(variables | named).policies)
+            unknown = {settings.POLICIES_VARIABLE: "server-trials,magic"}
+            with self.assertRaisesRegex(settings.SettingsError, "TOUCANHOLD_POLICIES.*got magic"):
+                settings.load(variables | unknown)
+
 
 class RegistrationTest(unittest.TestCase):
     def test_registration_fields_are_parsed(self):
--- a/toucanhold/gateway/admission.py
+++ b/toucanhold/gateway/admission.py
@@ -16,7 +16,7 @@
 import attrs
 import trio
 
-from toucanhold.gateway import calls, targets
+from toucanhold.gateway import calls, queueing, targets
 from toucanhold.registry import servers
 from toucanhold.routes import table
 
@@ -30,36 +30,17 @@
 MAX_RETRY_AFTER_S = 5.0
 
 
-@attrs.define(eq=False, order=False)
-class _Waiter:
-    """A queued request.
-
-    :ivar latest_start_s: trio clock time after which the response misses its objective
-    :ivar give_up_s: trio clock time until which it may wait
-    :ivar excluded: IDs of servers to use only if there are no others
-    :ivar decided: set when ``server`` has been assigned or the request is refused
-    :ivar known_wait_s: time that it must still wait because of limits and backoffs of servers
-    """
-
-    service: table.Service
-    model: str
-    latest_start_s: float
-    give_up_s: float
-    excluded: collections.abc.Set[str]
-    decided: trio.Event = attrs.field(factory=trio.Event)
-    server: servers.Server | None = None
-    known_wait_s: float = 0.0
-
-
 @attrs.define(eq=False)
 class Admission:
     """Places requests on servers and queues those for which no server has capacity.
 
     :ivar server_selector: selects servers and tracks their load
+    :ivar policies: optional policies; the first has the most weight in the order of the queue
     """
 
     server_selector: targets.ServerSelector
-    _queue: list[tuple[int, int, _Waiter]] = attrs.field(factory=list, init=False)
+    policies: collections.abc.Sequence[queueing.QueuePolicy] = ()
+    _queue: list[queueing.Waiter] = attrs.field(factory=list, init=False)
     _queue_filled: trio.Event = attrs.field(factory=trio.Event, init=False)
     _arrival_numbers: collections.abc.Iterator[int] = attrs.field(
         factory=itertools.count, init=False
@@ -87,33 +68,21 @@
 
     @contextlib.asynccontextmanager
     async def place(
-        self,
-        service: table.Service,
-        model: str,
-        priority: int,
-        max_wait_s: float,
-        latest_start_s: float,
-        excluded: collections.abc.Set[str] = frozenset(),
+        self, request: queueing.PlacementRequest
     ) -> collections.abc.AsyncIterator[servers.Server]:
         """Reserve a slot on a server while the context is open.
 
-        :param priority: 0 is the most urgent
-        :param max_wait_s: maximum time in the queue
-        :param latest_start_s: trio clock time after which the response misses its objective
-        :param excluded: IDs of servers to use only if there are no others
-        :raises calls.CallError: if no server has capacity within ``max_wait_s`` (NO_CAPACITY), or
-            no server serves the model and no group of it is forming (NO_SERVER)
+        :raises calls.CallError: if no server has capacity within the request's maximum wait
+            (NO_CAPACITY), or no server serves the model and no group of it is forming (NO_SERVER)
         """
-        self.server_selector.rate_limiter.record_demand(service, model)
-        server = self._try_place_immediately(service, model, excluded)
+        self.server_selector.rate_limiter.record_demand(request.service, request.model)
+        server = self._try_place_immediately(request)
         if server is None:
-            server = await self._wait_in_queue(
-                service, model, priority, max_wait_s, latest_start_s, excluded
-            )
+            server = await self._wait_in_queue(request)
         try:
             yield server
         finally:
-            self.server_selector.load_tracker.remove(server.server_id)
+            self._release(request, server)
             self.dispatch()
 
     async def run(self) -> None:
@@ -129,81 +98,92 @@
         """Assign servers with capacity to queued requests in queue order."""
         now_s = trio.current_time()
         queued, self._queue = self._queue, []
-        # By priority, then requests that can still be on time, then by arrival.
-        queued.sort(key=lambda item: (item[0], item[-1].latest_start_s < now_s, item[1]))
+        queued.sort(key=lambda waiter: self._order_key(waiter, now_s))
         full_keys: set[tuple[str, str]] = set()
-        for item in queued:
-            waiter = item[-1]
-            key = waiter.service.name, waiter.model
-            server = None
-            if key not in full_keys:
-                server = self._try_place(waiter.service, waiter.model, waiter.excluded)
-            if server is None:
-                full_keys.add(key)
-                self._queue.append(item)
+        for waiter in queued:
+            request = waiter.request
+            if request.key in full_keys or not self._may_start(request, now_s):
+                self._queue.append(waiter)
+                continue
+            waiter.server = self._try_place(request)
+            if waiter.server is None:
+                full_keys.add(request.key)
+                self._queue.append(waiter)
                 continue
-            waiter.server = server
             waiter.decided.set()
         self._reject_unservable()
 
-    def _try_place_immediately(
-        self, service: table.Service, model: str, excluded: collections.abc.Set[str]
-    ) -> servers.Server | None:
-        if any(
-            waiter.service.name == service.name and waiter.model == model
-            for *_, waiter in self._queue
+    def _order_key(self, waiter: queueing.Waiter, now_s: float) -> tuple[float, ...]:
+        # By priority, then requests that can still be on time, then by policies, then by arrival.
+        request = waiter.request
+        policy_keys = (policy.order_key(request, now_s) for policy in self.policies)
+        return request.priority, request.is_late(now_s), *policy_keys, waiter.arrival_number
+
+    def _may_start(self, request: queueing.PlacementRequest, now_s: float) -> bool:
+        return all(policy.may_start(request, now_s) for policy in self.policies)
+
+    def _try_place_immediately(self, request: queueing.PlacementRequest) -> servers.Server | None:
+        now_s = trio.current_time()
+        if not self._may_start(request, now_s) or any(
+            waiter.request.key == request.key and self._may_start(waiter.request, now_s)
+            for waiter in self._queue
         ):
             return None
-        return self._try_place(service, model, excluded)
+        return self._try_place(request)
 
-    def _try_place(
-        self, service: table.Service, model: str, excluded: collections.abc.Set[str]
-    ) -> servers.Server | None:
-        candidates = self.server_selector.find_candidates(service, model)
-        server = self.server_selector.choose(service, candidates, excluded)
+    def _try_place(self, request: queueing.PlacementRequest) -> servers.Server | None:
+        candidates = self.server_selector.find_candidates(request.service, request.model)
+        server = self.server_selector.choose(request.service, candidates, request.excluded)
         if server is not None:
-            self.server_selector.record_placement(server)
+            self.server_selector.record_placement(request.service, server)
+            for policy in self.policies:
+                policy.record_started(request, server)
         return server
 
-    async def _wait_in_queue(
-        self,
-        service: table.Service,
-        model: str,
-        priority: int,
-        max_wait_s: float,
-        latest_start_s: float,
-        excluded: collections.abc.Set[str],
-    ) -> servers.Server:
+    def _release(self, request: queueing.PlacementRequest, server: servers.Server) -> None:
+        self.server_selector.load_tracker.remove(server.server_id)
+        for policy in self.policies:
+            policy.record_ended(request, server)
+
+    async def _wait_in_queue(self, request: queueing.PlacementRequest) -> servers.Server:
         if not self.server_selector.find_candidates(
-            service, model
-        ) and not self._may_become_available(service, model):
-            raise self._new_refusal(calls.RefusalReason.NO_SERVER)
-        ahead = sum(
-            (waiter.service.name, waiter.model) == (service.name, model) and rank <= priority
-            for rank, _, waiter in self._queue
-        )
-        known_wait_s = self.server_selector.restrictions(service, model).wait_s(ahead)
-        if known_wait_s > max_wait_s:
-            raise self._new_refusal(calls.RefusalReason.NO_CAPACITY, known_wait_s)
-        give_up_s = trio.current_time() + max_wait_s
-        waiter = _Waiter(service, model, latest_start_s, give_up_s, excluded)
-        item = (priority, next(self._arrival_numbers), waiter)
+            request.service, request.model
+        ) and not self._may_become_available(request.service, request.model):
+            raise self._new_refusal(request, calls.RefusalReason.NO_SERVER)
+        known_wait_s = self._known_wait_s(request)
+        if known_wait_s > request.max_wait_s:
+            raise self._new_refusal(request, calls.RefusalReason.NO_CAPACITY, known_wait_s)
+        give_up_s = trio.current_time() + request.max_wait_s
+        waiter = queueing.Waiter(request, next(self._arrival_numbers), give_up_s)
         self._queue_filled.set()
-        self._queue.append(item)
+        self._queue.append(waiter)
+        for policy in self.policies:
+            policy.record_queued(request)
         try:
-            with trio.move_on_after(max_wait_s):
+            with trio.move_on_after(request.max_wait_s):
                 await waiter.decided.wait()
         except trio.Cancelled:
             if waiter.server is not None:
-                self.server_selector.load_tracker.remove(waiter.server.server_id)
+                self._release(request, waiter.server)
             raise
         finally:
-            if item in self._queue:
-                self._queue.remove(item)
+            if waiter in self._queue:
+                self._queue.remove(waiter)
+            for policy in self.policies:
+                policy.record_dequeued(request)
         if waiter.server is None:
-            raise self._new_refusal(calls.RefusalReason.NO_CAPACITY, waiter.known_wait_s)
+            raise self._new_refusal(request, calls.RefusalReason.NO_CAPACITY, waiter.known_wait_s)
         return waiter.server
 
+    def _known_wait_s(self, request: queueing.PlacementRequest) -> float:
+        ahead = sum(
+            waiter.request.key == request.key and waiter.request.priority <= request.priority
+            for waiter in self._queue
+        )
+        restrictions = self.server_selector.restrictions(request.service, request.model)
+        expected_waits_s = (policy.expected_wait_s(request, ahead) for policy in self.policies)
+        return max(restrictions.wait_s(ahead), *expected_waits_s, 0.0)
+
     def _may_become_available(self, service: table.Service, model: str) -> bool:
         return service.engine is None or self.server_selector.is_group_forming(service, model)
 
@@ -213,21 +193,28 @@
         counts: collections.Counter[tuple[str, str]] = collections.Counter()
         restrictions: dict[tuple[str, str], targets.Restrictions] = {}
         queued, self._queue = self._queue, []
-        for item in queued:
-            waiter = item[-1]
-            key = waiter.service.name, waiter.model
+        for waiter in queued:
+            request = waiter.request
+            key = request.key
             if key not in restrictions:
-                restrictions[key] = self.server_selector.restrictions(waiter.service, waiter.model)
+                restrictions[key] = self.server_selector.restrictions(
+                    request.service, request.model
+                )
             waiter.known_wait_s = restrictions[key].wait_s(counts[key])
             if now_s + waiter.known_wait_s > waiter.give_up_s:
                 waiter.decided.set()
                 continue
             counts[key] += 1
-            self._queue.append(item)
+            self._queue.append(waiter)
 
     def _new_refusal(
-        self, reason: calls.RefusalReason, known_wait_s: float = 0.0
+        self,
+        request: queueing.PlacementRequest,
+        reason: calls.RefusalReason,
+        known_wait_s: float = 0.0,
     ) -> calls.CallError:
         jitter_s = self.server_selector.rng.uniform(0, RETRY_JITTER_S)
-        delay_s = min(MAX_RETRY_AFTER_S, max(RETRY_AFTER_S, known_wait_s))
-        return calls.CallError(reason, retry_after_s=delay_s + jitter_s)
+        retry_after_s = min(MAX_RETRY_AFTER_S, max(RETRY_AFTER_S, known_wait_s)) + jitter_s
+        for policy in self.policies:
+            policy.record_refused(request, retry_after_s)
+        return calls.CallError(reason, retry_after_s=retry_after_s)
--- a/toucanhold/gateway/attempt.py
+++ b/toucanhold/gateway/attempt.py
@@ -9,7 +9,7 @@
 import trio
 
 from toucanhold import events
-from toucanhold.gateway import calls, health, silence
+from toucanhold.gateway import calls, health, outcomes, silence
 from toucanhold.registry import servers
 from toucanhold.routes import table
 from toucanhold.routing import sse
@@ -119,10 +119,12 @@
     silence_detector: silence.SilenceDetector,
     server_health: health.Health,
     may_fail_over: collections.abc.Callable[[], bool],
+    observed: outcomes.ObservedAttempt,
 ) -> int:
     """Send a call to one server and forward the response to the caller.
 
     :param may_fail_over: returns whether another server could take over the call
+    :param observed: notified of the attempt's events and of its end
     :return: HTTP status of the response
     :raises calls.NotRunError: if the server did not run the call
     :raises calls.ResponseLostError: if the server may have run the call, but the caller has no
@@ -139,12 +141,20 @@
     _log_attempt(state, server, forwarded)
     state.record_attempt(server.server_id)
     try:
-        if state.route.is_stream:
-            return await _stream_response(
-                state, forwarded, server, client, silence_detector, server_health, may_fail_over
-            )
-        async with client.exchange(server, forwarded) as response:
-            return await _forward_buffered(state, response, server_health, may_fail_over)
+        with observed.watch():
+            if state.route.is_stream:
+                return await _stream_response(
+                    state,
+                    forwarded,
+                    server,
+                    client,
+                    silence_detector,
+                    server_health,
+                    may_fail_over,
+                    observed,
+                )
+            async with client.exchange(server, forwarded) as response:
+                return await _forward_buffered(state, response, server_health, may_fail_over)
     except calls.NotRunError:
         state.attempt_count -= 1
         raise
@@ -158,6 +168,7 @@
     silence_detector: silence.SilenceDetector,
     server_health: health.Health,
     may_fail_over: collections.abc.Callable[[], bool],
+    observed: outcomes.ObservedAttempt,
 ) -> int:
     stream = silence.WatchedStream(
         server.server_id, may_fail_over, state.longest_pause_s, state.may_wait_at_server
@@ -169,7 +180,7 @@
         with stream.scope:
             async with client.exchange(server, forwarded) as response:
                 if response.status == 200:
-                    status = await _forward_stream(state, response, stream)
+                    status = await _forward_stream(state, response, stream, observed)
                     server_health.record_outcome(server.server_id, is_failure=False)
                 else:
                     status = await _forward_buffered(state, response, server_health, may_fail_over)
@@ -182,11 +193,15 @@
 
 
 async def _forward_stream(
-    state: CallState, response: calls.Response, stream: silence.WatchedStream
+    state: CallState,
+    response: calls.Response,
+    stream: silence.WatchedStream,
+    observed: outcomes.ObservedAttempt,
 ) -> int:
     splitter = sse.EventSplitter()
     async for chunk in response.chunks:
         stream.record_event()
+        observed.record_event()
         new_events = bytearray()
         for event in splitter.feed(chunk):
             if _record_event_if_new(state, event):
--- a/toucanhold/gateway/exchange.py
+++ b/toucanhold/gateway/exchange.py
@@ -29,6 +29,7 @@
     load,
     notices,
     rate_limiter,
+    shared_counts,
     silence_reports,
 )
 
@@ -65,6 +66,8 @@
 
     :ivar on_silent: called with the ID of a server that another entry reports as silent, and with
         the name of that entry
+    :ivar count_sources: further counts that entries add up; the rate limiter's table of counts
+        holds the sums over the other entries
     :ivar sent_bytes: bytes sent, by kind of notice and whether the receiver is in another
         availability zone
     """
@@ -76,6 +79,7 @@
     crash_tracker: crashes.CrashTracker
     on_silent: collections.abc.Callable[[str, str], None]
     rng: random.Random
+    count_sources: collections.abc.Sequence[shared_counts.CountSource] = ()
     _wake_signal: notifier.Notifier = attrs.field(factory=notifier.Notifier, init=False)
     _is_urgent: bool = attrs.field(default=False, init=False)
     _silence_reports: silence_reports.SilenceReports = attrs.field(
@@ -169,7 +173,7 @@
             if upstream:
                 counts = self.load_tracker.local_counts()
                 self._has_reported_load = bool(counts)
-                recent = self.rate_limiter.counts.local(self.rate_limiter.own_counts())
+                recent = self.rate_limiter.counts.local(self._own_counts())
                 report = self._encode_notice(notices.Kind.REPORT, counts, recent, is_upward=True)
                 await self._send_to(socket, notices.Kind.REPORT, report, upstream)
             if self.is_active_aggregator:
@@ -200,7 +204,7 @@
                 receivers += ranked if is_urgent else [ranked[self._summary_count % len(ranked)]]
         if receivers:
             counts = self.load_tracker.local_counts()
-            recent = self.rate_limiter.counts.local(self.rate_limiter.own_counts())
+            recent = self.rate_limiter.counts.local(self._own_counts())
             summary = self._encode_notice(notices.Kind.SUMMARY, counts, recent, is_upward=True)
             await self._send_to(socket, notices.Kind.SUMMARY, summary, receivers)
 
@@ -215,10 +219,16 @@
 
     async def _send_digest(self, socket: trio.socket.SocketType, receiver: entries.Entry) -> None:
         counts = self.load_tracker.counts_without(receiver.entry)
-        recent = self.rate_limiter.counts.without(receiver.entry, self.rate_limiter.own_counts())
+        recent = self.rate_limiter.counts.without(receiver.entry, self._own_counts())
         digest = self._encode_notice(notices.Kind.DIGEST, counts, recent, is_upward=False)
         await self._send_to(socket, notices.Kind.DIGEST, digest, [receiver])
 
+    def _own_counts(self) -> dict[str, int]:
+        counts = self.rate_limiter.own_counts()
+        for source in self.count_sources:
+            counts |= source.own_counts()
+        return counts
+
     def _encode_notice(
         self,
         kind: notices.Kind,
--- a/toucanhold/gateway/gateway.py
+++ b/toucanhold/gateway/gateway.py
@@ -17,8 +17,11 @@
     calls,
     crashes,
     health,
+    outcomes,
+    queueing,
     silence,
 )
+from toucanhold.registry import servers
 from toucanhold.routes import table
 
 # Fraction of its remaining time that a request may spend in the queue. A late response is worth
@@ -45,6 +48,7 @@
     """Serves calls according to the newest route table.
 
     :ivar server_client: sends calls to backend servers
+    :ivar attempt_observer: notified of the attempts on servers
     :ivar in_flight: number of calls without a final response
     """
 
@@ -56,6 +60,7 @@
     crash_tracker: crashes.CrashTracker
     silence_detector: silence.SilenceDetector
     rng: random.Random
+    attempt_observer: outcomes.AttemptObserver = attrs.field(factory=outcomes.ObserverGroup)
     in_flight: int = attrs.field(default=0, init=False)
 
     async def serve(self, call: calls.Call, reply: calls.Reply) -> int:
@@ -128,7 +133,7 @@
                 reason = calls.RefusalReason.CRASHES_SERVERS
                 self._raise_failure(state, reason, CRASHING_RETRY_AFTER_S)
             try:
-                status = await self._run_attempt(state, excluded)
+                status = await self._run_attempt(state, excluded, fingerprint)
             except calls.NotRunError as error:
                 self._handle_not_run(state, excluded, error)
                 self._check_retry(state, error)
@@ -143,28 +148,11 @@
                 self.crash_tracker.clear(fingerprint)
                 return status
 
-    async def _run_attempt(self, state: attempt.CallState, excluded: set[str]) -> int:
-        route = state.route
-        priority = route.priority
-        if state.workspace is not None and state.workspace.priority is not None:
-            priority = state.workspace.priority
-        max_wait_s = MAX_WAIT_FRACTION * (state.deadline_s - trio.current_time())
-        latest_start_s = state.latest_start_s
-        if state.has_response_started:
-            # Callers abandon a stream after a pause of two seconds.
-            max_wait_s = min(max_wait_s, 1.0)
-            latest_start_s = (
-                trio.current_time() + attempt.QUEUE_TIME_FRACTION * route.gap_objective_s
-            )
+    async def _run_attempt(
+        self, state: attempt.CallState, excluded: set[str], fingerprint: str
+    ) -> int:
         try:
-            placement = self.admission.place(
-                state.service,
-                state.call.model,
-                priority,
-                max_wait_s,
-                latest_start_s,
-                frozenset(excluded),
-            )
+            placement = self.admission.place(self._placement_request(state, excluded, fingerprint))
             async with placement as server:
                 state.may_wait_at_server = self.admission.may_wait_at(state.service, server)
                 may_fail_over = functools.partial(
@@ -177,6 +165,7 @@
                     self.silence_detector,
                     self.health,
                     may_fail_over,
+                    self._observed_attempt(state, server),
                 )
         except calls.CallError as error:
             if state.has_response_started:
@@ -185,6 +174,48 @@
                 raise calls.CallError(calls.RefusalReason.RESPONSE_LOST, True) from error
             raise
 
+    def _placement_request(
+        self, state: attempt.CallState, excluded: set[str], fingerprint: str
+    ) -> queueing.PlacementRequest:
+        priority = state.route.priority
+        if state.workspace is not None and state.workspace.priority is not None:
+            priority = state.workspace.priority
+        now_s = trio.current_time()
+        max_wait_s = MAX_WAIT_FRACTION * (state.deadline_s - now_s)
+        latest_start_s = state.latest_start_s
+        if state.has_response_started:
+            # Callers abandon a stream after a pause of two seconds.
+            max_wait_s = min(max_wait_s, 1.0)
+            latest_start_s = now_s + attempt.QUEUE_TIME_FRACTION * state.route.gap_objective_s
+        return queueing.PlacementRequest(
+            state.service,
+            state.call.model,
+            priority,
+            max_wait_s,
+            latest_start_s,
+            frozenset(excluded),
+            state.workspace_name,
+            state.route,
+            fingerprint,
+        )
+
+    def _observed_attempt(
+        self, state: attempt.CallState, server: servers.Server
+    ) -> outcomes.ObservedAttempt:
+        in_flight = self.admission.server_selector.load_tracker.estimate(server.server_id)
+        return outcomes.ObservedAttempt(
+            outcomes.Attempt(
+                server,
+                state.service,
+                state.route,
+                state.call.model,
+                in_flight,
+                trio.current_time(),
+                state.has_response_started,
+            ),
+            self.attempt_observer,
+        )
+
     def _may_fail_over(self, state: attempt.CallState, excluded: set[str]) -> bool:
         if (
             state.attempt_count >= state.route.max_attempts + state.extra_attempts
--- a/toucanhold/gateway/notices.py
+++ b/toucanhold/gateway/notices.py
@@ -41,8 +41,8 @@
     :ivar in_flight: server ID to the number of requests in flight
     :ivar silent: ID of each server that stopped sending, to the name of the entry that detected it
     :ivar crashes: pairs of a request's fingerprint and its number of lost connections
-    :ivar recent: recent requests to limited servers and demand, as
-        :meth:`rate_limiter.RateLimiter.own_counts` returns them
+    :ivar recent: counts that entries add up, as each :class:`shared_counts.CountSource` returns
+        them
     :ivar limits: limits that servers have named or lifted
     :ivar draining: servers whose answers say that they are draining
     """
--- a/toucanhold/gateway/rate_limiter.py
+++ b/toucanhold/gateway/rate_limiter.py
@@ -100,7 +100,7 @@
 
 
 @attrs.define(eq=False)
-class RateLimiter(signals.ServerObserver):
+class RateLimiter(signals.ServerObserver, shared_counts.CountSource):
     """Limits this entry's requests to its share of the limits that servers name.
 
     :ivar limit_table: limits that servers name
@@ -163,7 +163,7 @@
         return limit_per_s * self._demand_share(_demand_key(server.service, server.model))
 
     def own_counts(self) -> dict[str, int]:
-        """Return this entry's recent requests to limited servers, and its demand, by key."""
+        """See :class:`shared_counts.CountSource`: requests to limited servers, and demand."""
         limited = self.limit_table.limited()
         if not limited:
             return {}
--- a/toucanhold/gateway/shared_counts.py
+++ b/toucanhold/gateway/shared_counts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 import collections
 import collections.abc
 import math
@@ -12,6 +13,14 @@
 Counts = collections.abc.Mapping[str, int]
 
 
+class CountSource(abc.ABC):
+    """Counts of this entry that other entries add up; their keys begin with a prefix of its own."""
+
+    @abc.abstractmethod
+    def own_counts(self) -> dict[str, int]:
+        """Return this entry's counts by key, without those that are zero."""
+
+
 @attrs.frozen
 class _SourceCounts:
     """Counts reported by one source; they expire at a trio clock time."""
--- a/toucanhold/gateway/targets.py
+++ b/toucanhold/gateway/targets.py
@@ -10,7 +10,7 @@
 import attrs
 import trio
 
-from toucanhold.gateway import budget, health, load, rate_limiter
+from toucanhold.gateway import budget, health, load, rate_limiter, selection
 from toucanhold.registry import backoffs, registry, servers
 from toucanhold.replicas import records
 from toucanhold.routes import table
@@ -53,6 +53,7 @@
     :ivar rate_limiter: limits requests to servers that name a limit
     :ivar backoff_table: servers that this entry must not send to for a time
     :ivar zone: this entry's availability zone
+    :ivar policies: optional policies
     :ivar placement_counts: number of requests placed, by whether the server is in another zone
     """
 
@@ -66,6 +67,7 @@
     backoff_table: backoffs.BackoffTable
     zone: str
     rng: random.Random
+    policies: collections.abc.Sequence[selection.SelectionPolicy] = ()
     placement_counts: collections.Counter[bool] = attrs.field(
         factory=collections.Counter, init=False
     )
@@ -74,8 +76,10 @@
     _candidates: dict[tuple[str, str], list[servers.Server]] = attrs.field(factory=dict, init=False)
     _candidates_version: tuple[int, int] = attrs.field(default=(-1, -1), init=False)
 
-    def record_placement(self, server: servers.Server) -> None:
+    def record_placement(self, service: table.Service, server: servers.Server) -> None:
         """Count a request that is placed on a server."""
+        for policy in self.policies:
+            policy.record_placement(service, server)
         self.load_tracker.add(server.server_id)
         self.rate_limiter.record_request(server)
         self.placement_counts[server.zone != self.zone] += 1
@@ -170,7 +174,13 @@
         ]
 
     def _has_capacity(self, service: table.Service, server: servers.Server) -> bool:
-        if self.load_tracker.estimate(server.server_id) >= _slots(service, server):
+        slots = _slots(service, server)
+        limit = min(
+            (policy.slot_limit(service, server, slots) for policy in self.policies), default=slots
+        )
+        if self.load_tracker.estimate(server.server_id) >= limit:
+            return False
+        if not all(policy.is_usable(service, server) for policy in self.policies):
             return False
         if self.backoff_table.remaining_s(server) or not self.rate_limiter.may_send(server):
             return False
@@ -185,6 +195,7 @@
         cost += FAILURE_PENALTY_REQUESTS * self.health.failure_rate(server.server_id)
         if server.zone != self.zone:
             cost += OTHER_ZONE_PENALTY_FRACTION * _slots(service, server)
+        cost += sum(policy.cost(service, server) for policy in self.policies)
         return cost, self.rng.random()
 
 
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -25,7 +25,11 @@
     hierarchy,
     limits,
     load,
+    outcomes,
+    queueing,
     rate_limiter,
+    selection,
+    shared_counts,
     sharing,
     silence,
     targets,
@@ -224,6 +228,7 @@
         self.health = health.Health()
         self.load_tracker = load.LoadTracker()
         self.crash_tracker = crashes.CrashTracker()
+        self._build_policies()
         self.exchange = exchange.Exchange(
             self.entry_list,
             self.load_tracker,
@@ -232,6 +237,7 @@
             self.crash_tracker,
             self._on_silence_report,
             self.rng,
+            self.count_sources,
         )
         self.silence_detector = silence.SilenceDetector(self.health, self._on_silent_server)
         self.cold_budget = budget.ColdBudget(
@@ -248,18 +254,27 @@
             self.backoff_table,
             self.settings.zone,
             self.rng,
+            self.selection_policies,
         )
         self.gateway = gateway.Gateway(
             self.routes,
             self.server_client,
-            admission.Admission(self.server_selector),
+            admission.Admission(self.server_selector, self.queue_policies),
             budget.RetryBudget(_retry_bound(bounds), self._traffic_share),
             self.health,
             self.crash_tracker,
             self.silence_detector,
             self.rng,
+            outcomes.ObserverGroup(self.attempt_observers),
         )
 
+    def _build_policies(self) -> None:
+        """Build the optional policies that the settings switch on."""
+        self.queue_policies: list[queueing.QueuePolicy] = []
+        self.selection_policies: list[selection.SelectionPolicy] = []
+        self.attempt_observers: list[outcomes.AttemptObserver] = []
+        self.count_sources: list[shared_counts.CountSource] = []
+
     async def _reload_on_signal(self) -> None:
         with trio.open_signal_receiver(signal.SIGHUP) as signals:
             async for _ in signals:
--- a/toucanhold/platform/settings.py
+++ b/toucanhold/platform/settings.py
@@ -9,7 +9,10 @@
 
 import attrs
 
+from toucanhold.gateway import policies
+
 FILE_VARIABLE = "TOUCANHOLD_SETTINGS"
+POLICIES_VARIABLE = "TOUCANHOLD_POLICIES"
 
 
 class SettingsError(Exception):
@@ -53,6 +56,7 @@
     :ivar store_address: ``IP:port`` of the platform's store
     :ivar min_lease_s: shortest lease that the store grants
     :ivar cores: this process's share of the processor, in cores of standard speed
+    :ivar policies: optional policies that are switched on
     """
 
     entry: str
@@ -66,6 +70,7 @@
     min_lease_s: float
     cores: float
     bounds: Bounds
+    policies: frozenset[policies.Policy] = frozenset()
 
 
 class _FieldReader:
@@ -110,7 +115,7 @@
 
 
 def load(variables: collections.abc.Mapping[str, str]) -> PlatformSettings:
-    """Read and check the settings file that ``FILE_VARIABLE`` names.
+    """Read and check the settings file that ``FILE_VARIABLE`` names, and the policies.
 
     :param variables: environment variables
     :raises SettingsError: when the file cannot be read or is invalid; lists every invalid field
@@ -119,9 +124,14 @@
     if not path:
         raise SettingsError(f"{FILE_VARIABLE} is not set; expected the path of the settings file")
     try:
-        return parse(pathlib.Path(path).read_text())
+        settings = parse(pathlib.Path(path).read_text())
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
         raise SettingsError(f"{path}: {error}") from error
+    try:
+        active_policies = policies.parse(variables.get(POLICIES_VARIABLE, ""))
+    except policies.UnknownPolicyError as error:
+        raise SettingsError(f"{POLICIES_VARIABLE}: {error}") from error
+    return attrs.evolve(settings, policies=active_policies)
 
 
 def parse(text: str) -> PlatformSettings:
