Let groups follow the demand, and prepare spares for two models

Cause: on two deployments nine in ten requests ask for the small model, which has half of the servers; its groups run full while those of the large model run at a third.

Change: the policy group-demand, off unless the settings name it. Targets follow the slots in use by model if that departs far from the configured shares, spares hold a second model on their hosts, and a group of a model that has more than its target may be converted. Loads ahead of need have a module of their own.

--- a/toucanhold/gateway/policies.py
+++ b/toucanhold/gateway/policies.py
@@ -16,7 +16,8 @@
     ``SERVER_SPEED``: requests are placed by the time that servers take. ``SLOT_SHARES``: entries
     divide the slots of servers among themselves. ``LATE_HOLDBACK``: late requests leave slots to
     those that can be on time. ``EXPECTED_WAIT``: requests that cannot be served in time are refused
-    at once. ``FAIR_SHARES``: workspaces share scarce slots evenly.
+    at once. ``FAIR_SHARES``: workspaces share scarce slots evenly. ``GROUP_DEMAND``: groups follow
+    the demand for their models.
     """
 
     SERVER_TRIALS = "server-trials"
@@ -25,6 +26,7 @@
     LATE_HOLDBACK = "late-holdback"
     EXPECTED_WAIT = "expected-wait"
     FAIR_SHARES = "fair-shares"
+    GROUP_DEMAND = "group-demand"
 
 
 def parse(text: str) -> frozenset[Policy]:
--- a/toucanhold/gateway/targets.py
+++ b/toucanhold/gateway/targets.py
@@ -133,6 +133,22 @@
         """Return whether the requests in flight at a server, with those of this entry, fit it."""
         return self.load_tracker.estimate(server.server_id) <= _slots(service, server)
 
+    def model_load(self, service: table.Service) -> tuple[dict[str, float], dict[str, float]]:
+        """Return the slots in use at all entries and the slots of open groups, by model.
+
+        Requests beyond a head's slots do not count: heads that stopped serving collect requests.
+        """
+        assert service.engine is not None
+        slots = service.engine.slots
+        used: dict[str, float] = {}
+        available: dict[str, float] = {}
+        for model in service.engine.models:
+            heads = self.find_candidates(service, model.name)
+            in_flight = (self.load_tracker.estimate(head.server_id) for head in heads)
+            used[model.name] = float(sum(min(count, slots) for count in in_flight))
+            available[model.name] = float(slots * len(heads))
+        return used, available
+
     def restrictions(self, service: table.Service, model: str) -> Restrictions:
         """Return how servers of a service and model restrict this entry's requests now."""
         candidates = self.find_candidates(service, model)
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -26,6 +26,7 @@
     limits,
     load,
     outcomes,
+    policies,
     queueing,
     rate_limiter,
     selection,
@@ -221,8 +222,15 @@
             lambda: frozenset(self.closed_zones),
             self.settings.bounds.stall_s,
             self.backoff_table,
+            self._model_load if self._is_on(policies.Policy.GROUP_DEMAND) else None,
         )
 
+    def _is_on(self, policy: policies.Policy) -> bool:
+        return policy in self.settings.policies
+
+    def _model_load(self, service: table.Service) -> tuple[dict[str, float], dict[str, float]]:
+        return self.server_selector.model_load(service)
+
     def _build_gateway(self) -> None:
         bounds = self.settings.bounds
         self.health = health.Health()
--- a/toucanhold/platform/gauges.py
+++ b/toucanhold/platform/gauges.py
@@ -47,3 +47,20 @@
     entry.metrics.add_gauge(
         "toucanhold.servers.limited", "{server}", "Servers that name a limit", limited_servers
     )
+    _register_group_load(entry)
+
+
+def _register_group_load(entry: entries.PlatformEntry) -> None:
+    def by_model(index: int) -> metrics.Observations:
+        table = entry.routes.table
+        for service in table.model_services() if table is not None else ():
+            load = entry.server_selector.model_load(service)
+            for model, count in load[index].items():
+                yield count, {"toucanhold.service": service.name, "toucanhold.model": model}
+
+    entry.metrics.add_gauge(
+        "toucanhold.group.slots_used", "{slot}", "Slots in use, by model", lambda: by_model(0)
+    )
+    entry.metrics.add_gauge(
+        "toucanhold.group.slots", "{slot}", "Slots of open groups, by model", lambda: by_model(1)
+    )
--- a/toucanhold/replicas/composition.py
+++ b/toucanhold/replicas/composition.py
@@ -8,7 +8,7 @@
 import attrs
 
 from toucanhold.registry import servers
-from toucanhold.replicas import conversion, readiness
+from toucanhold.replicas import conversion, demand, readiness
 from toucanhold.routes import table
 
 # A domain of nine servers holds a group of four, a group of three and two spares. A lost member is
@@ -53,6 +53,8 @@
     :ivar closed_zones: availability zones that get no requests
     :ivar groups: serving or forming groups in open zones
     :ivar ending_members: members of groups that are being torn down, by domain
+    :ivar slots_in_use: smoothed slots in use by model, if groups are to follow the demand
+    :ivar is_staging_spares: whether spares are to hold a second model on their hosts
     """
 
     engine: table.Engine
@@ -68,6 +70,8 @@
     ending_members: collections.abc.Mapping[str, collections.abc.Sequence[servers.Server]] = (
         attrs.field(factory=dict)
     )
+    slots_in_use: collections.abc.Mapping[str, float] = attrs.field(factory=dict)
+    is_staging_spares: bool = False
 
 
 def target_group_counts(engine: table.Engine, usable_count: int) -> dict[str, float]:
@@ -95,6 +99,7 @@
     one by one as spares, and groups are formed only of servers that join within seconds.
 
     :ivar target_counts: target number of groups, by model
+    :ivar follows_demand: whether the targets follow the demand instead of the configured shares
     :ivar group_counts: serving, forming and newly placed groups, by model
     """
 
@@ -105,11 +110,20 @@
     _domain_counts: dict[tuple[str, str], int] = attrs.field(init=False)
     _free_servers: dict[str, list[servers.Server]] = attrs.field(init=False)
     _reserved_domains: set[str] = attrs.field(init=False)
+    follows_demand: bool = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Copy the parts of the snapshot that change with each placement."""
         snapshot = self.snapshot
         self.target_counts = target_group_counts(snapshot.engine, snapshot.usable_count)
+        demanded_counts = demand.target_counts(
+            snapshot.engine,
+            snapshot.usable_count * (1 - SPARE_FRACTION),
+            self.target_counts,
+            snapshot.slots_in_use,
+        )
+        self.follows_demand = demanded_counts is not None
+        self.target_counts = demanded_counts or self.target_counts
         self.group_counts = dict(snapshot.group_counts)
         self._zone_counts = dict(snapshot.zone_counts)
         self._domain_counts = dict(snapshot.domain_counts)
@@ -144,6 +158,7 @@
             free_in_open_zones,
             snapshot.groups,
             snapshot.ending_members,
+            self.follows_demand,
         )
 
     def preloads(self) -> list[Preload]:
@@ -170,6 +185,24 @@
                     preloads.append(Preload(server.staged[0], server))
         return preloads
 
+    def spare_stagings(self) -> list[Preload]:
+        """Return the second models that the hosts of remaining free servers should load.
+
+        A spare that holds one model in memory and another on its host completes a group of either.
+        Otherwise, groups that lost a member could not form again for want of one server, while
+        spares of the other model were idle.
+        """
+        if not self.snapshot.is_staging_spares:
+            return []
+        models = sorted(self.snapshot.engine.models, key=lambda each: self._coverage(each.name))
+        return [
+            Preload(model.name, server)
+            for members in self._free_servers.values()
+            for server in members
+            if server.model and all(name == server.model for name in server.staged)
+            for model in [each for each in models if each.name != server.model][:1]
+        ]
+
     def _models_without_group(self) -> list[table.Model]:
         """Return the models that no group serves while other models have groups."""
         # A group that is being torn down may be its model's only one and be re-formed at once.
--- a/toucanhold/replicas/conversion.py
+++ b/toucanhold/replicas/conversion.py
@@ -41,6 +41,7 @@
     :ivar free_servers: servers that belong to no group, by domain
     :ivar groups: serving or forming groups in open availability zones
     :ivar ending_members: members of groups that are being torn down, by domain
+    :ivar follows_demand: whether the targets follow the observed demand
     """
 
     engine: table.Engine
@@ -49,6 +50,7 @@
     free_servers: collections.abc.Mapping[str, collections.abc.Sequence[servers.Server]]
     groups: collections.abc.Sequence[ServingGroup]
     ending_members: collections.abc.Mapping[str, collections.abc.Sequence[servers.Server]]
+    follows_demand: bool = False
 
     def coverage(self, model: str, change: int = 0) -> float:
         """Return the ratio of existing groups to the target.
@@ -120,7 +122,7 @@
     """Return the next conversion step, in the domain with the least cost; None if none is needed.
 
     Hosts of idle servers may load any underprovisioned model. Groups are preempted only for an
-    underserved model.
+    underserved model, or if the targets follow the demand.
     """
     model = most_underprovisioned_model(capacity)
     if model is None or len(capacity.engine.models) < 2:
@@ -156,7 +158,9 @@
         preempted.append(group)
     if len(pool) < model.size or not _is_worthwhile(capacity, model, preempted):
         return None
-    missing_count = max(0, model.size - _ready_count(pool, model))
+    # The members of a preempted large group form several small groups.
+    needed_count = len(pool) // model.size * model.size if preempted else model.size
+    missing_count = max(0, needed_count - _ready_count(pool, model))
     if not preempted and missing_count > model.size * MAX_MISSING_FRACTION:
         return None
     to_stage = [server for server in pool if not readiness.has_model(server, model)][:missing_count]
@@ -171,7 +175,7 @@
 def _is_worthwhile(
     capacity: CapacitySnapshot, model: table.Model, preempted: list[ServingGroup]
 ) -> bool:
-    if preempted and underserved_model(capacity) is None:
+    if preempted and not capacity.follows_demand and underserved_model(capacity) is None:
         return False
     # Otherwise the other model would become underserved next and take its servers back.
     coverage_after = capacity.coverage(model.name, 1)
--- /dev/null
+++ b/toucanhold/replicas/demand.py
@@ -0,0 +1,116 @@
+"""Estimates the demand for each model and derives how many groups of it to aim at.
+
+The configured shares of the models are the work expected at the start. Where callers ask for one
+model far more than that, its groups run full while the servers of the other model are idle.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import math
+
+import attrs
+import trio
+
+from toucanhold.routes import table
+
+# Changing a group's model takes up to 16 s, so waves of demand shorter than this are ignored.
+SMOOTHING_S = 5.0
+# A new planner observes for this long before it departs from the configured shares.
+MIN_OBSERVATION_S = 3.0
+# Demand is uneven if, with the configured shares, one model's groups would be this many times as
+# busy as another's ...
+UNEVEN_RATIO = 1.5
+# ... and use more than this fraction of their slots. Idle models need no further groups.
+BUSY_FRACTION = 0.5
+# If more than this fraction of a model's slots is in use, requests wait that are not counted.
+SATURATED_FRACTION = 0.9
+# Demand of such a model, relative to its slots in use.
+SATURATED_FACTOR = 1.25
+# Groups beyond those that the demand fills: one may be lost at any moment.
+SPARE_GROUPS = 1
+
+
+@attrs.define(eq=False)
+class DemandEstimate:
+    """Smoothed number of requests by model of one service, in the unit of slots in use."""
+
+    _slots_in_use: dict[str, float] = attrs.field(factory=dict, init=False)
+    _started_s: float = attrs.field(factory=trio.current_time, init=False)
+    _updated_s: float = attrs.field(factory=trio.current_time, init=False)
+
+    def update(
+        self,
+        slots_in_use: collections.abc.Mapping[str, float],
+        slots: collections.abc.Mapping[str, float],
+    ) -> None:
+        """Add an observation.
+
+        :param slots_in_use: slots in use now, by model
+        :param slots: slots of the open groups, by model
+        """
+        now_s = trio.current_time()
+        weight = 1 - math.exp((self._updated_s - now_s) / SMOOTHING_S)
+        self._updated_s = now_s
+        for model, used in slots_in_use.items():
+            is_saturated = used > SATURATED_FRACTION * slots[model]
+            observed = used * SATURATED_FACTOR if is_saturated else used
+            previous = self._slots_in_use.setdefault(model, observed)
+            self._slots_in_use[model] = previous + weight * (observed - previous)
+
+    def slots_in_use(self) -> dict[str, float]:
+        """Return the smoothed slots in use by model; empty until enough was observed."""
+        if trio.current_time() - self._started_s < MIN_OBSERVATION_S:
+            return {}
+        return dict(self._slots_in_use)
+
+
+def target_counts(
+    engine: table.Engine,
+    server_count: float,
+    share_counts: collections.abc.Mapping[str, float],
+    slots_in_use: collections.abc.Mapping[str, float],
+) -> dict[str, float] | None:
+    """Return the numbers of groups with which all models would be equally busy.
+
+    Unevenness is measured at the configured shares, not at the present groups: otherwise, groups
+    that follow the demand would make it look even, and would be changed back.
+
+    :param server_count: servers to divide among groups
+    :param share_counts: numbers of groups by model at the configured shares
+    :param slots_in_use: smoothed slots in use, by model
+    :return: numbers of groups by model, or None if the demand is unknown or not uneven
+    """
+    if not _is_uneven(engine, share_counts, slots_in_use):
+        return None
+    floors = {
+        model.name: math.ceil(slots_in_use[model.name] / engine.slots) + SPARE_GROUPS
+        for model in engine.models
+    }
+    needed = sum(slots_in_use[model.name] * model.size for model in engine.models)
+    targets = {
+        model.name: max(floors[model.name], server_count * slots_in_use[model.name] / needed)
+        for model in engine.models
+    }
+    # Floors of one model take servers from the others, never below their own floors.
+    excess = sum(targets[model.name] * model.size for model in engine.models) - server_count
+    for model in sorted(engine.models, key=lambda each: floors[each.name] - targets[each.name]):
+        reduction = max(0.0, min(excess / model.size, targets[model.name] - floors[model.name]))
+        targets[model.name] -= reduction
+        excess -= reduction * model.size
+    return targets
+
+
+def _is_uneven(
+    engine: table.Engine,
+    share_counts: collections.abc.Mapping[str, float],
+    slots_in_use: collections.abc.Mapping[str, float],
+) -> bool:
+    if len(engine.models) < 2 or not all(slots_in_use.get(each.name) for each in engine.models):
+        return False
+    used_fractions = [
+        slots_in_use[model.name] / (share_counts[model.name] * engine.slots)
+        for model in engine.models
+    ]
+    busiest = max(used_fractions)
+    return busiest > BUSY_FRACTION and busiest >= UNEVEN_RATIO * min(used_fractions)
--- a/toucanhold/replicas/planner.py
+++ b/toucanhold/replicas/planner.py
@@ -15,10 +15,12 @@
 from toucanhold.replicas import (
     composition,
     conversion,
+    demand,
     driver,
     ordering,
     orders,
     plan,
+    preloading,
     probing,
     records,
 )
@@ -30,13 +32,8 @@
 ARRIVAL_SETTLE_S = 0.8
 # Delay after a failed write.
 WRITE_RETRY_S = 0.1
-# Interval at which the order to preload a model is repeated to a spare.
-PRELOAD_RETRY_S = 2.0
 COUNT_INTERVAL_S = 1.0
-SPARE_PREFIX = "spare-"
-# A host that has not staged a model within this time is ordered again. It covers the longest load
-# while several run concurrently.
-STAGE_RETRY_S = 30.0
+TARGETS_LOG_INTERVAL_S = 10.0
 # A conversion takes effect after some seconds, and the next one must be based on its result.
 CONVERSION_INTERVAL_S = 10.0
 
@@ -50,6 +47,8 @@
     :ivar closed_zones: returns the availability zones that get no requests
     :ivar stall_s: time after which a head that lacks a member breaks by itself
     :ivar backoff_table: servers that asked for a backoff
+    :ivar load: returns the slots in use and all slots by model of a service; None if groups do not
+        follow the demand
     """
 
     kv_mirror: mirror.Mirror
@@ -62,17 +61,21 @@
     closed_zones: collections.abc.Callable[[], frozenset[str]]
     stall_s: float
     backoff_table: backoffs.BackoffTable = attrs.field(factory=backoffs.BackoffTable)
+    load: (
+        collections.abc.Callable[[table.Service], tuple[dict[str, float], dict[str, float]]] | None
+    ) = None
     order_sender: ordering.OrderSender = attrs.field(init=False)
     prober: probing.Prober = attrs.field(init=False)
+    preloader: preloading.Preloader = attrs.field(init=False)
     _changed: notifier.Notifier = attrs.field(factory=notifier.Notifier, init=False)
     _driven_groups: set[str] = attrs.field(factory=set, init=False)
-    _last_preload_s: dict[tuple[str, int], float] = attrs.field(factory=dict, init=False)
     _last_arrival_s: float = attrs.field(default=0.0, init=False)
     _seen_incarnations: set[tuple[str, int]] = attrs.field(factory=set, init=False)
     _last_count_s: float = attrs.field(default=float("-inf"), init=False)
     _has_created_groups: bool = attrs.field(default=False, init=False)
-    _last_stage_s: dict[tuple[str, int], float] = attrs.field(factory=dict, init=False)
     _last_conversion_s: float = attrs.field(default=float("-inf"), init=False)
+    _targets_logged_s: dict[str, float] = attrs.field(factory=dict, init=False)
+    _demand_estimates: dict[str, demand.DemandEstimate] = attrs.field(factory=dict, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Subscribe to registrations, group records and the planner key."""
@@ -82,6 +85,9 @@
         self.prober = probing.Prober(
             self.group_table, self.server_registry, self.order_sender, self._changed.notify_all
         )
+        self.preloader = preloading.Preloader(
+            self.kv_mirror, self.server_registry, self.order_sender
+        )
         self.server_registry.add_listener(self._changed.notify_all)
         self.kv_mirror.add_listener(records.GROUPS_PREFIX, lambda keys: self._changed.notify_all())
         self.kv_mirror.add_listener(plan.PLANNER_KEY, lambda keys: self._changed.notify_all())
@@ -106,6 +112,7 @@
 
     async def _plan_while_elected(self) -> None:
         self._driven_groups.clear()
+        self._demand_estimates.clear()
         async with trio.open_nursery() as nursery:
             while self.may_act():
                 self.prober.probe(nursery)
@@ -149,7 +156,7 @@
             return "leaving"
         if self.order_sender.is_unreachable(server.incarnation):
             return "unreachable"
-        if _is_loading(server):
+        if preloading.is_loading(server):
             return "loading"
         return f"spare {server.model}" if server.model else "empty"
 
@@ -179,13 +186,37 @@
             return
         for service in routes.model_services():
             placement_planner = composition.PlacementPlanner(self._snapshot(service))
+            self._log_targets(service, placement_planner)
             new_records = [
                 self._new_record(service, placement) for placement in placement_planner.placements()
             ]
             for begin in range(0, len(new_records), plan.MAX_GROUPS_PER_WRITE):
                 await self._create_groups(new_records[begin : begin + plan.MAX_GROUPS_PER_WRITE])
-            self._order_preloads(service, placement_planner.preloads(), nursery)
-            await self._apply_conversion(placement_planner.next_conversion(), nursery)
+            self.preloader.order_preloads(
+                service, placement_planner.preloads(), not self._has_created_groups, nursery
+            )
+            self.preloader.order_spare_stagings(
+                service, placement_planner.spare_stagings(), nursery
+            )
+            if self._may_convert(service):
+                await self._apply_conversion(placement_planner.next_conversion(), nursery)
+
+    def _log_targets(
+        self, service: table.Service, placement_planner: composition.PlacementPlanner
+    ) -> None:
+        now_s = trio.current_time()
+        logged_s = self._targets_logged_s.get(service.name, float("-inf"))
+        if not placement_planner.follows_demand or now_s - logged_s < TARGETS_LOG_INTERVAL_S:
+            return
+        self._targets_logged_s[service.name] = now_s
+        events.log(
+            LOGGER,
+            events.Event.GROUP_TARGETS_SET,
+            service=service.name,
+            slots_in_use=_rounded(placement_planner.snapshot.slots_in_use),
+            target_groups=_rounded(placement_planner.target_counts),
+            groups=placement_planner.group_counts,
+        )
 
     async def _create_groups(self, new_records: list[records.GroupRecord]) -> None:
         try:
@@ -235,7 +266,7 @@
         loading = collections.Counter(
             server.domain
             for server in self.server_registry.of_service(service.name)
-            if _is_loading(server)
+            if preloading.is_loading(server)
         )
         usable_servers = [each for each in self._usable_servers(service) if each.zone not in closed]
         return composition.ServiceSnapshot(
@@ -250,8 +281,21 @@
             closed,
             groups,
             ending_members,
+            self._slots_in_use(service),
+            self.load is not None and bool(self.group_table.groups),
         )
 
+    def _slots_in_use(self, service: table.Service) -> dict[str, float]:
+        if self.load is None:
+            return {}
+        estimate = self._demand_estimates.setdefault(service.name, demand.DemandEstimate())
+        estimate.update(*self.load(service))
+        return estimate.slots_in_use()
+
+    def _may_convert(self, service: table.Service) -> bool:
+        # Without this, each new planner would first return to the configured shares.
+        return self.load is None or bool(self._demand_estimates[service.name].slots_in_use())
+
     def _usable_servers(self, service: table.Service) -> list[servers.Server]:
         return [
             server
@@ -263,7 +307,7 @@
         groups_by_server = self.group_table.groups_by_server()
         free: dict[str, list[servers.Server]] = collections.defaultdict(list)
         for server in self._usable_servers(service):
-            if server.server_id not in groups_by_server and not _is_loading(server):
+            if server.server_id not in groups_by_server and not preloading.is_loading(server):
                 free[server.domain].append(server)
         return free
 
@@ -285,49 +329,14 @@
             members=[member.server_id for member in group.record.members],
         )
 
-    def _order_preloads(
-        self,
-        service: table.Service,
-        preloads: list[composition.Preload],
-        nursery: trio.Nursery,
-    ) -> None:
-        assert service.engine is not None
-        now_s = trio.current_time()
-        loading_count = sum(map(_is_loading, self.server_registry.of_service(service.name)))
-        for preload in preloads:
-            incarnation = preload.server.incarnation
-            if loading_count >= service.engine.max_concurrent_loads and self._has_created_groups:
-                return
-            if now_s - self._last_preload_s.get(incarnation, float("-inf")) < PRELOAD_RETRY_S:
-                continue
-            loading_count += 1
-            self._last_preload_s[incarnation] = now_s
-            events.log(
-                LOGGER,
-                events.Event.SPARE_PREPARED,
-                server=preload.server.server_id,
-                model=preload.model,
-            )
-            nursery.start_soon(self._order_preload, preload)
-
     async def _apply_conversion(
         self, step: conversion.Conversion | None, nursery: trio.Nursery
     ) -> None:
         if step is None:
             return
-        now_s = trio.current_time()
         for server in step.to_stage:
-            if now_s - self._last_stage_s.get(server.incarnation, float("-inf")) < STAGE_RETRY_S:
-                continue
-            self._last_stage_s[server.incarnation] = now_s
-            events.log(
-                LOGGER,
-                events.Event.STAGING_ORDERED,
-                server=server.server_id,
-                model=step.model.name,
-                domain=step.domain,
-            )
-            nursery.start_soon(self._send_order, server, orders.Stage(step.model.name))
+            self.preloader.order_staging(server, step.model.name, nursery)
+        now_s = trio.current_time()
         is_due = now_s - self._last_conversion_s >= CONVERSION_INTERVAL_S
         if step.preempted and not step.to_stage and is_due:
             self._last_conversion_s = now_s
@@ -351,27 +360,6 @@
         except plan.PlanWriteError as error:
             LOGGER.debug("%s: not preempted: %s", name, error)
 
-    async def _order_preload(self, preload: composition.Preload) -> None:
-        server = preload.server
-        # The spare joins a single-server group that is never opened, which loads the model into
-        # memory. It can then join another group in 0.2 s, instead of seconds if the model were only
-        # staged on its host.
-        group = f"{SPARE_PREFIX}{server.server_id}"
-        epoch = max(1, self.kv_mirror.revision)
-        order = orders.Join(group, epoch, preload.model, (server.server_id,))
-        await self._send_order(server, order)
-
-    async def _send_order(self, server: servers.Server, order: orders.Order) -> None:
-        try:
-            await self.order_sender.send(server, order)
-        except ordering.NotPlannerError:
-            LOGGER.debug("%s: no longer the planner", server.server_id)
-
-
-def _is_loading(server: servers.Server) -> bool:
-    membership = server.membership
-    return (
-        membership is not None
-        and membership.group.startswith(SPARE_PREFIX)
-        and membership.state is servers.GroupState.JOINING
-    )
+
+def _rounded(numbers: collections.abc.Mapping[str, float]) -> dict[str, float]:
+    return {key: round(number, 1) for key, number in numbers.items()}
