Hold back late requests beyond what on-time requests need

Cause: after a restart of all entries, late requests take every slot, and each holds it for about two seconds; the requests that follow become late as well.

Change: the policy late-holdback gives a request that is certainly late a slot only beyond the arrival rate of on-time requests times the time that a slot is held, within the entry's share. Late requests keep a tenth of the share; fractions of a slot add up to starts. Slots that are free beyond all entries' needs are used at once. A request is certainly late by the shortest time that it can have waited with an initial timeout of 85 percent. With the policy off, only a field of PlacementRequest is computed in addition.

--- a/toucanhold/gateway/gateway.py
+++ b/toucanhold/gateway/gateway.py
@@ -17,6 +17,7 @@
     calls,
     crashes,
     health,
+    lateness,
     outcomes,
     queueing,
     silence,
@@ -197,6 +198,7 @@
             state.workspace_name,
             state.route,
             fingerprint,
+            lateness.certain_latest_start_s(state),
         )
 
     def _observed_attempt(
--- a/toucanhold/gateway/queueing.py
+++ b/toucanhold/gateway/queueing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc
+import math
 
 import attrs
 import trio
@@ -23,6 +24,8 @@
     :ivar workspace: name of the caller's workspace; empty on public routes
     :ivar route: the request's route; None if it is not known
     :ivar fingerprint: hash of the request's content, equal for a caller's retries
+    :ivar certain_latest_start_s: trio clock time after which the response certainly misses its
+        objective, whatever part of the route's timeout the caller started with
     """
 
     service: table.Service
@@ -34,6 +37,7 @@
     workspace: str = ""
     route: table.Route | None = None
     fingerprint: str = ""
+    certain_latest_start_s: float = math.inf
 
     @property
     def key(self) -> tuple[str, str]:
--- a/toucanhold/gateway/targets.py
+++ b/toucanhold/gateway/targets.py
@@ -100,6 +100,14 @@
             self._candidates[key] = self._serving_servers(service, model)
         return [server for server in self._candidates[key] if server.zone not in self.closed_zones]
 
+    def find_usable(self, service: table.Service, model: str) -> list[servers.Server]:
+        """Return the candidates that this entry does not avoid because of failures."""
+        return [
+            server
+            for server in self.find_candidates(service, model)
+            if not self.health.is_avoided(server.server_id)
+        ]
+
     def choose(
         self,
         service: table.Service,
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -19,13 +19,16 @@
     crashes,
     draining,
     entries,
+    entry_shares,
     exchange,
     gateway,
     health,
     hierarchy,
+    late_holdback,
     limits,
     load,
     outcomes,
+    policies,
     queueing,
     rate_limiter,
     selection,
@@ -274,6 +277,16 @@
         self.selection_policies: list[selection.SelectionPolicy] = []
         self.attempt_observers: list[outcomes.AttemptObserver] = []
         self.count_sources: list[shared_counts.CountSource] = []
+        shares = entry_shares.EntryShares(self.entry_list, self.rate_limiter.counts)
+        self.late_holdback: late_holdback.LateHoldback | None = None
+        if policies.Policy.LATE_HOLDBACK in self.settings.policies:
+            self.late_holdback = late_holdback.LateHoldback(
+                shares,
+                self.load_tracker,
+                lambda service, model: self.server_selector.find_usable(service, model),
+            )
+            self.queue_policies.append(self.late_holdback)
+            self.count_sources.append(self.late_holdback)
 
     async def _reload_on_signal(self) -> None:
         with trio.open_signal_receiver(signal.SIGHUP) as signals:
--- a/toucanhold/platform/gauges.py
+++ b/toucanhold/platform/gauges.py
@@ -7,6 +7,7 @@
 from toucanhold import metrics
 
 if typing.TYPE_CHECKING:
+    from toucanhold.gateway import late_holdback
     from toucanhold.platform import entry as entries
 
 
@@ -35,6 +36,8 @@
     def limited_servers() -> metrics.Observations:
         yield len(entry.limit_table.limited()), {}
 
+    if entry.late_holdback is not None:
+        _register_late_holdback(entry, entry.late_holdback)
     entry.metrics.add_counter("toucanhold.store.calls", "{call}", "Calls to the store", store_calls)
     entry.metrics.add_counter(
         "toucanhold.notices.sent", "By", "Datagrams to other entries", notice_bytes
@@ -47,3 +50,21 @@
     entry.metrics.add_gauge(
         "toucanhold.servers.limited", "{server}", "Servers that name a limit", limited_servers
     )
+
+
+def _register_late_holdback(
+    entry: entries.PlatformEntry, policy: late_holdback.LateHoldback
+) -> None:
+    def reserved() -> metrics.Observations:
+        for model, slots in policy.reserved_slots().items():
+            yield slots, {"toucanhold.model": model}
+
+    def held() -> metrics.Observations:
+        yield policy.held_count, {}
+
+    entry.metrics.add_gauge(
+        "toucanhold.slots.reserved", "{slot}", "Slots kept for on-time requests", reserved
+    )
+    entry.metrics.add_counter(
+        "toucanhold.requests.held", "{request}", "Late requests held back", held
+    )
