Suspend servers that refuse requests and try them one request at a time

Cause: a server that refuses requests appears idle and attracts more of them. Each entry avoided it for a time of its own and then sent its whole queue to it again, and these requests used up the retries that all requests share.

Change: the policy server-trials, a circuit breaker that all entries share. Suspensions travel in a new field of the notices; entries take turns by rendezvous hashing. A trial's retry passes an exhausted budget but is counted. The notices' limit of server counts is 1,100 instead of 1,200, as notices with the new field would exceed a datagram. Without the policy, no decision changes.

The whole suite was not run.

--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -129,7 +129,10 @@
     :ivar cut_after: number of events after which the connection breaks; None for never
     :ivar stall_after: number of events after which the stream stalls; None for never
     :ivar is_refusing: whether it responds that it has not run the call
+    :ivar max_active: number of calls in progress above which it refuses; None for no limit
     :ivar is_down: whether it accepts no connections
+    :ivar connect_timeout_s: time until a connection to it fails if it is down, seconds
+    :ivar is_misdirected: whether it responds that another server was meant, or another head
     :ivar is_answer_lost: whether it runs the call and then breaks the connection
     :ivar signals: signals in each of its answers
     """
@@ -141,7 +144,10 @@
     cut_after: int | None = None
     stall_after: int | None = None
     is_refusing: bool = False
+    max_active: int | None = None
     is_down: bool = False
+    connect_timeout_s: float = 0.0
+    is_misdirected: bool = False
     is_answer_lost: bool = False
     signals: signals.Signals = signals.Signals()
 
@@ -177,8 +183,14 @@
         self.active_calls[name] += 1
         try:
             if behaviour.is_down:
+                await trio.sleep(behaviour.connect_timeout_s)
                 raise calls.NotRunError(f"{name}: cannot connect", is_gone=True, was_sent=False)
-            if behaviour.is_refusing:
+            if behaviour.is_misdirected:
+                raise calls.NotRunError(f"{name}: status 421", is_gone=True)
+            is_full = (
+                behaviour.max_active is not None and self.active_calls[name] > behaviour.max_active
+            )
+            if behaviour.is_refusing or is_full:
                 await trio.sleep(0.001)
                 self._send_signals(server, sent_s)
                 raise calls.NotRunError(f"{name}: no free slot; the call was not run")
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -22,6 +22,9 @@
     notices,
     rate_limiter,
     silence,
+    suspensions,
+    trial_turns,
+    trials,
 )
 from toucanhold.registry import signals
 
@@ -47,14 +50,20 @@
         self.draining_table = draining.DrainingTable(self.registry)
         self.silent = []
         self.detector = silence.SilenceDetector(self.health, self.silent.append)
+        limit_table = limits.LimitTable()
+        limiter = rate_limiter.RateLimiter(limit_table, self.entry_list, random.Random(1))
+        turns = trial_turns.TrialTurns(self.entry_list, limiter.counts)
+        self.trials = trials.ServerTrials(self.health, self.loads, limit_table, turns)
         self.exchange = exchange.Exchange(
             self.entry_list,
             self.loads,
-            rate_limiter.RateLimiter(limits.LimitTable(), self.entry_list, random.Random(1)),
+            limiter,
             self.draining_table,
             self.crashes,
             self._on_silent,
             random.Random(1),
+            (turns,),
+            self.trials,
         )
         self.scope = trio.CancelScope()
 
@@ -203,6 +212,22 @@
             await wait_until(lambda: all(each.registry.servers["b0"].is_leaving for each in nodes))
             nursery.cancel_scope.cancel()
 
+    def test_a_suspended_server_is_announced_to_all_zones_and_to_entries_that_start(self):
+        """Guards against entries that find out by their own requests that a server is dead."""
+        trio.run(self._announce_suspension)
+
+    async def _announce_suspension(self):
+        nodes = new_site("abc", 3)
+        nodes[4].trials.merge(suspensions.Suspension("s1", 1, 7, 1, 2), "")
+        async with trio.open_nursery() as nursery:
+            for node in nodes[:-1]:
+                nursery.start_soon(node.run)
+            await wait_until(lambda: all(node.trials.suspended() for node in nodes[:-1]))
+            await trio.sleep(suspensions.REPEAT_PERIOD_S + 0.5)
+            nursery.start_soon(nodes[-1].run)
+            await wait_until(lambda: nodes[-1].trials.suspended())
+            nursery.cancel_scope.cancel()
+
     def test_invalid_datagrams_are_ignored(self):
         """Guards against entries that exit or miscount because of a foreign or invalid datagram."""
         trio.run(self._send_invalid)
@@ -286,8 +311,12 @@
         leaving = [
             draining.DrainingServer(each, born_ms) for each in names[: exchange.MAX_DRAINING]
         ]
+        suspended = [
+            suspensions.Suspension(each, born_ms, 10**6, 10**6, 4, True)
+            for each in names[: exchange.MAX_SUSPENDED]
+        ]
         notice = notices.Notice(
-            notices.Kind.DIGEST, "e1", "b1", counts, {}, [], recent, named, leaving
+            notices.Kind.DIGEST, "e1", "b1", counts, {}, [], recent, named, leaving, suspended
         )
         data = notices.encode(notice)
         self.assertLess(len(data), notices.DATAGRAM_LIMIT_BYTES)
--- a/toucanhold/gateway/admission.py
+++ b/toucanhold/gateway/admission.py
@@ -60,7 +60,7 @@
             for server in self.server_selector.find_candidates(service, model)
             if server.server_id not in excluded
         ]
-        return self.server_selector.choose(service, candidates, frozenset()) is not None
+        return self.server_selector.has_capacity(service, candidates)
 
     def may_wait_at(self, service: table.Service, server: servers.Server) -> bool:
         """Return whether a request may wait at a server because all its slots are in use."""
--- a/toucanhold/gateway/attempt.py
+++ b/toucanhold/gateway/attempt.py
@@ -37,6 +37,7 @@
     :ivar extra_attempts: attempts allowed beyond the route's limit, at most one; granted to a
         started stream if a server failed before it sent any event of it
     :ivar may_wait_at_server: whether all slots of the server were in use when the attempt started
+    :ivar is_trial: whether the current or last attempt was a trial at a suspended server
     :ivar failed_connects: number of servers to which no connection could be opened
     :ivar has_response_started: whether the start of a response was sent to the caller
     :ivar last_event_id: ID of the last event that the caller has received; None before the first
@@ -52,6 +53,7 @@
     attempt_count: int = 0
     extra_attempts: int = 0
     may_wait_at_server: bool = False
+    is_trial: bool = False
     failed_connects: int = 0
     has_response_started: bool = False
     last_event_id: int | None = attrs.field(init=False)
--- a/toucanhold/gateway/budget.py
+++ b/toucanhold/gateway/budget.py
@@ -70,9 +70,13 @@
         """Count a request from a caller."""
         self._window(self._requests, service).add()
 
-    def try_acquire(self, service: str) -> bool:
-        """Consume one retry and return True, or return False if none is left."""
-        if not self.has_remaining(service):
+    def try_acquire(self, service: str, is_trial: bool = False) -> bool:
+        """Consume one retry and return True, or return False if none is left.
+
+        :param is_trial: whether the failed attempt was a trial at a suspended server. Its request
+            served all callers, so it is retried in any case. The few trials fit the headroom.
+        """
+        if not is_trial and not self.has_remaining(service):
             return False
         self._window(self._retries, service).add()
         return True
--- a/toucanhold/gateway/exchange.py
+++ b/toucanhold/gateway/exchange.py
@@ -31,6 +31,8 @@
     rate_limiter,
     shared_counts,
     silence_reports,
+    suspensions,
+    trials,
 )
 
 REPORT_INTERVAL_S = 0.1
@@ -50,8 +52,10 @@
 MAX_CRASH_COUNTS = 16
 MAX_LIMITS = 40
 MAX_DRAINING = 20
-# One notice in this many also repeats older crash counts and limits, for entries that have
-# restarted.
+# A suspension takes about 90 bytes of a notice, and long notices are sent less often.
+MAX_SUSPENDED = 10
+# One notice in this many also repeats older crash counts, limits and suspensions, for entries
+# that have restarted.
 FULL_NOTICE_EVERY = 10
 RECENT_CRASH_MAX_AGE_S = 3.0
 MAX_WARNED_SENDERS = 1000
@@ -68,6 +72,7 @@
         the name of that entry
     :ivar count_sources: further counts that entries add up; the rate limiter's table of counts
         holds the sums over the other entries
+    :ivar server_trials: the policy that suspends servers; None if it is off
     :ivar sent_bytes: bytes sent, by kind of notice and whether the receiver is in another
         availability zone
     """
@@ -80,6 +85,7 @@
     on_silent: collections.abc.Callable[[str, str], None]
     rng: random.Random
     count_sources: collections.abc.Sequence[shared_counts.CountSource] = ()
+    server_trials: trials.ServerTrials | None = None
     _wake_signal: notifier.Notifier = attrs.field(factory=notifier.Notifier, init=False)
     _is_urgent: bool = attrs.field(default=False, init=False)
     _silence_reports: silence_reports.SilenceReports = attrs.field(
@@ -257,9 +263,15 @@
                 recent,
                 self._sample(self.rate_limiter.limit_table.to_announce(is_full), MAX_LIMITS),
                 self._sample(self.draining_table.to_announce(), MAX_DRAINING),
+                self._suspended(is_full),
             )
         )
 
+    def _suspended(self, is_full: bool) -> list[suspensions.Suspension]:
+        if self.server_trials is None:
+            return []
+        return self._sample(self.server_trials.to_announce(is_full), MAX_SUSPENDED)
+
     def _sample(self, items: list, max_count: int) -> list:
         """Return all items, or a random choice of them; later notices include the others."""
         return items if len(items) <= max_count else self.rng.sample(items, max_count)
@@ -296,6 +308,9 @@
             self.rate_limiter.limit_table.merge(limit, sender.entry)
         for server in notice.draining:
             self.draining_table.merge(server, sender.entry)
+        if self.server_trials is not None:
+            for suspension in notice.suspended:
+                self.server_trials.merge(suspension, sender.entry)
         self._handle_silence_reports(notice)
         match notice.kind:
             case notices.Kind.REPORT:
--- a/toucanhold/gateway/gateway.py
+++ b/toucanhold/gateway/gateway.py
@@ -202,7 +202,9 @@
     def _observed_attempt(
         self, state: attempt.CallState, server: servers.Server
     ) -> outcomes.ObservedAttempt:
-        in_flight = self.admission.server_selector.load_tracker.estimate(server.server_id)
+        selector = self.admission.server_selector
+        in_flight = selector.load_tracker.estimate(server.server_id)
+        state.is_trial = selector.is_suspended(server)
         return outcomes.ObservedAttempt(
             outcomes.Attempt(
                 server,
@@ -212,6 +214,7 @@
                 in_flight,
                 trio.current_time(),
                 state.has_response_started,
+                state.is_trial,
             ),
             self.attempt_observer,
         )
@@ -272,7 +275,7 @@
             state.failed_connects += 1
             if state.failed_connects <= MAX_FREE_CONNECTS:
                 return ""
-        if not self.retry_budget.try_acquire(state.service.name):
+        if not self.retry_budget.try_acquire(state.service.name, state.is_trial):
             return "the retry budget of the service is used up"
         return ""
 
--- a/toucanhold/gateway/health.py
+++ b/toucanhold/gateway/health.py
@@ -90,6 +90,10 @@
         )
         self._avoid_until_s[server_id] = trio.current_time() + for_s
 
+    def stop_avoiding(self, server_id: str) -> None:
+        """Stop avoiding a server; the next avoidance still lasts longer until a success."""
+        self._avoid_until_s.pop(server_id, None)
+
     def has_failed_repeatedly(self, server_id: str) -> bool:
         """Return whether a server is avoided after more than one consecutive failure."""
         return self._consecutive_failures.get(server_id, 0) > 1 and self.is_avoided(server_id)
--- a/toucanhold/gateway/notices.py
+++ b/toucanhold/gateway/notices.py
@@ -8,11 +8,11 @@
 import msgpack
 
 from toucanhold import codec
-from toucanhold.gateway import draining, limits
+from toucanhold.gateway import draining, limits, suspensions
 
 DATAGRAM_LIMIT_BYTES = 32 * 1024
 # Keep a datagram below its limit; a server ID and its count take about 20 bytes.
-MAX_SERVER_COUNTS = 1200
+MAX_SERVER_COUNTS = 1100
 MAX_RECENT_COUNTS = 150
 
 
@@ -45,6 +45,7 @@
         them
     :ivar limits: limits that servers have named or lifted
     :ivar draining: servers whose answers say that they are draining
+    :ivar suspended: servers that were suspended, or are no longer
     """
 
     kind: Kind
@@ -56,6 +57,7 @@
     recent: dict[str, int] = attrs.field(factory=dict)
     limits: list[limits.Limit] = attrs.field(factory=list)
     draining: list[draining.DrainingServer] = attrs.field(factory=list)
+    suspended: list[suspensions.Suspension] = attrs.field(factory=list)
 
 
 def encode(notice: Notice) -> bytes:
@@ -87,4 +89,6 @@
         raise NoticeError(f"negative count of requests from entry {notice.entry}")
     if not all(limit.is_valid for limit in notice.limits):
         raise NoticeError(f"limits from entry {notice.entry} that are no rates: {notice.limits}")
+    if not all(suspension.is_valid for suspension in notice.suspended):
+        raise NoticeError(f"invalid suspensions from entry {notice.entry}: {notice.suspended}")
     return notice
--- a/toucanhold/gateway/outcomes.py
+++ b/toucanhold/gateway/outcomes.py
@@ -20,6 +20,7 @@
     :ivar in_flight: requests that all entries had in flight at the server, with this one
     :ivar started_s: trio clock time at which it was sent
     :ivar is_resumed: whether it continues a stream
+    :ivar is_trial: whether the server was suspended
     """
 
     server: servers.Server
@@ -29,6 +30,7 @@
     in_flight: int
     started_s: float
     is_resumed: bool = False
+    is_trial: bool = False
 
 
 class AttemptObserver:
--- a/toucanhold/gateway/selection.py
+++ b/toucanhold/gateway/selection.py
@@ -16,6 +16,20 @@
         """Return whether a server may get one more request of this entry."""
         return True
 
+    def is_suspended(self, server: servers.Server) -> bool:
+        """Return whether a server gets trials only, from any entry."""
+        return False
+
+    def due_trials(
+        self, service: table.Service, candidates: list[servers.Server], is_waiting: bool
+    ) -> list[servers.Server]:
+        """Return the suspended servers that this entry may send a trial to now, in order.
+
+        :param candidates: all servers that could serve the request, with those not suspended
+        :param is_waiting: whether no other server has capacity
+        """
+        return []
+
     def slot_limit(self, service: table.Service, server: servers.Server, slots: int) -> int:
         """Return up to how many requests in flight this entry may place one more on a server.
 
--- a/toucanhold/gateway/sharing.py
+++ b/toucanhold/gateway/sharing.py
@@ -52,6 +52,12 @@
     return units[own.entry]
 
 
+def rank(key: str, own: entries.Entry, others: collections.abc.Iterable[entries.Entry]) -> int:
+    """Return how many other entries precede this one in the rendezvous order of a key."""
+    own_score = _rendezvous_score(own, key)
+    return sum(_rendezvous_score(entry, key) < own_score for entry in others)
+
+
 def _rendezvous_score(entry: entries.Entry, key: str) -> float:
     digest = hashlib.blake2b(f"{entry.entry}/{key}".encode(), digest_size=8).digest()
     draw = (int.from_bytes(digest) + 1) / (2**64 + 1)
--- a/toucanhold/gateway/targets.py
+++ b/toucanhold/gateway/targets.py
@@ -106,11 +106,52 @@
         candidates: list[servers.Server],
         excluded: collections.abc.Set[str],
     ) -> servers.Server | None:
-        """Return the best server with capacity, or None.
+        """Return the best server with capacity, or None; a trial that is due goes first.
 
         :param candidates: servers to choose from
         :param excluded: IDs of servers to use only if there are no others
         """
+        suspended = [server for server in candidates if self.is_suspended(server)]
+        if not suspended:
+            return self._choose_serving(service, candidates, excluded)
+        serving = [server for server in candidates if server not in suspended]
+        chosen = self._choose_serving(service, serving, excluded)
+        # A request that has failed at a server is not delayed again by a trial.
+        if chosen is not None and excluded:
+            return chosen
+        return self._due_trial(service, candidates, excluded, chosen is None) or chosen
+
+    def is_suspended(self, server: servers.Server) -> bool:
+        """Return whether a request that is placed on a server now is a trial."""
+        return any(policy.is_suspended(server) for policy in self.policies)
+
+    def has_capacity(self, service: table.Service, candidates: list[servers.Server]) -> bool:
+        """Return whether a server that is not suspended has capacity now."""
+        serving = [server for server in candidates if not self.is_suspended(server)]
+        return self._choose_serving(service, serving, frozenset()) is not None
+
+    def _due_trial(
+        self,
+        service: table.Service,
+        candidates: list[servers.Server],
+        excluded: collections.abc.Set[str],
+        is_waiting: bool,
+    ) -> servers.Server | None:
+        due = [
+            server
+            for policy in self.policies
+            for server in policy.due_trials(service, candidates, is_waiting)
+            if self._has_capacity(service, server)
+        ]
+        untried = [server for server in due if server.server_id not in excluded]
+        return next(iter(untried or due), None)
+
+    def _choose_serving(
+        self,
+        service: table.Service,
+        candidates: list[servers.Server],
+        excluded: collections.abc.Set[str],
+    ) -> servers.Server | None:
         allowed = [
             server for server in candidates if server.server_id not in excluded
         ] or candidates
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -26,6 +26,7 @@
     limits,
     load,
     outcomes,
+    policies,
     queueing,
     rate_limiter,
     selection,
@@ -33,6 +34,8 @@
     sharing,
     silence,
     targets,
+    trial_turns,
+    trials,
 )
 from toucanhold.peers import transport
 from toucanhold.platform import (
@@ -168,6 +171,8 @@
 
         self.rate_limiter.retain(is_known)
         self.draining_table.retain(is_known)
+        if self.server_trials is not None:
+            self.server_trials.retain(is_known)
 
     def _own_entry(self) -> entries.Entry:
         entry_settings = self.settings
@@ -238,6 +243,7 @@
             self._on_silence_report,
             self.rng,
             self.count_sources,
+            self.server_trials,
         )
         self.silence_detector = silence.SilenceDetector(self.health, self._on_silent_server)
         self.cold_budget = budget.ColdBudget(
@@ -274,6 +280,18 @@
         self.selection_policies: list[selection.SelectionPolicy] = []
         self.attempt_observers: list[outcomes.AttemptObserver] = []
         self.count_sources: list[shared_counts.CountSource] = []
+        self.server_trials: trials.ServerTrials | None = None
+        if policies.Policy.SERVER_TRIALS in self.settings.policies:
+            self._build_server_trials()
+
+    def _build_server_trials(self) -> None:
+        turns = trial_turns.TrialTurns(self.entry_list, self.rate_limiter.counts)
+        self.server_trials = trials.ServerTrials(
+            self.health, self.load_tracker, self.limit_table, turns
+        )
+        self.selection_policies.append(self.server_trials)
+        self.attempt_observers.append(self.server_trials)
+        self.count_sources.append(turns)
 
     async def _reload_on_signal(self) -> None:
         with trio.open_signal_receiver(signal.SIGHUP) as signals:
--- a/toucanhold/platform/gauges.py
+++ b/toucanhold/platform/gauges.py
@@ -35,6 +35,14 @@
     def limited_servers() -> metrics.Observations:
         yield len(entry.limit_table.limited()), {}
 
+    def suspended_servers() -> metrics.Observations:
+        if entry.server_trials is not None:
+            yield len(entry.server_trials.suspended()), {}
+
+    def trials_sent() -> metrics.Observations:
+        if entry.server_trials is not None:
+            yield entry.server_trials.trial_count, {}
+
     entry.metrics.add_counter("toucanhold.store.calls", "{call}", "Calls to the store", store_calls)
     entry.metrics.add_counter(
         "toucanhold.notices.sent", "By", "Datagrams to other entries", notice_bytes
@@ -47,3 +55,9 @@
     entry.metrics.add_gauge(
         "toucanhold.servers.limited", "{server}", "Servers that name a limit", limited_servers
     )
+    entry.metrics.add_gauge(
+        "toucanhold.servers.suspended", "{server}", "Servers with trials only", suspended_servers
+    )
+    entry.metrics.add_counter(
+        "toucanhold.trials.sent", "{request}", "Trials at suspended servers", trials_sent
+    )
