Place requests by the time that servers take (server-speed)

Cause: servers become 4 to 12 times as slow for 8 or 9 s, and no decision considered how fast a server answers.

Change: the policy server-speed estimates each server's slowdown from pauses between events and times to answers, relative to other servers of its kind. Entries report slow servers in their notices. A slow server's cost grows with its slowdown, and one that could not finish a usual request before the timeout gets one request at a time and two per second from all entries. Numbers of tokens in callers' headers are decoded and used for usual times.

--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -235,6 +235,11 @@
         """Return the servers of one service."""
         return [server for server in self.servers.values() if server.service == service]
 
+    def find(self, incarnation: tuple[str, int]) -> servers.Server | None:
+        """See :class:`registry.Registry`."""
+        server = self.servers.get(incarnation[0])
+        return server if server is not None and server.incarnation == incarnation else None
+
     def mark_leaving(self, incarnation: tuple[str, int]) -> None:
         """See :class:`registry.Registry`."""
         name = incarnation[0]
--- a/toucanhold/gateway/calls.py
+++ b/toucanhold/gateway/calls.py
@@ -102,6 +102,9 @@
     :ivar deadline_s: trio clock time at which the caller stops waiting
     :ivar model: requested model; empty for services without models
     :ivar last_event_id: ID of the event after which a stream resumes; None to start it
+    :ivar prompt_tokens: number of tokens of the prompt; None if the caller does not say
+    :ivar output_tokens: expected number of tokens of the response, which may be far off; None if
+        the caller does not say
     """
 
     call_id: str
@@ -116,6 +119,8 @@
     deadline_s: float
     model: str = ""
     last_event_id: int | None = None
+    prompt_tokens: int | None = None
+    output_tokens: int | None = None
 
 
 @attrs.frozen
--- a/toucanhold/gateway/exchange.py
+++ b/toucanhold/gateway/exchange.py
@@ -29,6 +29,7 @@
     load,
     notices,
     rate_limiter,
+    server_speed,
     shared_counts,
     silence_reports,
 )
@@ -50,6 +51,7 @@
 MAX_CRASH_COUNTS = 16
 MAX_LIMITS = 40
 MAX_DRAINING = 20
+MAX_SLOW = 20
 # One notice in this many also repeats older crash counts and limits, for entries that have
 # restarted.
 FULL_NOTICE_EVERY = 10
@@ -68,6 +70,7 @@
         the name of that entry
     :ivar count_sources: further counts that entries add up; the rate limiter's table of counts
         holds the sums over the other entries
+    :ivar server_speed: table of slow servers; None if they are not reported
     :ivar sent_bytes: bytes sent, by kind of notice and whether the receiver is in another
         availability zone
     """
@@ -80,6 +83,7 @@
     on_silent: collections.abc.Callable[[str, str], None]
     rng: random.Random
     count_sources: collections.abc.Sequence[shared_counts.CountSource] = ()
+    server_speed: server_speed.ServerSpeed | None = None
     _wake_signal: notifier.Notifier = attrs.field(factory=notifier.Notifier, init=False)
     _is_urgent: bool = attrs.field(default=False, init=False)
     _silence_reports: silence_reports.SilenceReports = attrs.field(
@@ -244,6 +248,8 @@
             reports to it detected
         """
         own = self.entry_list.own
+        speed = self.server_speed
+        slow = speed.estimates.to_announce() if speed is not None else []
         is_full = self._send_count % FULL_NOTICE_EVERY == 0
         max_age_s = crashes.RETENTION_S if is_full else RECENT_CRASH_MAX_AGE_S
         return notices.encode(
@@ -257,6 +263,7 @@
                 recent,
                 self._sample(self.rate_limiter.limit_table.to_announce(is_full), MAX_LIMITS),
                 self._sample(self.draining_table.to_announce(), MAX_DRAINING),
+                self._sample(slow, MAX_SLOW),
             )
         )
 
@@ -296,6 +303,9 @@
             self.rate_limiter.limit_table.merge(limit, sender.entry)
         for server in notice.draining:
             self.draining_table.merge(server, sender.entry)
+        if self.server_speed is not None:
+            for slow_server in notice.slow:
+                self.server_speed.merge(slow_server)
         self._handle_silence_reports(notice)
         match notice.kind:
             case notices.Kind.REPORT:
--- a/toucanhold/gateway/gateway.py
+++ b/toucanhold/gateway/gateway.py
@@ -212,6 +212,8 @@
                 in_flight,
                 trio.current_time(),
                 state.has_response_started,
+                state.call.prompt_tokens,
+                state.call.output_tokens,
             ),
             self.attempt_observer,
         )
--- a/toucanhold/gateway/notices.py
+++ b/toucanhold/gateway/notices.py
@@ -8,7 +8,7 @@
 import msgpack
 
 from toucanhold import codec
-from toucanhold.gateway import draining, limits
+from toucanhold.gateway import draining, limits, slow_reports
 
 DATAGRAM_LIMIT_BYTES = 32 * 1024
 # Keep a datagram below its limit; a server ID and its count take about 20 bytes.
@@ -45,6 +45,7 @@
         them
     :ivar limits: limits that servers have named or lifted
     :ivar draining: servers whose answers say that they are draining
+    :ivar slow: servers that take longer than others of their kind, or no longer do
     """
 
     kind: Kind
@@ -56,6 +57,7 @@
     recent: dict[str, int] = attrs.field(factory=dict)
     limits: list[limits.Limit] = attrs.field(factory=list)
     draining: list[draining.DrainingServer] = attrs.field(factory=list)
+    slow: list[slow_reports.SlowServer] = attrs.field(factory=list)
 
 
 def encode(notice: Notice) -> bytes:
@@ -87,4 +89,6 @@
         raise NoticeError(f"negative count of requests from entry {notice.entry}")
     if not all(limit.is_valid for limit in notice.limits):
         raise NoticeError(f"limits from entry {notice.entry} that are no rates: {notice.limits}")
+    if not all(server.is_valid for server in notice.slow):
+        raise NoticeError(f"slowdowns from entry {notice.entry} out of bounds: {notice.slow}")
     return notice
--- a/toucanhold/gateway/outcomes.py
+++ b/toucanhold/gateway/outcomes.py
@@ -20,6 +20,8 @@
     :ivar in_flight: requests that all entries had in flight at the server, with this one
     :ivar started_s: trio clock time at which it was sent
     :ivar is_resumed: whether it continues a stream
+    :ivar prompt_tokens: see :class:`calls.Call`
+    :ivar output_tokens: see :class:`calls.Call`
     """
 
     server: servers.Server
@@ -29,6 +31,8 @@
     in_flight: int
     started_s: float
     is_resumed: bool = False
+    prompt_tokens: int | None = None
+    output_tokens: int | None = None
 
 
 class AttemptObserver:
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -26,9 +26,11 @@
     limits,
     load,
     outcomes,
+    policies,
     queueing,
     rate_limiter,
     selection,
+    server_speed,
     shared_counts,
     sharing,
     silence,
@@ -168,6 +170,8 @@
 
         self.rate_limiter.retain(is_known)
         self.draining_table.retain(is_known)
+        if self.server_speed is not None:
+            self.server_speed.retain(is_known)
 
     def _own_entry(self) -> entries.Entry:
         entry_settings = self.settings
@@ -238,6 +242,7 @@
             self._on_silence_report,
             self.rng,
             self.count_sources,
+            self.server_speed,
         )
         self.silence_detector = silence.SilenceDetector(self.health, self._on_silent_server)
         self.cold_budget = budget.ColdBudget(
@@ -274,6 +279,14 @@
         self.selection_policies: list[selection.SelectionPolicy] = []
         self.attempt_observers: list[outcomes.AttemptObserver] = []
         self.count_sources: list[shared_counts.CountSource] = []
+        self.server_speed: server_speed.ServerSpeed | None = None
+        if policies.Policy.SERVER_SPEED in self.settings.policies:
+            self.server_speed = server_speed.ServerSpeed(
+                self.server_registry, self.load_tracker, self.entry_list, self.rate_limiter.counts
+            )
+            self.selection_policies.append(self.server_speed)
+            self.attempt_observers.append(self.server_speed.estimates)
+            self.count_sources.append(self.server_speed)
 
     async def _reload_on_signal(self) -> None:
         with trio.open_signal_receiver(signal.SIGHUP) as signals:
--- a/toucanhold/platform/front.py
+++ b/toucanhold/platform/front.py
@@ -14,6 +14,7 @@
 
 # Time allowed for a request without a deadline header.
 DEFAULT_TIMEOUT_S = 30.0
+MAX_COUNT_DIGITS = 9
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
 
 LOGGER = logging.getLogger(__name__)
@@ -165,6 +166,10 @@
     if scope["query_string"]:
         target += b"?" + scope["query_string"]
     last_event_id = headers.find(request_headers, headers.LAST_EVENT_ID)
+    prompt_tokens, output_tokens = _parse_tokens(
+        headers.find(request_headers, headers.TOKEN_USAGE),
+        headers.find(request_headers, headers.LENGTH_HINT),
+    )
     return calls.Call(
         call_id=headers.find(request_headers, headers.CALL_ID),
         method=scope["method"],
@@ -179,6 +184,8 @@
         + _parse_remaining_s(headers.find(request_headers, headers.REMAINING_MS)),
         model=headers.find(request_headers, headers.MODEL),
         last_event_id=int(last_event_id) if last_event_id.isdigit() else None,
+        prompt_tokens=prompt_tokens,
+        output_tokens=output_tokens,
     )
 
 
@@ -186,6 +193,29 @@
     return int(text) / 1000 if text.isdigit() else DEFAULT_TIMEOUT_S
 
 
+def _parse_tokens(usage: str, hint: str) -> tuple[int | None, int | None]:
+    """Return the numbers of tokens of the prompt and the answer; None for each that is unknown.
+
+    :param usage: number of tokens of the prompt and maximum of the answer
+    :param hint: estimate for the answer, which may exceed the maximum
+    """
+    prompt_tokens, *others = map(_parse_count, usage.split(","))
+    maximum = others[0] if len(others) == 1 else None
+    if len(others) != 1 or prompt_tokens is None or maximum is None:
+        prompt_tokens = maximum = None
+    output_tokens = _parse_count(hint)
+    if output_tokens is None or maximum is None:
+        return prompt_tokens, output_tokens
+    return prompt_tokens, min(output_tokens, maximum)
+
+
+def _parse_count(text: str) -> int | None:
+    """Return a number of at most nine ASCII digits, else None."""
+    digits = text.strip()
+    is_number = digits.isascii() and digits.isdigit() and len(digits) <= MAX_COUNT_DIGITS
+    return int(digits) if is_number else None
+
+
 async def _refuse(reply: HttpReply, error: calls.CallError) -> None:
     status = STATUSES[error.reason]
     if error.may_have_run:
--- a/toucanhold/platform/headers.py
+++ b/toucanhold/platform/headers.py
@@ -13,6 +13,10 @@
 API_KEY = b"x-credential"
 LAST_EVENT_ID = b"last-event-id"
 MODEL = b"x-model"
+# Numbers of tokens: of the prompt, and the maximum of the answer, separated by a comma.
+TOKEN_USAGE = b"x-token-usage"
+# Estimated number of tokens of the answer: right at the median, but often far off.
+LENGTH_HINT = b"x-length-hint"
 # 0 is the most urgent; an engine admits requests without the header like those with 5.
 URGENCY = b"x-request-urgency"
 # Signature of an answer by the backend server.
