Test the exchange of slow servers and the numbers of tokens

Cause: the load test differed between runs, as trio runs tasks in random order; the exchange and the decoding of tokens had no test.

--- a/tests/platform/test_platform_parsing.py
+++ b/tests/platform/test_platform_parsing.py
@@ -8,7 +8,7 @@
 
 from toucanhold.coordination import keyvalue
 from toucanhold.gateway import policies
-from toucanhold.platform import configuration, registrations, settings
+from toucanhold.platform import configuration, front, registrations, settings
 from toucanhold.registry import servers
 from toucanhold.routes import table
 
@@ -164,3 +164,24 @@
         for fields in (b"{", {"version": 3}, CONFIGURATION | {"routes": [{"name": "x"}]}):
             with self.subTest(fields=fields), self.assertRaises(configuration.ConfigurationError):
                 configuration.decode(item("op/config", fields))
+
+
+class TokensTest(unittest.TestCase):
+    def test_numbers_of_tokens_are_read_and_forwarded(self):
+        """Guards against malformed numbers that end a request or distort expected times."""
+        expected = {
+            (b"800,300", b"120"): (800, 120),
+            (b" 800 , 300", b"9000"): (800, 300),
+            (b"800,300", b""): (800, None),
+            (b"800", b"120"): (None, 120),
+            (b"800,300,1", b"x"): (None, None),
+            (b"-1,300", b"1e3"): (None, None),
+            (b"800,9999999999", "\u0665".encode()): (None, None),
+            (b"", b"\xb2"): (None, None),
+        }
+        for (usage, hint), tokens in expected.items():
+            headers = [(b"x-token-usage", usage), (b"x-length-hint", hint)]
+            scope = {"method": "POST", "raw_path": b"/", "query_string": b"", "headers": headers}
+            call = front.read_call(scope, b"", 0.0)
+            self.assertEqual(tokens, (call.prompt_tokens, call.output_tokens))
+            self.assertEqual(tuple(headers), call.headers)
--- a/tests/test_server_speed.py
+++ b/tests/test_server_speed.py
@@ -12,7 +12,7 @@
 import trio
 
 from standins import gateways, replicas
-from tests import clocked
+from tests import clocked, test_exchange
 from toucanhold.gateway import (
     admission,
     budget,
@@ -166,10 +166,10 @@
 class Site:
     """Servers that serve requests of several entries, some of them slowly for a time."""
 
-    def __init__(self, nodes, factors):
+    def __init__(self, nodes, factors, seed=5):
+        self.seed = seed
         self.nodes = nodes
         self.factors = factors
-        self.rng = random.Random(5)
         self.started_s = trio.current_time()
         self.on_time = collections.Counter()
         self.total = collections.Counter()
@@ -194,10 +194,12 @@
             exchange_notices(self.nodes)
 
     async def _arrive(self, nursery, service, rate_per_s, duration_s):
+        # One generator for each service, as trio runs tasks in random order.
+        rng = random.Random(f"{service} {self.seed}")
         end_s = trio.current_time() + duration_s
         while trio.current_time() < end_s:
-            await trio.sleep(self.rng.expovariate(rate_per_s))
-            nursery.start_soon(self._request, self.rng.choice(self.nodes), service)
+            await trio.sleep(rng.expovariate(rate_per_s))
+            nursery.start_soon(self._request, rng.choice(self.nodes), service)
 
     async def _request(self, node, service):
         self.total[service] += 1
@@ -382,6 +384,32 @@
                 notices.decode(notices.encode(attrs.evolve(plain, slow=garbled)))
 
 
+class ExchangeTest(unittest.TestCase):
+    def test_slow_servers_are_reported_to_all_zones(self):
+        """Guards against entries of other zones that keep using a server known to be slow."""
+        trio.run(self._report_to_all)
+
+    async def _report_to_all(self):
+        nodes = test_exchange.new_site("abc", 3)
+        for node in nodes:
+            node.registry.servers = new_servers()
+            node.exchange.server_speed = server_speed.ServerSpeed(
+                node.registry, node.loads, node.entry_list, node.exchange.rate_limiter.counts
+            )
+        reports = [node.exchange.server_speed.estimates.reports for node in nodes]
+        async with trio.open_nursery() as nursery:
+            for node in nodes:
+                nursery.start_soon(node.run)
+            await test_exchange.wait_until(lambda: nodes[8].loads.is_settled)
+            nodes[4].exchange.server_speed.merge(slow_reports.SlowServer("h0", 1, 8.0, 0.0))
+            await test_exchange.wait_until(
+                lambda: all(each.find(("h0", 1)).weight for each in reports)
+            )
+            self.assertTrue(all(each.age_s(("h0", 1)) < 1.5 for each in reports))
+            await test_exchange.wait_until(lambda: not any(each.incarnations() for each in reports))
+            nursery.cancel_scope.cancel()
+
+
 class LimitedTest(unittest.TestCase):
     @clocked.on_test_clock
     async def test_eighty_entries_together_send_few_requests_to_a_limited_server(self):
