--- a/tests/test_server_speed.py
+++ b/tests/test_server_speed.py
@@ -438,3 +438,17 @@
         self.assertLess(len(while_limited), 10)
         window = max(sum(start <= each < start + 0.5 for each in sent_s) for start in sent_s)
         self.assertLess(window, 2 * ENGINE.slots)
+
+
+class EngineTimesTest(unittest.TestCase):
+    def test_times_follow_the_engines_figures(self):
+        """Guards against expected times without the load, the pace or the prompt."""
+        small = attrs.evolve(replicas.SMALL, pace=0.5)
+        pause_s = engine_times.pause_s(ENGINE, small, 10, 507)
+        self.assertAlmostEqual(0.5 * (7 * (0.006 + 10 * 0.00024) + 0.01), pause_s)
+        full_s = engine_times.pause_s(ENGINE, small, ENGINE.slots)
+        self.assertEqual(full_s, engine_times.pause_s(ENGINE, small, 2 * ENGINE.slots))
+        duration_s = engine_times.duration_s(ENGINE, small, 1, 507, 70)
+        self.assertAlmostEqual(0.5 * (70 * 0.00624 + 0.01), duration_s)
+        loaded_s = engine_times.duration_s(ENGINE, small, 10, 507, 70)
+        self.assertAlmostEqual(0.5 * (70 * 0.0084 + 0.1), loaded_s)
