--- a/toucanhold/gateway/attempt.py
+++ b/toucanhold/gateway/attempt.py
@@ -37,6 +37,8 @@
     :ivar extra_attempts: attempts allowed beyond the route's limit, at most one; granted to a
         started stream if a server failed before it sent any event of it
     :ivar may_wait_at_server: whether all slots of the server were in use when the attempt started
+    :ivar is_trial: whether the current or last attempt was a trial at a suspended server
+    :ivar min_initial_fraction: least fraction of the route's timeout that callers start with
     :ivar failed_connects: number of servers to which no connection could be opened
     :ivar has_response_started: whether the start of a response was sent to the caller
     :ivar last_event_id: ID of the last event that the caller has received; None before the first
@@ -52,6 +54,8 @@
     attempt_count: int = 0
     extra_attempts: int = 0
     may_wait_at_server: bool = False
+    is_trial: bool = False
+    min_initial_fraction: float = 1.0
     failed_connects: int = 0
     has_response_started: bool = False
     last_event_id: int | None = attrs.field(init=False)
@@ -68,7 +72,8 @@
         A caller that retries after a refusal sends its remaining time. The time that it has
         already waited counts towards the objective, so the response may be late from the start.
         """
-        waited_before_s = self.route.timeout_s - (self.call.deadline_s - self.call.arrived_s)
+        initial_s = self.min_initial_fraction * self.route.timeout_s
+        waited_before_s = initial_s - (self.call.deadline_s - self.call.arrived_s)
         allowed_s = QUEUE_TIME_FRACTION * self.route.objective_s - max(0.0, waited_before_s)
         return self.call.arrived_s + allowed_s
 
--- a/toucanhold/gateway/exchange.py
+++ b/toucanhold/gateway/exchange.py
@@ -29,8 +29,11 @@
     load,
     notices,
     rate_limiter,
+    server_speed,
     shared_counts,
     silence_reports,
+    suspensions,
+    trials,
 )
 
 REPORT_INTERVAL_S = 0.1
@@ -50,8 +53,11 @@
 MAX_CRASH_COUNTS = 16
 MAX_LIMITS = 40
 MAX_DRAINING = 20
-# One notice in this many also repeats older crash counts and limits, for entries that have
-# restarted.
+# A suspension takes about 90 bytes of a notice, and long notices are sent less often.
+MAX_SUSPENDED = 10
+MAX_SLOW = 20
+# One notice in this many also repeats older crash counts, limits and suspensions, for entries
+# that have restarted.
 FULL_NOTICE_EVERY = 10
 RECENT_CRASH_MAX_AGE_S = 3.0
 MAX_WARNED_SENDERS = 1000
@@ -68,6 +74,8 @@
         the name of that entry
     :ivar count_sources: further counts that entries add up; the rate limiter's table of counts
         holds the sums over the other entries
+    :ivar server_trials: the policy that suspends servers; None if it is off
+    :ivar server_speed: table of slow servers; None if they are not reported
     :ivar sent_bytes: bytes sent, by kind of notice and whether the receiver is in another
         availability zone
     """
@@ -80,6 +88,8 @@
     on_silent: collections.abc.Callable[[str, str], None]
     rng: random.Random
     count_sources: collections.abc.Sequence[shared_counts.CountSource] = ()
+    server_trials: trials.ServerTrials | None = None
+    server_speed: server_speed.ServerSpeed | None = None
     _wake_signal: notifier.Notifier = attrs.field(factory=notifier.Notifier, init=False)
     _is_urgent: bool = attrs.field(default=False, init=False)
     _silence_reports: silence_reports.SilenceReports = attrs.field(
@@ -244,6 +254,8 @@
             reports to it detected
         """
         own = self.entry_list.own
+        speed = self.server_speed
+        slow = speed.estimates.to_announce() if speed is not None else []
         is_full = self._send_count % FULL_NOTICE_EVERY == 0
         max_age_s = crashes.RETENTION_S if is_full else RECENT_CRASH_MAX_AGE_S
         return notices.encode(
@@ -257,9 +269,16 @@
                 recent,
                 self._sample(self.rate_limiter.limit_table.to_announce(is_full), MAX_LIMITS),
                 self._sample(self.draining_table.to_announce(), MAX_DRAINING),
+                self._suspended(is_full),
+                self._sample(slow, MAX_SLOW),
             )
         )
 
+    def _suspended(self, is_full: bool) -> list[suspensions.Suspension]:
+        if self.server_trials is None:
+            return []
+        return self._sample(self.server_trials.to_announce(is_full), MAX_SUSPENDED)
+
     def _sample(self, items: list, max_count: int) -> list:
         """Return all items, or a random choice of them; later notices include the others."""
         return items if len(items) <= max_count else self.rng.sample(items, max_count)
@@ -296,6 +315,12 @@
             self.rate_limiter.limit_table.merge(limit, sender.entry)
         for server in notice.draining:
             self.draining_table.merge(server, sender.entry)
+        if self.server_trials is not None:
+            for suspension in notice.suspended:
+                self.server_trials.merge(suspension, sender.entry)
+        if self.server_speed is not None:
+            for slow_server in notice.slow:
+                self.server_speed.merge(slow_server)
         self._handle_silence_reports(notice)
         match notice.kind:
             case notices.Kind.REPORT:
--- a/toucanhold/gateway/gateway.py
+++ b/toucanhold/gateway/gateway.py
@@ -50,6 +50,7 @@
 
     :ivar server_client: sends calls to backend servers
     :ivar attempt_observer: notified of the attempts on servers
+    :ivar min_initial_fraction: least fraction of a route's timeout that callers start with
     :ivar in_flight: number of calls without a final response
     """
 
@@ -62,6 +63,7 @@
     silence_detector: silence.SilenceDetector
     rng: random.Random
     attempt_observer: outcomes.AttemptObserver = attrs.field(factory=outcomes.ObserverGroup)
+    min_initial_fraction: float = 1.0
     in_flight: int = attrs.field(default=0, init=False)
 
     async def serve(self, call: calls.Call, reply: calls.Reply) -> int:
@@ -113,6 +115,7 @@
         self.retry_budget.record_request(service.name)
         deadline_s = min(call.deadline_s, call.arrived_s + route.timeout_s)
         state = attempt.CallState(call, route, service, workspace, deadline_s, reply)
+        state.min_initial_fraction = self.min_initial_fraction
         status = 0
         with trio.move_on_at(deadline_s) as scope:
             status = await self._run_attempts(state)
@@ -204,7 +207,9 @@
     def _observed_attempt(
         self, state: attempt.CallState, server: servers.Server
     ) -> outcomes.ObservedAttempt:
-        in_flight = self.admission.server_selector.load_tracker.estimate(server.server_id)
+        selector = self.admission.server_selector
+        in_flight = selector.load_tracker.estimate(server.server_id)
+        state.is_trial = selector.is_suspended(server)
         return outcomes.ObservedAttempt(
             outcomes.Attempt(
                 server,
@@ -214,6 +219,9 @@
                 in_flight,
                 trio.current_time(),
                 state.has_response_started,
+                state.is_trial,
+                state.call.prompt_tokens,
+                state.call.output_tokens,
             ),
             self.attempt_observer,
         )
@@ -274,7 +282,7 @@
             state.failed_connects += 1
             if state.failed_connects <= MAX_FREE_CONNECTS:
                 return ""
-        if not self.retry_budget.try_acquire(state.service.name):
+        if not self.retry_budget.try_acquire(state.service.name, state.is_trial):
             return "the retry budget of the service is used up"
         return ""
 
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -25,6 +25,7 @@
     health,
     hierarchy,
     late_holdback,
+    lateness,
     limits,
     load,
     outcomes,
@@ -32,10 +33,13 @@
     queueing,
     rate_limiter,
     selection,
+    server_speed,
     shared_counts,
     sharing,
     silence,
     targets,
+    trial_turns,
+    trials,
 )
 from toucanhold.peers import transport
 from toucanhold.platform import (
@@ -171,6 +175,10 @@
 
         self.rate_limiter.retain(is_known)
         self.draining_table.retain(is_known)
+        if self.server_trials is not None:
+            self.server_trials.retain(is_known)
+        if self.server_speed is not None:
+            self.server_speed.retain(is_known)
 
     def _own_entry(self) -> entries.Entry:
         entry_settings = self.settings
@@ -248,6 +256,8 @@
             self._on_silence_report,
             self.rng,
             self.count_sources,
+            self.server_trials,
+            self.server_speed,
         )
         self.silence_detector = silence.SilenceDetector(self.health, self._on_silent_server)
         self.cold_budget = budget.ColdBudget(
@@ -276,8 +286,12 @@
             self.silence_detector,
             self.rng,
             outcomes.ObserverGroup(self.attempt_observers),
+            min_initial_fraction=self._min_initial_fraction(),
         )
 
+    def _min_initial_fraction(self) -> float:
+        return lateness.MIN_INITIAL_FRACTION if self.late_holdback is not None else 1.0
+
     def _build_policies(self) -> None:
         """Build the optional policies that the settings switch on."""
         self.queue_policies: list[queueing.QueuePolicy] = []
@@ -294,6 +308,26 @@
             )
             self.queue_policies.append(self.late_holdback)
             self.count_sources.append(self.late_holdback)
+        self.server_trials: trials.ServerTrials | None = None
+        if policies.Policy.SERVER_TRIALS in self.settings.policies:
+            self._build_server_trials()
+        self.server_speed: server_speed.ServerSpeed | None = None
+        if policies.Policy.SERVER_SPEED in self.settings.policies:
+            self.server_speed = server_speed.ServerSpeed(
+                self.server_registry, self.load_tracker, self.entry_list, self.rate_limiter.counts
+            )
+            self.selection_policies.append(self.server_speed)
+            self.attempt_observers.append(self.server_speed.estimates)
+            self.count_sources.append(self.server_speed)
+
+    def _build_server_trials(self) -> None:
+        turns = trial_turns.TrialTurns(self.entry_list, self.rate_limiter.counts)
+        self.server_trials = trials.ServerTrials(
+            self.health, self.load_tracker, self.limit_table, turns
+        )
+        self.selection_policies.append(self.server_trials)
+        self.attempt_observers.append(self.server_trials)
+        self.count_sources.append(turns)
 
     async def _reload_on_signal(self) -> None:
         with trio.open_signal_receiver(signal.SIGHUP) as signals:
--- a/toucanhold/platform/gauges.py
+++ b/toucanhold/platform/gauges.py
@@ -7,7 +7,7 @@
 from toucanhold import metrics
 
 if typing.TYPE_CHECKING:
-    from toucanhold.gateway import late_holdback
+    from toucanhold.gateway import late_holdback, server_speed, trials
     from toucanhold.platform import entry as entries
 
 
@@ -36,6 +36,10 @@
     def limited_servers() -> metrics.Observations:
         yield len(entry.limit_table.limited()), {}
 
+    if entry.server_trials is not None:
+        _register_server_trials(entry, entry.server_trials)
+    if entry.server_speed is not None:
+        _register_server_speed(entry, entry.server_speed)
     if entry.late_holdback is not None:
         _register_late_holdback(entry, entry.late_holdback)
     entry.metrics.add_counter("toucanhold.store.calls", "{call}", "Calls to the store", store_calls)
@@ -85,3 +89,27 @@
     entry.metrics.add_counter(
         "toucanhold.requests.held", "{request}", "Late requests held back", held
     )
+
+
+def _register_server_trials(entry: entries.PlatformEntry, policy: trials.ServerTrials) -> None:
+    def suspended() -> metrics.Observations:
+        yield len(policy.suspended()), {}
+
+    def sent() -> metrics.Observations:
+        yield policy.trial_count, {}
+
+    entry.metrics.add_gauge(
+        "toucanhold.servers.suspended", "{server}", "Servers with trials only", suspended
+    )
+    entry.metrics.add_counter(
+        "toucanhold.trials.sent", "{request}", "Trials at suspended servers", sent
+    )
+
+
+def _register_server_speed(entry: entries.PlatformEntry, policy: server_speed.ServerSpeed) -> None:
+    def slow_servers() -> metrics.Observations:
+        yield len(policy.slow_servers()), {}
+
+    entry.metrics.add_gauge(
+        "toucanhold.servers.slow", "{server}", "Servers slower than their peers", slow_servers
+    )
