Learn how long requests may queue from their times to the first event

A fixed fraction (0.4) of the objective for the queue counts requests of fast models as late too early and those of slow ones too late.

--- a/toucanhold/gateway/attempt.py
+++ b/toucanhold/gateway/attempt.py
@@ -18,8 +18,9 @@
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 FIRST_SERVER_ERROR_STATUS = 500
 
-# Fraction of a route's objective that a request may spend in the queue. Under load, the first event
-# of a stream takes about half of the objective (90 to 180 ms of 200 to 300 ms), a lookup a third.
+# Fraction of a route's objective that a request may spend in the queue, unless it is learned. Under
+# load, the first event of a stream takes about half of the objective (90 to 180 ms of 200 to
+# 300 ms), a lookup a third.
 QUEUE_TIME_FRACTION = 0.4
 
 LOGGER = logging.getLogger(__name__)
@@ -38,6 +39,7 @@
         started stream if a server failed before it sent any event of it
     :ivar may_wait_at_server: whether all slots of the server were in use when the attempt started
     :ivar failed_connects: number of servers to which no connection could be opened
+    :ivar queue_fraction: fraction of the route's objective that it may spend in the queue
     :ivar has_response_started: whether the start of a response was sent to the caller
     :ivar last_event_id: ID of the last event that the caller has received; None before the first
     """
@@ -53,6 +55,7 @@
     extra_attempts: int = 0
     may_wait_at_server: bool = False
     failed_connects: int = 0
+    queue_fraction: float = QUEUE_TIME_FRACTION
     has_response_started: bool = False
     last_event_id: int | None = attrs.field(init=False)
     _event_id_before_attempt: int | None = None
@@ -69,7 +72,7 @@
         already waited counts towards the objective, so the response may be late from the start.
         """
         waited_before_s = self.route.timeout_s - (self.call.deadline_s - self.call.arrived_s)
-        allowed_s = QUEUE_TIME_FRACTION * self.route.objective_s - max(0.0, waited_before_s)
+        allowed_s = self.queue_fraction * self.route.objective_s - max(0.0, waited_before_s)
         return self.call.arrived_s + allowed_s
 
     @property
--- a/toucanhold/gateway/gateway.py
+++ b/toucanhold/gateway/gateway.py
@@ -16,6 +16,7 @@
     budget,
     calls,
     crashes,
+    first_event_times,
     health,
     outcomes,
     queueing,
@@ -49,6 +50,7 @@
 
     :ivar server_client: sends calls to backend servers
     :ivar attempt_observer: notified of the attempts on servers
+    :ivar first_event_times: decide how long requests may queue; fixed unless they observe attempts
     :ivar in_flight: number of calls without a final response
     """
 
@@ -61,6 +63,9 @@
     silence_detector: silence.SilenceDetector
     rng: random.Random
     attempt_observer: outcomes.AttemptObserver = attrs.field(factory=outcomes.ObserverGroup)
+    first_event_times: first_event_times.FirstEventTimes = attrs.field(
+        factory=first_event_times.FirstEventTimes
+    )
     in_flight: int = attrs.field(default=0, init=False)
 
     async def serve(self, call: calls.Call, reply: calls.Reply) -> int:
@@ -112,6 +117,7 @@
         self.retry_budget.record_request(service.name)
         deadline_s = min(call.deadline_s, call.arrived_s + route.timeout_s)
         state = attempt.CallState(call, route, service, workspace, deadline_s, reply)
+        state.queue_fraction = self.first_event_times.queue_fraction(service, call.model, route)
         status = 0
         with trio.move_on_at(deadline_s) as scope:
             status = await self._run_attempts(state)
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -20,12 +20,14 @@
     draining,
     entries,
     exchange,
+    first_event_times,
     gateway,
     health,
     hierarchy,
     limits,
     load,
     outcomes,
+    policies,
     queueing,
     rate_limiter,
     selection,
@@ -266,6 +268,7 @@
             self.silence_detector,
             self.rng,
             outcomes.ObserverGroup(self.attempt_observers),
+            self.first_event_times,
         )
 
     def _build_policies(self) -> None:
@@ -274,6 +277,9 @@
         self.selection_policies: list[selection.SelectionPolicy] = []
         self.attempt_observers: list[outcomes.AttemptObserver] = []
         self.count_sources: list[shared_counts.CountSource] = []
+        self.first_event_times = first_event_times.FirstEventTimes()
+        if policies.Policy.EXPECTED_WAIT in self.settings.policies:
+            self.attempt_observers.append(self.first_event_times)
 
     async def _reload_on_signal(self) -> None:
         with trio.open_signal_receiver(signal.SIGHUP) as signals:
