Refuse requests that would wait in vain by a forecast of the wait

Under overload, requests that cannot get a slot in time wait until their maximum wait is over, and callers learn of the refusal only then. Their Retry-After may be longer than the third of their time that they honour.

The policy expected-wait forecasts the wait from the requests ahead in the order of the queue and the rate at which slots become free for this entry: its requests in flight divided by the time that each holds a slot, or its recent starts if they are more. It refuses only with two standard deviations of margin, after four busy seconds and ten served requests, and never while a server has capacity or a group is forming. Requests that may have run or that were refused before are not refused by forecast. Those that return go before others as urgent and as late. Retry-After stays within 0.3 of the remaining time and is spread at the rate of the slots.

--- a/tests/platform/test_platform_parsing.py
+++ b/tests/platform/test_platform_parsing.py
@@ -4,11 +4,12 @@
 import tempfile
 import unittest
 
+import attrs
 import trio
 
 from toucanhold.coordination import keyvalue
 from toucanhold.gateway import policies
-from toucanhold.platform import configuration, registrations, settings
+from toucanhold.platform import configuration, entry, registrations, settings
 from toucanhold.registry import servers
 from toucanhold.routes import table
 
@@ -111,6 +112,20 @@
             with self.assertRaisesRegex(settings.SettingsError, "TOUCANHOLD_POLICIES.*got magic"):
                 settings.load(variables | unknown)
 
+    def test_expected_wait_acts_only_if_it_is_named(self):
+        """Guards against a policy that is not wired, or that acts although it is off."""
+        trio.run(self._build_expected_wait)
+
+    async def _build_expected_wait(self):
+        off = settings.parse(SETTINGS)
+        on = attrs.evolve(off, policies=frozenset({policies.Policy.EXPECTED_WAIT}))
+        for parsed, is_on in ((off, False), (on, True)):
+            built = entry.PlatformEntry(parsed, lambda: off)
+            self.assertEqual(is_on, built.expected_wait in built.gateway.admission.policies)
+            observers = built.gateway.attempt_observer.observers
+            self.assertEqual(is_on, built.expected_wait in observers)
+            self.assertEqual(is_on, built.gateway.first_event_times in observers)
+
 
 class RegistrationTest(unittest.TestCase):
     def test_registration_fields_are_parsed(self):
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -88,6 +88,18 @@
         self.group_table.remove("g-h1")
         self.assertEqual([], self._candidate_ids())
 
+    @clocked.on_test_clock
+    async def test_a_group_forms_until_its_head_is_open(self):
+        """Guards against requests that are refused although a group is about to serve them."""
+        self.kv_mirror.replace(keyvalue.RangeResult(1, ()))
+        self._put(new_head("h1", 5, servers.GroupState.JOINING), revision=2)
+        self.assertFalse(self.server_selector.has_forming_group(SERVICE, "large"))
+        self._add_group("h1", 5)
+        self.assertTrue(self.server_selector.has_forming_group(SERVICE, "large"))
+        self.assertFalse(self.server_selector.has_forming_group(SERVICE, "small"))
+        self._put(new_head("h1", 5), revision=3)
+        self.assertFalse(self.server_selector.has_forming_group(SERVICE, "large"))
+
     @clocked.on_test_clock
     async def test_a_selection_without_changes_checks_no_members(self):
         """Guards against selections that each check a thousand members of ninety groups."""
--- a/toucanhold/events.py
+++ b/toucanhold/events.py
@@ -82,6 +82,8 @@
     CALL_ENDED = (2011, logging.INFO, "a request got its final answer")
     CALL_RESENT = (2012, logging.INFO, "a request is sent to another backend server")
     HEAD_SILENT = (2013, logging.WARNING, "all streams of a backend server have stalled")
+    REFUSED_BY_FORECAST = (2017, logging.INFO, "requests were refused because of expected waits")
+    REFUSED_REQUEST_RETURNED = (2018, logging.INFO, "requests refused before were placed first")
     QUEUE_TIME_LEARNED = (2019, logging.INFO, "the time that requests may queue has changed")
     PEER_CONNECTED = (7001, logging.INFO, "a stream to another entry was established")
     PEER_LOST = (7002, logging.WARNING, "a stream to another entry has ended")
--- a/toucanhold/gateway/admission.py
+++ b/toucanhold/gateway/admission.py
@@ -153,8 +153,10 @@
         known_wait_s = self._known_wait_s(request)
         if known_wait_s > request.max_wait_s:
             raise self._new_refusal(request, calls.RefusalReason.NO_CAPACITY, known_wait_s)
-        give_up_s = trio.current_time() + request.max_wait_s
-        waiter = queueing.Waiter(request, next(self._arrival_numbers), give_up_s)
+        now_s = trio.current_time()
+        waiter = queueing.Waiter(request, next(self._arrival_numbers), now_s + request.max_wait_s)
+        if self._reject_by_forecast(waiter, self._count_ahead(waiter, now_s)):
+            raise self._new_refusal(request, calls.RefusalReason.NO_CAPACITY, waiter.known_wait_s)
         self._queue_filled.set()
         self._queue.append(waiter)
         for policy in self.policies:
@@ -181,14 +183,39 @@
             for waiter in self._queue
         )
         restrictions = self.server_selector.restrictions(request.service, request.model)
-        expected_waits_s = (policy.expected_wait_s(request, ahead) for policy in self.policies)
-        return max(restrictions.wait_s(ahead), *expected_waits_s, 0.0)
+        return restrictions.wait_s(ahead)
+
+    def _count_ahead(self, waiter: queueing.Waiter, now_s: float) -> int:
+        if not self.policies:
+            return 0
+        own_key = self._order_key(waiter, now_s)
+        return sum(
+            other.request.key == waiter.request.key and self._order_key(other, now_s) < own_key
+            for other in self._queue
+        )
+
+    def _reject_by_forecast(self, waiter: queueing.Waiter, ahead: int) -> bool:
+        """Refuse a request that gets no slot in time by forecast; return whether it is refused."""
+        request = waiter.request
+        wait_s = max(
+            (policy.expected_wait_s(request, ahead) for policy in self.policies), default=0.0
+        )
+        if wait_s <= 0 or trio.current_time() + wait_s <= waiter.give_up_s:
+            return False
+        if self.server_selector.has_forming_group(request.service, request.model):
+            return False
+        if self.has_capacity(request.service, request.model, frozenset()):
+            return False
+        waiter.known_wait_s = wait_s
+        for policy in self.policies:
+            policy.record_forecast_refusal(request, wait_s)
+        return True
 
     def _may_become_available(self, service: table.Service, model: str) -> bool:
         return service.engine is None or self.server_selector.is_group_forming(service, model)
 
     def _reject_unservable(self) -> None:
-        """Refuse queued requests that limits and backoffs keep from being served in time."""
+        """Refuse queued requests that will not be served in time."""
         now_s = trio.current_time()
         counts: collections.Counter[tuple[str, str]] = collections.Counter()
         restrictions: dict[tuple[str, str], targets.Restrictions] = {}
@@ -201,7 +228,9 @@
                     request.service, request.model
                 )
             waiter.known_wait_s = restrictions[key].wait_s(counts[key])
-            if now_s + waiter.known_wait_s > waiter.give_up_s:
+            if now_s + waiter.known_wait_s > waiter.give_up_s or self._reject_by_forecast(
+                waiter, counts[key]
+            ):
                 waiter.decided.set()
                 continue
             counts[key] += 1
@@ -215,6 +244,8 @@
     ) -> calls.CallError:
         jitter_s = self.server_selector.rng.uniform(0, RETRY_JITTER_S)
         retry_after_s = min(MAX_RETRY_AFTER_S, max(RETRY_AFTER_S, known_wait_s)) + jitter_s
+        for policy in self.policies:
+            retry_after_s = policy.retry_after_s(request, retry_after_s)
         for policy in self.policies:
             policy.record_refused(request, retry_after_s)
         return calls.CallError(reason, retry_after_s=retry_after_s)
--- a/toucanhold/gateway/first_event_times.py
+++ b/toucanhold/gateway/first_event_times.py
@@ -62,7 +62,7 @@
 
     def queue_fraction(self, service: table.Service, model: str, route: table.Route) -> float:
         """Return the part of a route's objective that a request may spend in the queue."""
-        samples = self._samples.get((service.name, model, route.is_stream))
+        samples = self._samples.get(_key(service, model, route))
         if samples is None or route.objective_s <= 0:
             return attempt.QUEUE_TIME_FRACTION
         needed_s = samples.quantile_s(trio.current_time())
@@ -82,8 +82,8 @@
             self._record(attempt, elapsed_s)
 
     def _record(self, observed: outcomes.Attempt, elapsed_s: float) -> None:
-        key = observed.service.name, observed.model, observed.route.is_stream
         now_s = trio.current_time()
+        key = _key(observed.service, observed.model, observed.route)
         samples = self._samples.setdefault(key, _Samples())
         samples.times_s.append((now_s, elapsed_s))
         if now_s < samples.logged_s + LOG_INTERVAL_S:
@@ -102,3 +102,8 @@
             objective_s=observed.route.objective_s,
             samples=len(samples.times_s),
         )
+
+
+def _key(service: table.Service, model: str, route: table.Route) -> tuple[str, str, bool]:
+    # Callers of services without models may name any model.
+    return service.name, model if service.engine is not None else "", route.is_stream
--- a/toucanhold/gateway/gateway.py
+++ b/toucanhold/gateway/gateway.py
@@ -203,24 +203,24 @@
             state.workspace_name,
             state.route,
             fingerprint,
+            state.deadline_s,
+            state.call.deadline_s - state.call.arrived_s,
+            state.may_have_run,
         )
 
     def _observed_attempt(
         self, state: attempt.CallState, server: servers.Server
     ) -> outcomes.ObservedAttempt:
-        in_flight = self.admission.server_selector.load_tracker.estimate(server.server_id)
-        return outcomes.ObservedAttempt(
-            outcomes.Attempt(
-                server,
-                state.service,
-                state.route,
-                state.call.model,
-                in_flight,
-                trio.current_time(),
-                state.has_response_started,
-            ),
-            self.attempt_observer,
+        placed = outcomes.Attempt(
+            server,
+            state.service,
+            state.route,
+            state.call.model,
+            self.admission.server_selector.load_tracker.estimate(server.server_id),
+            trio.current_time(),
+            state.has_response_started,
         )
+        return outcomes.ObservedAttempt(placed, self.attempt_observer)
 
     def _may_fail_over(self, state: attempt.CallState, excluded: set[str]) -> bool:
         if (
--- a/toucanhold/gateway/queueing.py
+++ b/toucanhold/gateway/queueing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc
+import math
 
 import attrs
 import trio
@@ -23,6 +24,9 @@
     :ivar workspace: name of the caller's workspace; empty on public routes
     :ivar route: the request's route; None if it is not known
     :ivar fingerprint: hash of the request's content, equal for a caller's retries
+    :ivar deadline_s: trio clock time at which the caller stops waiting
+    :ivar caller_time_s: time that the caller would wait when the request arrived
+    :ivar may_have_run: whether a server may have started to run it
     """
 
     service: table.Service
@@ -34,6 +38,9 @@
     workspace: str = ""
     route: table.Route | None = None
     fingerprint: str = ""
+    deadline_s: float = math.inf
+    caller_time_s: float = math.inf
+    may_have_run: bool = False
 
     @property
     def key(self) -> tuple[str, str]:
@@ -84,6 +91,10 @@
         """
         return 0.0
 
+    def retry_after_s(self, request: PlacementRequest, proposed_s: float) -> float:
+        """Return the delay after which the caller of a refused request may return."""
+        return proposed_s
+
     def record_queued(self, request: PlacementRequest) -> None:
         """Process that a request waits."""
 
@@ -96,5 +107,8 @@
     def record_ended(self, request: PlacementRequest, server: servers.Server) -> None:
         """Process that a request leaves its slot."""
 
+    def record_forecast_refusal(self, request: PlacementRequest, expected_wait_s: float) -> None:
+        """Process that a request is refused because of its expected wait."""
+
     def record_refused(self, request: PlacementRequest, retry_after_s: float) -> None:
         """Process that a request is refused; its caller may return after ``retry_after_s``."""
--- a/toucanhold/gateway/targets.py
+++ b/toucanhold/gateway/targets.py
@@ -74,6 +74,7 @@
     # Cached by service and model, because checking all members of all groups for each request took
     # most of the time of a selection.
     _candidates: dict[tuple[str, str], list[servers.Server]] = attrs.field(factory=dict, init=False)
+    _forming: dict[tuple[str, str], bool] = attrs.field(factory=dict, init=False)
     _candidates_version: tuple[int, int] = attrs.field(default=(-1, -1), init=False)
 
     def record_placement(self, service: table.Service, server: servers.Server) -> None:
@@ -91,10 +92,7 @@
 
         :param model: ignored for services without models
         """
-        version = self.server_registry.version, self.group_table.version
-        if version != self._candidates_version:
-            self._candidates_version = version
-            self._candidates.clear()
+        self._clear_outdated()
         key = service.name, model
         if key not in self._candidates:
             self._candidates[key] = self._serving_servers(service, model)
@@ -156,6 +154,28 @@
             for group in self.group_table.groups.values()
         )
 
+    def has_forming_group(self, service: table.Service, model: str) -> bool:
+        """Return whether a group that will serve the model does not serve it yet."""
+        if service.engine is None:
+            return False
+        self._clear_outdated()
+        key = service.name, model
+        if key not in self._forming:
+            self._forming[key] = any(
+                (group.record.service, group.record.model) == key
+                and not group.is_ending
+                and not group.is_open(self.server_registry)
+                for group in self.group_table.groups.values()
+            )
+        return self._forming[key]
+
+    def _clear_outdated(self) -> None:
+        version = self.server_registry.version, self.group_table.version
+        if version != self._candidates_version:
+            self._candidates_version = version
+            self._candidates.clear()
+            self._forming.clear()
+
     def _serving_servers(self, service: table.Service, model: str) -> list[servers.Server]:
         if service.engine is not None:
             candidates = self._open_heads(service, model)
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -20,6 +20,7 @@
     draining,
     entries,
     exchange,
+    expected_wait,
     first_event_times,
     gateway,
     health,
@@ -278,8 +279,10 @@
         self.attempt_observers: list[outcomes.AttemptObserver] = []
         self.count_sources: list[shared_counts.CountSource] = []
         self.first_event_times = first_event_times.FirstEventTimes()
+        self.expected_wait = expected_wait.ExpectedWait()
         if policies.Policy.EXPECTED_WAIT in self.settings.policies:
-            self.attempt_observers.append(self.first_event_times)
+            self.queue_policies.append(self.expected_wait)
+            self.attempt_observers += [self.expected_wait, self.first_event_times]
 
     async def _reload_on_signal(self) -> None:
         with trio.open_signal_receiver(signal.SIGHUP) as signals:
--- a/toucanhold/platform/gauges.py
+++ b/toucanhold/platform/gauges.py
@@ -47,3 +47,24 @@
     entry.metrics.add_gauge(
         "toucanhold.servers.limited", "{server}", "Servers that name a limit", limited_servers
     )
+    _register_forecasts(entry)
+
+
+def _register_forecasts(entry: entries.PlatformEntry) -> None:
+    def forecast_refusals() -> metrics.Observations:
+        for service, model, count in entry.expected_wait.refusals():
+            yield count, {"toucanhold.service": service, "toucanhold.model": model}
+
+    def expected_waits() -> metrics.Observations:
+        for service, model, wait_s in entry.expected_wait.expected_waits():
+            yield wait_s, {"toucanhold.service": service, "toucanhold.model": model}
+
+    entry.metrics.add_counter(
+        "toucanhold.requests.refused.forecast",
+        "{request}",
+        "Requests refused because of their expected wait",
+        forecast_refusals,
+    )
+    entry.metrics.add_gauge(
+        "toucanhold.wait.expected", "s", "Expected wait of a new request", expected_waits
+    )
