--- a/toucanhold/gateway/expected_wait.py
+++ b/toucanhold/gateway/expected_wait.py
@@ -26,8 +26,8 @@
 # request has been refused before, perhaps by another entry.
 FIRST_TRY_FRACTION = 0.85
 # Slots become free at random; a request waits unless so many standard deviations more than expected
-# would still be too few.
-MARGIN_DEVIATIONS = 2.0
+# would still be too few. With two, returning requests displaced more on-time ones after a burst.
+MARGIN_DEVIATIONS = 1.0
 MAX_REMEMBERED = 10_000
 LOG_INTERVAL_S = 1.0
 
