Test the rest of expected-wait's decisions

Of 23 changes to a copy of the code, seven were noticed by no test: refusals while slots are free, a count of refusals by forecast that includes other ones, a rate without the previous period, a rate without requests in flight, and a gateway that ignores the learned queue time or does not tell that a request may have run. The tests now notice these seven as well.

--- a/tests/test_expected_wait.py
+++ b/tests/test_expected_wait.py
@@ -78,6 +78,22 @@
             learned = scene.gateway.first_event_times
             fraction = learned.queue_fraction(service, "", gateways.LOOKUPS)
             self.assertAlmostEqual(expected, fraction)
+            recorder = mock.Mock(wraps=queueing.QueuePolicy())
+            scene.gateway.admission.policies = [recorder]
+            await self._send_twice(scene)
+            requests = [call.args[0] for call in recorder.record_started.call_args_list]
+            self.assertEqual([False, True], [request.may_have_run for request in requests])
+            for request in requests:
+                arrived_s = request.deadline_s - request.caller_time_s
+                allowed_s = request.latest_start_s - arrived_s
+                self.assertAlmostEqual(expected * gateways.LOOKUPS.objective_s, allowed_s)
+
+    async def _send_twice(self, scene):
+        scene.server_client.behaviours["b0"].is_answer_lost = True
+        for name in ("b1", "b2"):
+            scene.loads.add(name)
+        async with scene.running():
+            await scene.send(gateways.new_call("/lookups/1", gateways.LOOKUPS.timeout_s))
 
 
 @attrs.define(eq=False, slots=False)
@@ -254,6 +270,25 @@
             await site.run((6.0, 9.6), (4.0, 24.0))
         self.assertEqual(0, site.forecast_refusals)
 
+    @clocked.on_test_clock
+    async def test_free_slots_that_another_policy_holds_back_cause_no_refusal(self):
+        """Guards against refusals while a server has room, and of those that just time out."""
+        site = Site()
+        holdback = mock.Mock(wraps=queueing.QueuePolicy())
+        holdback.may_start = lambda request, now_s: False
+        site.admission.policies = [site.policy, holdback]
+        with mock.patch.object(slot_rates.SlotRate, "slots_per_s", return_value=0.1):
+            site.policy.record_queued(site.new_request(0, 0.0))
+            await site.run((1.0, 20.0))
+        self.assertEqual((0, 40), (site.forecast_refusals, len(site.refused)))
+
+    @clocked.on_test_clock
+    async def test_wait_that_just_ends_is_no_refusal_by_forecast(self):
+        """Guards against a count of refusals by forecast that includes all others."""
+        site = Site(server_count=0)
+        waiter = queueing.Waiter(site.new_request(1, 0.0), 1, trio.current_time() - 0.01)
+        self.assertFalse(site.admission._reject_by_forecast(waiter, 0))
+
     @clocked.on_test_clock
     async def test_fast_plain_service_refuses_nothing_at_a_usual_load(self):
         """Guards against forecasts from the few requests that one entry sees of a service."""
@@ -312,7 +347,11 @@
         self.assertAlmostEqual(10.0, rate.slots_per_s(8.0), delta=2.0)
         for _ in range(15):
             rate.record_ended(8.0)
+        self.assertGreater(rate.slots_per_s(8.0 + slot_rates.PERIOD_S), 8.0)
         self.assertLess(rate.slots_per_s(8.0 + 2 * slot_rates.PERIOD_S), 4.0)
         for _ in range(15):
             rate.record_started(10.0)
         self.assertGreater(rate.slots_per_s(10.0), 9.0)
+        for _ in range(20):
+            rate.record_ended(10.0)
+        self.assertEqual(0.0, rate.slots_per_s(10.0))
