Order queued requests by the recent use of their workspaces

Each entry served its queue in order of arrival, so a workspace that sent a burst made the requests of all others late.

The policy fair-shares orders equally urgent and equally late requests by the slot time that their workspaces used within about two seconds at all entries. Running requests are charged at once, and queued ones count as if those before them had started. Entries report use only while requests queue, as a count-min sketch of at most 64 counts. Admission counts as "ahead" of a request only those that the policies place before it or beside it; without policies this is unchanged.

--- a/toucanhold/events.py
+++ b/toucanhold/events.py
@@ -82,6 +82,7 @@
     CALL_ENDED = (2011, logging.INFO, "a request got its final answer")
     CALL_RESENT = (2012, logging.INFO, "a request is sent to another backend server")
     HEAD_SILENT = (2013, logging.WARNING, "all streams of a backend server have stalled")
+    WORKSPACE_HELD_BACK = (2020, logging.INFO, "requests of a workspace with less use went first")
     PEER_CONNECTED = (7001, logging.INFO, "a stream to another entry was established")
     PEER_LOST = (7002, logging.WARNING, "a stream to another entry has ended")
     PEER_REFUSED = (7003, logging.WARNING, "a stream was refused: the peer failed authentication")
--- a/toucanhold/gateway/admission.py
+++ b/toucanhold/gateway/admission.py
@@ -116,9 +116,12 @@
     def _order_key(self, waiter: queueing.Waiter, now_s: float) -> tuple[float, ...]:
         # By priority, then requests that can still be on time, then by policies, then by arrival.
         request = waiter.request
-        policy_keys = (policy.order_key(request, now_s) for policy in self.policies)
+        policy_keys = self._policy_keys(request, now_s)
         return request.priority, request.is_late(now_s), *policy_keys, waiter.arrival_number
 
+    def _policy_keys(self, request: queueing.PlacementRequest, now_s: float) -> tuple[float, ...]:
+        return tuple(policy.order_key(request, now_s) for policy in self.policies)
+
     def _may_start(self, request: queueing.PlacementRequest, now_s: float) -> bool:
         return all(policy.may_start(request, now_s) for policy in self.policies)
 
@@ -176,8 +179,11 @@
         return waiter.server
 
     def _known_wait_s(self, request: queueing.PlacementRequest) -> float:
+        now_s = trio.current_time()
+        place = request.priority, self._policy_keys(request, now_s)
         ahead = sum(
-            waiter.request.key == request.key and waiter.request.priority <= request.priority
+            waiter.request.key == request.key
+            and (waiter.request.priority, self._policy_keys(waiter.request, now_s)) <= place
             for waiter in self._queue
         )
         restrictions = self.server_selector.restrictions(request.service, request.model)
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -20,12 +20,14 @@
     draining,
     entries,
     exchange,
+    fair_shares,
     gateway,
     health,
     hierarchy,
     limits,
     load,
     outcomes,
+    policies,
     queueing,
     rate_limiter,
     selection,
@@ -274,6 +276,11 @@
         self.selection_policies: list[selection.SelectionPolicy] = []
         self.attempt_observers: list[outcomes.AttemptObserver] = []
         self.count_sources: list[shared_counts.CountSource] = []
+        self.fair_shares: fair_shares.FairShares | None = None
+        if policies.Policy.FAIR_SHARES in self.settings.policies:
+            self.fair_shares = fair_shares.FairShares(self.rate_limiter.counts)
+            self.queue_policies.append(self.fair_shares)
+            self.count_sources.append(self.fair_shares)
 
     async def _reload_on_signal(self) -> None:
         with trio.open_signal_receiver(signal.SIGHUP) as signals:
--- a/toucanhold/platform/gauges.py
+++ b/toucanhold/platform/gauges.py
@@ -35,6 +35,10 @@
     def limited_servers() -> metrics.Observations:
         yield len(entry.limit_table.limited()), {}
 
+    def held_back() -> metrics.Observations:
+        if entry.fair_shares is not None:
+            yield entry.fair_shares.held_back_count(), {}
+
     entry.metrics.add_counter("toucanhold.store.calls", "{call}", "Calls to the store", store_calls)
     entry.metrics.add_counter(
         "toucanhold.notices.sent", "By", "Datagrams to other entries", notice_bytes
@@ -47,3 +51,6 @@
     entry.metrics.add_gauge(
         "toucanhold.servers.limited", "{server}", "Servers that name a limit", limited_servers
     )
+    entry.metrics.add_gauge(
+        "toucanhold.workspaces.held_back", "{workspace}", "Workspaces that wait longer", held_back
+    )
