Play the soak with all policies in a quarter of its seeds

The soak played no seed with the optional policies. Seeds whose remainder by 4 is 3 now set TOUCANHOLD_POLICIES to all of them and add two faults: a server that becomes 4 to 12 times as slow for 2 to 8 s, and 24 callers of a second workspace for 1 to 5 s. All other seeds draw the same numbers as before; a test keeps the seeds of test_soak.py among them.

--- a/tests/platform/soak/backends.py
+++ b/tests/platform/soak/backends.py
@@ -152,17 +152,25 @@
 
 @attrs.define(eq=False)
 class BackendApp:
-    """HTTP interface of one server."""
+    """HTTP interface of one server.
+
+    :ivar slowdowns: factor of the time that requests take, by server
+    """
 
     name: str
     fleet: replicas.MemoryServers
     run_log: RunLog
     signal_record: object
+    slowdowns: dict
 
     @property
     def server(self):
         return self.fleet.servers[self.name]
 
+    @property
+    def slowdown(self):
+        return self.slowdowns.get(self.name, 1)
+
     async def __call__(self, scope, receive, send):
         if scope["type"] == "lifespan":
             await asgi.acknowledge_lifespan(receive, send)
@@ -249,7 +257,7 @@
                 headers, [*response_headers, (b"content-type", b"text/event-stream")], send
             )
             return
-        await trio.sleep(PLAIN_REQUEST_S)
+        await trio.sleep(PLAIN_REQUEST_S * self.slowdown)
         if self.server.is_reachable:
             await asgi.respond(
                 send, 200, response_headers, urllib.parse.unquote(scope["path"]).encode()
@@ -259,7 +267,7 @@
         born_ms = self.server.born_ms
         await asgi.start(send, 200, response_headers)
         for number in range(int(headers.get("last-event-id", "-1")) + 1, EVENTS_PER_STREAM):
-            await trio.sleep(EVENT_INTERVAL_S)
+            await trio.sleep(EVENT_INTERVAL_S * self.slowdown)
             while self.server.stalled_at_s < float("inf"):
                 await trio.sleep(EVENT_INTERVAL_S)
             if not self.server.is_reachable or self.server.born_ms != born_ms:
--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -50,11 +50,15 @@
 
 @attrs.define(eq=False)
 class Caller:
-    """One caller, which sends one request at a time."""
+    """One caller, which sends one request at a time.
+
+    :ivar key: API key of its workspace
+    """
 
     site: sites.Site
     record: CallerRecord
     name: str
+    key: str = sites.KEY
     attempt_numbers: itertools.count = attrs.field(factory=itertools.count)
 
     async def run(self):
@@ -116,7 +120,7 @@
             ("host", sites.HOST),
             ("x-attempt-id", attempt),
             ("x-deadline-remaining-ms", str(int(DEADLINE_S * 1000))),
-            ("x-credential", sites.KEY),
+            ("x-credential", self.key),
         ]
         if kind == "stream":
             headers.append(("x-model", self.site.rng.choice(sites.MODELS).name))
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -4,8 +4,10 @@
 import trio
 
 from standins import processes
+from tests.platform.soak import callers
 from tests.platform.soak import site as sites
 
+BURST_CALLERS = 24
 PROXY_MODES = ("silent", "one_way", "reset", "delay")
 
 
@@ -13,11 +15,13 @@
 class FaultInjector:
     """Injects random faults and reverts each of them.
 
+    :ivar caller_record: results of the callers of a burst
     :ivar events: time in s and description of each fault, to trace failures
     :ivar reserved_targets: names of targets that have a fault now
     """
 
     site: sites.Site
+    caller_record: callers.CallerRecord
     events: list = attrs.field(factory=list)
     reserved_targets: set = attrs.field(factory=set)
 
@@ -39,6 +43,8 @@
             self._change_configuration,
             self._evacuate_zone,
         )
+        if self.site.has_policies:
+            injections += 2 * (self._slow_server, self._send_burst)
         end_s = trio.current_time() + duration_s
         async with trio.open_nursery() as nursery:
             while trio.current_time() < end_s:
@@ -162,6 +168,30 @@
         await trio.sleep(self.site.rng.uniform(0.5, 4))
         self.site.fleet.order_loss_ratio = 0.0
 
+    async def _slow_server(self):
+        if name := self._reserve(self.site.server_proxies):
+            factor = self.site.rng.uniform(4, 12)
+            duration_s = self.site.rng.uniform(2, 8)
+            self.log(f"{name} is {factor:.1f} times as slow for {duration_s:.1f} s")
+            self.site.slowdowns[name] = factor
+            await trio.sleep(duration_s)
+            del self.site.slowdowns[name]
+            self.reserved_targets.discard(name)
+
+    async def _send_burst(self):
+        if name := self._reserve(["burst"]):
+            duration_s = self.site.rng.uniform(1, 5)
+            self.log(f"one workspace sends a burst for {duration_s:.1f} s")
+            with trio.move_on_after(duration_s):
+                async with trio.open_nursery() as nursery:
+                    for number in range(BURST_CALLERS):
+                        caller_name = f"burst{len(self.events)}-{number}"
+                        caller = callers.Caller(
+                            self.site, self.caller_record, caller_name, sites.BURST_KEY
+                        )
+                        nursery.start_soon(caller.run)
+            self.reserved_targets.discard(name)
+
     async def _change_configuration(self):
         self.log("a new configuration")
         self.site.put_configuration()
--- a/tests/platform/soak/running.py
+++ b/tests/platform/soak/running.py
@@ -53,7 +53,7 @@
     """
     async with sites.running(seed, folder, subnet) as site:
         caller_record = callers.CallerRecord()
-        injector = faults.FaultInjector(site)
+        injector = faults.FaultInjector(site, caller_record)
         async with trio.open_nursery() as nursery:
             with trio.fail_after(START_TIMEOUT_S):
                 await _wait_until_serving(site)
--- a/tests/platform/soak/site.py
+++ b/tests/platform/soak/site.py
@@ -11,10 +11,13 @@
 from standins import processes, replicas
 from tests.platform import standins
 from tests.platform.soak import backends, proxies, signals
+from toucanhold.gateway import policies
+from toucanhold.platform import settings
 from toucanhold.routes import table
 
 HOST = "soak.example"
 KEY = "soak-key"
+BURST_KEY = "burst-key"
 ZONES = ("zone-a", "zone-b")
 ENTRIES = 3
 MODEL_SERVERS = 9
@@ -32,6 +35,7 @@
     """All parts of one run.
 
     :ivar subnet: middle two bytes of the loopback addresses of this run's entries
+    :ivar has_policies: whether entries run with all optional policies
     :ivar version: version of the current configuration
     :ivar route_prefixes: path prefixes that configurations added, in order
     :ivar stop_failures: descriptions of stops that were slow or failed
@@ -61,6 +65,8 @@
         )
         self.run_log = backends.RunLog()
         self.signal_record = signals.SignalRecord()
+        self.slowdowns = {}
+        self.has_policies = has_policies(self.seed)
 
     @property
     def entries(self):
@@ -84,7 +90,9 @@
             self.store_proxies[entry] = await self._start_proxy(store_address)
         names = [f"s{n}" for n in range(MODEL_SERVERS)] + [f"p{n}" for n in range(PLAIN_SERVERS)]
         for number, name in enumerate(names):
-            app = backends.BackendApp(name, self.fleet, self.run_log, self.signal_record)
+            app = backends.BackendApp(
+                name, self.fleet, self.run_log, self.signal_record, self.slowdowns
+            )
             self.server_proxies[name] = await self._start_proxy(await self._start_server(app))
             self.addresses[name] = self.server_proxies[name].address
             domain = "d0" if name.startswith("s") else ""
@@ -97,9 +105,11 @@
         """Start an entry's process."""
         path = self.folder / f"{entry}.toml"
         path.write_text(self._settings(entry))
-        await self.group.start(
-            entry, ["toucanhold", "platform"], {"TOUCANHOLD_SETTINGS": str(path)}
-        )
+        variables = {settings.FILE_VARIABLE: str(path)}
+        if self.has_policies:
+            names = [policy.value for policy in policies.Policy]
+            variables[settings.POLICIES_VARIABLE] = ",".join(names)
+        await self.group.start(entry, ["toucanhold", "platform"], variables)
 
     def put_configuration(self):
         """Store a new version of the configuration, with one more route."""
@@ -125,6 +135,8 @@
             {"name": backends.PLAIN_SERVICE},
         ]
         tenants = [{"name": "w", "api_keys": [KEY]}]
+        if self.has_policies:
+            tenants.append({"name": "burst", "api_keys": [BURST_KEY]})
         configuration = {"version": self.version, "routes": routes, "services": services}
         self.store.put("op/config", json.dumps(configuration | {"tenants": tenants}).encode())
 
@@ -174,6 +186,11 @@
 """
 
 
+def has_policies(seed):
+    """Return whether a seed is played with all optional policies, and with faults for them."""
+    return seed % 4 == 3
+
+
 def _route(prefix, service, kind, **overrides):
     return {
         "name": prefix.strip("/"),
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from tests.platform.soak import backends, running
+from tests.platform.soak import backends, running, site
 from toucanhold.replicas import orders
 
 SHORT_FAULTS_S = 8.0
@@ -42,6 +42,11 @@
         self.assertEqual([], result.violations, result.faults)
         self.assertGreater(result.outcome_counts["order served"], 20)
 
+    def test_seeds_of_these_tests_play_without_policies(self):
+        """Guards against seeds that no longer play the faults for which they were kept."""
+        seeds = (*SHORT_SEEDS, *REGRESSION_SEEDS)
+        self.assertEqual([], [seed for seed in seeds if site.has_policies(seed)])
+
     def test_backend_accepts_orders_without_a_group(self):
         """Guards against a backend that fails on an order to stage, which names no group."""
         body = {"op": "stage", "model": "m0", "precondition": 1, "fence": 2}
