Keep cached order keys of a workspace when requests queue

Each request that queued made all cached keys of its workspace outdated, so that a burst caused them to be computed again for every arrival. The key of a request that queues is now appended to the cached ones.

A test covers the number of requests ahead that admission counts: with the previous count, one workspace's queue at servers with limits made it refuse a request of another one.

--- a/tests/test_fair_shares.py
+++ b/tests/test_fair_shares.py
@@ -11,7 +11,7 @@
 
 from standins import gateways
 from tests import clocked
-from toucanhold.gateway import admission, calls, fair_shares, queueing, shared_counts
+from toucanhold.gateway import admission, calls, fair_shares, limits, queueing, shared_counts
 from toucanhold.routes import table
 
 SERVICE = table.Service("desk", 10.0)
@@ -167,6 +167,22 @@
             nursery.start_soon(functools.partial(send, "first", "small", latest_start_s=2))
         self.assertEqual(["first", "used", "late", "patient"], started)
 
+    @clocked.on_test_clock
+    async def test_a_queue_at_limited_servers_refuses_only_its_workspace(self):
+        """Guards against requests refused because of a queue that they would go before."""
+        site = Site(entry_count=1)
+        for name in site.fixtures[0].registered_servers:
+            site.fixtures[0].limit_table.merge(limits.Limit(name, 1, 1, 2.0), "")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(site.admissions[0].run)
+            for _ in range(60):
+                nursery.start_soon(site.send, site.admissions[0], "large", 0.1)
+            await trio.testing.wait_all_tasks_blocked()
+            await site.send(site.admissions[0], "small", 0.1)
+            nursery.cancel_scope.cancel()
+        self.assertIn(float("inf"), site.waits_s["large"])
+        self.assertLess(site.waits_s["small"][0], 1)
+
     @clocked.on_test_clock
     async def test_counts_of_hundreds_of_workspaces_are_bounded(self):
         """Guards against notices in which small workspaces displace the counts of other parts."""
--- a/toucanhold/gateway/fair_shares.py
+++ b/toucanhold/gateway/fair_shares.py
@@ -57,7 +57,7 @@
         key = flow.order_keys.get(request)
         if key is not None:
             return key
-        return flow.next_keys.get(workspace_use.rank(request, now_s), flow.first_key)
+        return pool.step(flow.next_uses_s.get(workspace_use.rank(request, now_s), flow.use_s))
 
     def record_queued(self, request: queueing.PlacementRequest) -> None:
         """See :class:`queueing.QueuePolicy`."""
@@ -65,13 +65,12 @@
         pool.contended_until_s = trio.current_time() + workspace_use.CONTENTION_S
         flow = pool.flow(request.workspace)
         flow.waiting[request] = next(self._arrival_numbers)
-        flow.order_keys_until_s = -math.inf
+        # If the cached keys are outdated, the next refresh replaces this one, too.
+        _cache_key(pool, flow, request, trio.current_time())
 
     def record_dequeued(self, request: queueing.PlacementRequest) -> None:
         """See :class:`queueing.QueuePolicy`."""
-        flow = self._pool(request).flow(request.workspace)
-        flow.waiting.pop(request, None)
-        flow.order_keys_until_s = -math.inf
+        self._pool(request).flow(request.workspace).waiting.pop(request, None)
 
     def record_started(self, request: queueing.PlacementRequest, server: servers.Server) -> None:
         """See :class:`queueing.QueuePolicy`."""
@@ -124,16 +123,10 @@
     def _refresh_keys(
         self, pool: workspace_use.SlotPool, flow: workspace_use.Flow, now_s: float
     ) -> None:
-        use_s = self._use_s(pool, flow, now_s)
-        flow.first_key = pool.step(use_s)
-        flow.order_keys = {}
-        uses_s: dict[tuple[int, bool], float] = {}
+        flow.use_s = self._use_s(pool, flow, now_s)
+        flow.order_keys, flow.next_uses_s = {}, {}
         for request in flow.waiting:
-            rank = workspace_use.rank(request, now_s)
-            rank_use_s = uses_s.get(rank, use_s)
-            flow.order_keys[request] = pool.step(rank_use_s)
-            uses_s[rank] = rank_use_s + pool.charge_s
-        flow.next_keys = {rank: pool.step(rank_use_s) for rank, rank_use_s in uses_s.items()}
+            _cache_key(pool, flow, request, now_s)
         flow.order_keys_until_s = now_s + KEYS_VALID_S
 
     def _use_s(self, pool: workspace_use.SlotPool, flow: workspace_use.Flow, now_s: float) -> float:
@@ -183,3 +176,16 @@
             served_workspace=flow.workspace,
             served_use_s=round(self._use_s(pool, flow, now_s), 2),
         )
+
+
+def _cache_key(
+    pool: workspace_use.SlotPool,
+    flow: workspace_use.Flow,
+    request: queueing.PlacementRequest,
+    now_s: float,
+) -> None:
+    """Compute the key of a request that queues behind those whose keys are cached."""
+    rank = workspace_use.rank(request, now_s)
+    use_s = flow.next_uses_s.get(rank, flow.use_s)
+    flow.order_keys[request] = pool.step(use_s)
+    flow.next_uses_s[rank] = use_s + pool.charge_s
--- a/toucanhold/gateway/workspace_use.py
+++ b/toucanhold/gateway/workspace_use.py
@@ -39,8 +39,8 @@
     :ivar running: number of requests that hold slots
     :ivar waiting: queued requests in order of arrival, with their arrival numbers
     :ivar order_keys: cached keys of the queued requests
-    :ivar next_keys: cached keys of requests that would queue behind these, by rank
-    :ivar first_key: cached key of a request that would queue first in its rank
+    :ivar use_s: use at all entries when the keys were cached
+    :ivar next_uses_s: use that counts for the next request to queue, by rank
     """
 
     workspace: str
@@ -48,8 +48,8 @@
     running: int = 0
     waiting: dict[queueing.PlacementRequest, int] = attrs.field(factory=dict)
     order_keys: dict[queueing.PlacementRequest, float] = attrs.field(factory=dict)
-    next_keys: dict[tuple[int, bool], float] = attrs.field(factory=dict)
-    first_key: float = 0.0
+    use_s: float = 0.0
+    next_uses_s: dict[tuple[int, bool], float] = attrs.field(factory=dict)
     order_keys_until_s: float = -math.inf
     _used_s: float = 0.0
     _updated_s: float = attrs.field(factory=trio.current_time)
