Merge expected-wait and fair-shares, and build all policies in one place

Cause: each policy added its own wiring and gauges to the entry, which grew with each of them. Change: the two policies; platform/policy_set.py builds the policies that are on, platform/policy_gauges.py has their metrics.

--- a/toucanhold/gateway/attempt.py
+++ b/toucanhold/gateway/attempt.py
@@ -18,8 +18,9 @@
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 FIRST_SERVER_ERROR_STATUS = 500
 
-# Fraction of a route's objective that a request may spend in the queue. Under load, the first event
-# of a stream takes about half of the objective (90 to 180 ms of 200 to 300 ms), a lookup a third.
+# Fraction of a route's objective that a request may spend in the queue, unless it is learned. Under
+# load, the first event of a stream takes about half of the objective (90 to 180 ms of 200 to
+# 300 ms), a lookup a third.
 QUEUE_TIME_FRACTION = 0.4
 
 LOGGER = logging.getLogger(__name__)
@@ -40,6 +41,7 @@
     :ivar is_trial: whether the current or last attempt was a trial at a suspended server
     :ivar min_initial_fraction: least fraction of the route's timeout that callers start with
     :ivar failed_connects: number of servers to which no connection could be opened
+    :ivar queue_fraction: fraction of the route's objective that it may spend in the queue
     :ivar has_response_started: whether the start of a response was sent to the caller
     :ivar last_event_id: ID of the last event that the caller has received; None before the first
     """
@@ -57,6 +59,7 @@
     is_trial: bool = False
     min_initial_fraction: float = 1.0
     failed_connects: int = 0
+    queue_fraction: float = QUEUE_TIME_FRACTION
     has_response_started: bool = False
     last_event_id: int | None = attrs.field(init=False)
     _event_id_before_attempt: int | None = None
@@ -74,7 +77,7 @@
         """
         initial_s = self.min_initial_fraction * self.route.timeout_s
         waited_before_s = initial_s - (self.call.deadline_s - self.call.arrived_s)
-        allowed_s = QUEUE_TIME_FRACTION * self.route.objective_s - max(0.0, waited_before_s)
+        allowed_s = self.queue_fraction * self.route.objective_s - max(0.0, waited_before_s)
         return self.call.arrived_s + allowed_s
 
     @property
--- a/toucanhold/gateway/gateway.py
+++ b/toucanhold/gateway/gateway.py
@@ -16,6 +16,7 @@
     budget,
     calls,
     crashes,
+    first_event_times,
     health,
     lateness,
     outcomes,
@@ -51,6 +52,7 @@
     :ivar server_client: sends calls to backend servers
     :ivar attempt_observer: notified of the attempts on servers
     :ivar min_initial_fraction: least fraction of a route's timeout that callers start with
+    :ivar first_event_times: decide how long requests may queue; fixed unless they observe attempts
     :ivar in_flight: number of calls without a final response
     """
 
@@ -64,6 +66,9 @@
     rng: random.Random
     attempt_observer: outcomes.AttemptObserver = attrs.field(factory=outcomes.ObserverGroup)
     min_initial_fraction: float = 1.0
+    first_event_times: first_event_times.FirstEventTimes = attrs.field(
+        factory=first_event_times.FirstEventTimes
+    )
     in_flight: int = attrs.field(default=0, init=False)
 
     async def serve(self, call: calls.Call, reply: calls.Reply) -> int:
@@ -116,6 +121,7 @@
         deadline_s = min(call.deadline_s, call.arrived_s + route.timeout_s)
         state = attempt.CallState(call, route, service, workspace, deadline_s, reply)
         state.min_initial_fraction = self.min_initial_fraction
+        state.queue_fraction = self.first_event_times.queue_fraction(service, call.model, route)
         status = 0
         with trio.move_on_at(deadline_s) as scope:
             status = await self._run_attempts(state)
@@ -202,29 +208,29 @@
             state.route,
             fingerprint,
             lateness.certain_latest_start_s(state),
+            state.deadline_s,
+            state.call.deadline_s - state.call.arrived_s,
+            state.may_have_run,
         )
 
     def _observed_attempt(
         self, state: attempt.CallState, server: servers.Server
     ) -> outcomes.ObservedAttempt:
         selector = self.admission.server_selector
-        in_flight = selector.load_tracker.estimate(server.server_id)
         state.is_trial = selector.is_suspended(server)
-        return outcomes.ObservedAttempt(
-            outcomes.Attempt(
-                server,
-                state.service,
-                state.route,
-                state.call.model,
-                in_flight,
-                trio.current_time(),
-                state.has_response_started,
-                state.is_trial,
-                state.call.prompt_tokens,
-                state.call.output_tokens,
-            ),
-            self.attempt_observer,
+        placed = outcomes.Attempt(
+            server,
+            state.service,
+            state.route,
+            state.call.model,
+            selector.load_tracker.estimate(server.server_id),
+            trio.current_time(),
+            state.has_response_started,
+            state.is_trial,
+            state.call.prompt_tokens,
+            state.call.output_tokens,
         )
+        return outcomes.ObservedAttempt(placed, self.attempt_observer)
 
     def _may_fail_over(self, state: attempt.CallState, excluded: set[str]) -> bool:
         if (
--- a/toucanhold/gateway/queueing.py
+++ b/toucanhold/gateway/queueing.py
@@ -26,6 +26,9 @@
     :ivar fingerprint: hash of the request's content, equal for a caller's retries
     :ivar certain_latest_start_s: trio clock time after which the response certainly misses its
         objective, whatever part of the route's timeout the caller started with
+    :ivar deadline_s: trio clock time at which the caller stops waiting
+    :ivar caller_time_s: time that the caller would wait when the request arrived
+    :ivar may_have_run: whether a server may have started to run it
     """
 
     service: table.Service
@@ -38,6 +41,9 @@
     route: table.Route | None = None
     fingerprint: str = ""
     certain_latest_start_s: float = math.inf
+    deadline_s: float = math.inf
+    caller_time_s: float = math.inf
+    may_have_run: bool = False
 
     @property
     def key(self) -> tuple[str, str]:
@@ -88,6 +94,10 @@
         """
         return 0.0
 
+    def retry_after_s(self, request: PlacementRequest, proposed_s: float) -> float:
+        """Return the delay after which the caller of a refused request may return."""
+        return proposed_s
+
     def record_queued(self, request: PlacementRequest) -> None:
         """Process that a request waits."""
 
@@ -100,5 +110,8 @@
     def record_ended(self, request: PlacementRequest, server: servers.Server) -> None:
         """Process that a request leaves its slot."""
 
+    def record_forecast_refusal(self, request: PlacementRequest, expected_wait_s: float) -> None:
+        """Process that a request is refused because of its expected wait."""
+
     def record_refused(self, request: PlacementRequest, retry_after_s: float) -> None:
         """Process that a request is refused; its caller may return after ``retry_after_s``."""
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -19,27 +19,18 @@
     crashes,
     draining,
     entries,
-    entry_shares,
     exchange,
     gateway,
     health,
     hierarchy,
-    late_holdback,
-    lateness,
     limits,
     load,
     outcomes,
     policies,
-    queueing,
     rate_limiter,
-    selection,
-    server_speed,
-    shared_counts,
     sharing,
     silence,
     targets,
-    trial_turns,
-    trials,
 )
 from toucanhold.peers import transport
 from toucanhold.platform import (
@@ -47,6 +38,7 @@
     directory,
     front,
     gauges,
+    policy_set,
     registrations,
     servers,
     settings,
@@ -175,10 +167,7 @@
 
         self.rate_limiter.retain(is_known)
         self.draining_table.retain(is_known)
-        if self.server_trials is not None:
-            self.server_trials.retain(is_known)
-        if self.server_speed is not None:
-            self.server_speed.retain(is_known)
+        self.policies.retain(is_known)
 
     def _own_entry(self) -> entries.Entry:
         entry_settings = self.settings
@@ -255,9 +244,9 @@
             self.crash_tracker,
             self._on_silence_report,
             self.rng,
-            self.count_sources,
-            self.server_trials,
-            self.server_speed,
+            self.policies.count_sources,
+            self.policies.server_trials,
+            self.policies.server_speed,
         )
         self.silence_detector = silence.SilenceDetector(self.health, self._on_silent_server)
         self.cold_budget = budget.ColdBudget(
@@ -274,60 +263,35 @@
             self.backoff_table,
             self.settings.zone,
             self.rng,
-            self.selection_policies,
+            self.policies.selection,
         )
         self.gateway = gateway.Gateway(
             self.routes,
             self.server_client,
-            admission.Admission(self.server_selector, self.queue_policies),
+            admission.Admission(self.server_selector, self.policies.queue),
             budget.RetryBudget(_retry_bound(bounds), self._traffic_share),
             self.health,
             self.crash_tracker,
             self.silence_detector,
             self.rng,
-            outcomes.ObserverGroup(self.attempt_observers),
-            min_initial_fraction=self._min_initial_fraction(),
+            outcomes.ObserverGroup(self.policies.observers),
+            self.policies.min_initial_fraction,
+            self.policies.first_event_times,
         )
 
-    def _min_initial_fraction(self) -> float:
-        return lateness.MIN_INITIAL_FRACTION if self.late_holdback is not None else 1.0
-
     def _build_policies(self) -> None:
-        """Build the optional policies that the settings switch on."""
-        self.queue_policies: list[queueing.QueuePolicy] = []
-        self.selection_policies: list[selection.SelectionPolicy] = []
-        self.attempt_observers: list[outcomes.AttemptObserver] = []
-        self.count_sources: list[shared_counts.CountSource] = []
-        shares = entry_shares.EntryShares(self.entry_list, self.rate_limiter.counts)
-        self.late_holdback: late_holdback.LateHoldback | None = None
-        if policies.Policy.LATE_HOLDBACK in self.settings.policies:
-            self.late_holdback = late_holdback.LateHoldback(
-                shares,
+        self.policies = policy_set.PolicySet(
+            self.settings.policies,
+            policy_set.Dependencies(
+                self.entry_list,
+                self.server_registry,
                 self.load_tracker,
+                self.health,
+                self.limit_table,
+                self.rate_limiter.counts,
                 lambda service, model: self.server_selector.find_usable(service, model),
-            )
-            self.queue_policies.append(self.late_holdback)
-            self.count_sources.append(self.late_holdback)
-        self.server_trials: trials.ServerTrials | None = None
-        if policies.Policy.SERVER_TRIALS in self.settings.policies:
-            self._build_server_trials()
-        self.server_speed: server_speed.ServerSpeed | None = None
-        if policies.Policy.SERVER_SPEED in self.settings.policies:
-            self.server_speed = server_speed.ServerSpeed(
-                self.server_registry, self.load_tracker, self.entry_list, self.rate_limiter.counts
-            )
-            self.selection_policies.append(self.server_speed)
-            self.attempt_observers.append(self.server_speed.estimates)
-            self.count_sources.append(self.server_speed)
-
-    def _build_server_trials(self) -> None:
-        turns = trial_turns.TrialTurns(self.entry_list, self.rate_limiter.counts)
-        self.server_trials = trials.ServerTrials(
-            self.health, self.load_tracker, self.limit_table, turns
+            ),
         )
-        self.selection_policies.append(self.server_trials)
-        self.attempt_observers.append(self.server_trials)
-        self.count_sources.append(turns)
 
     async def _reload_on_signal(self) -> None:
         with trio.open_signal_receiver(signal.SIGHUP) as signals:
--- a/toucanhold/platform/gauges.py
+++ b/toucanhold/platform/gauges.py
@@ -5,9 +5,9 @@
 import typing
 
 from toucanhold import metrics
+from toucanhold.platform import policy_gauges
 
 if typing.TYPE_CHECKING:
-    from toucanhold.gateway import late_holdback, server_speed, trials
     from toucanhold.platform import entry as entries
 
 
@@ -36,12 +36,6 @@
     def limited_servers() -> metrics.Observations:
         yield len(entry.limit_table.limited()), {}
 
-    if entry.server_trials is not None:
-        _register_server_trials(entry, entry.server_trials)
-    if entry.server_speed is not None:
-        _register_server_speed(entry, entry.server_speed)
-    if entry.late_holdback is not None:
-        _register_late_holdback(entry, entry.late_holdback)
     entry.metrics.add_counter("toucanhold.store.calls", "{call}", "Calls to the store", store_calls)
     entry.metrics.add_counter(
         "toucanhold.notices.sent", "By", "Datagrams to other entries", notice_bytes
@@ -55,6 +49,7 @@
         "toucanhold.servers.limited", "{server}", "Servers that name a limit", limited_servers
     )
     _register_group_load(entry)
+    policy_gauges.register(entry.metrics, entry.policies)
 
 
 def _register_group_load(entry: entries.PlatformEntry) -> None:
@@ -71,45 +66,3 @@
     entry.metrics.add_gauge(
         "toucanhold.group.slots", "{slot}", "Slots of open groups, by model", lambda: by_model(1)
     )
-
-
-def _register_late_holdback(
-    entry: entries.PlatformEntry, policy: late_holdback.LateHoldback
-) -> None:
-    def reserved() -> metrics.Observations:
-        for model, slots in policy.reserved_slots().items():
-            yield slots, {"toucanhold.model": model}
-
-    def held() -> metrics.Observations:
-        yield policy.held_count, {}
-
-    entry.metrics.add_gauge(
-        "toucanhold.slots.reserved", "{slot}", "Slots kept for on-time requests", reserved
-    )
-    entry.metrics.add_counter(
-        "toucanhold.requests.held", "{request}", "Late requests held back", held
-    )
-
-
-def _register_server_trials(entry: entries.PlatformEntry, policy: trials.ServerTrials) -> None:
-    def suspended() -> metrics.Observations:
-        yield len(policy.suspended()), {}
-
-    def sent() -> metrics.Observations:
-        yield policy.trial_count, {}
-
-    entry.metrics.add_gauge(
-        "toucanhold.servers.suspended", "{server}", "Servers with trials only", suspended
-    )
-    entry.metrics.add_counter(
-        "toucanhold.trials.sent", "{request}", "Trials at suspended servers", sent
-    )
-
-
-def _register_server_speed(entry: entries.PlatformEntry, policy: server_speed.ServerSpeed) -> None:
-    def slow_servers() -> metrics.Observations:
-        yield len(policy.slow_servers()), {}
-
-    entry.metrics.add_gauge(
-        "toucanhold.servers.slow", "{server}", "Servers slower than their peers", slow_servers
-    )
