Divide the free slots of servers among entries

Cause: entries learn of each other's requests 0.1 to 0.3 s late, so several of them fill the same free slots while others stay free, even at the usual load.

Change: the policy slot-shares lets an entry place at most its share of a server's free slots within the time that a notice takes. The share follows the requests that wait for the model, or were placed within that time. Fractions of a slot become turns. Until an entry hears of another, quotas by size hold.

--- a/toucanhold/events.py
+++ b/toucanhold/events.py
@@ -83,6 +83,7 @@
     CALL_RESENT = (2012, logging.INFO, "a request is sent to another backend server")
     HEAD_SILENT = (2013, logging.WARNING, "all streams of a backend server have stalled")
     LATE_REQUEST_HELD = (2014, logging.INFO, "a late request waits; slots are kept for others")
+    FREE_SLOTS_LEFT = (2015, logging.INFO, "free slots of a server are left to other entries")
     PEER_CONNECTED = (7001, logging.INFO, "a stream to another entry was established")
     PEER_LOST = (7002, logging.WARNING, "a stream to another entry has ended")
     PEER_REFUSED = (7003, logging.WARNING, "a stream was refused: the peer failed authentication")
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -35,6 +35,7 @@
     shared_counts,
     sharing,
     silence,
+    slot_shares,
     targets,
 )
 from toucanhold.peers import transport
@@ -287,6 +288,12 @@
             )
             self.queue_policies.append(self.late_holdback)
             self.count_sources.append(self.late_holdback)
+        self.slot_shares: slot_shares.SlotShares | None = None
+        if policies.Policy.SLOT_SHARES in self.settings.policies:
+            self.slot_shares = slot_shares.SlotShares(shares, self.load_tracker)
+            self.queue_policies.append(self.slot_shares)
+            self.selection_policies.append(self.slot_shares)
+            self.count_sources.append(self.slot_shares)
 
     async def _reload_on_signal(self) -> None:
         with trio.open_signal_receiver(signal.SIGHUP) as signals:
--- a/toucanhold/platform/gauges.py
+++ b/toucanhold/platform/gauges.py
@@ -7,7 +7,7 @@
 from toucanhold import metrics
 
 if typing.TYPE_CHECKING:
-    from toucanhold.gateway import late_holdback
+    from toucanhold.gateway import late_holdback, slot_shares
     from toucanhold.platform import entry as entries
 
 
@@ -38,6 +38,8 @@
 
     if entry.late_holdback is not None:
         _register_late_holdback(entry, entry.late_holdback)
+    if entry.slot_shares is not None:
+        _register_slot_shares(entry, entry.slot_shares)
     entry.metrics.add_counter("toucanhold.store.calls", "{call}", "Calls to the store", store_calls)
     entry.metrics.add_counter(
         "toucanhold.notices.sent", "By", "Datagrams to other entries", notice_bytes
@@ -68,3 +70,19 @@
     entry.metrics.add_counter(
         "toucanhold.requests.held", "{request}", "Late requests held back", held
     )
+
+
+def _register_slot_shares(entry: entries.PlatformEntry, policy: slot_shares.SlotShares) -> None:
+    def share() -> metrics.Observations:
+        for model, value in policy.share_by_model().items():
+            yield value, {"toucanhold.model": model}
+
+    def left() -> metrics.Observations:
+        yield policy.left_count, {}
+
+    entry.metrics.add_gauge(
+        "toucanhold.slots.share", "1", "Share of the free slots that this entry may use", share
+    )
+    entry.metrics.add_counter(
+        "toucanhold.slots.left", "{decision}", "Servers left to other entries", left
+    )
