--- a/toucanhold/gateway/trial_records.py
+++ b/toucanhold/gateway/trial_records.py
@@ -23,8 +23,8 @@
     :ivar accepted_s: time at which the last request that it served was sent
     :ivar refused_s: time of the first of the recent unexplained refusals
     :ivar explained_s: time of the last refusal that the load explains
-    :ivar unreachable_s: time of the last failed connection
-    :ivar disputed_until_s: time until which failed connections are not announced
+    :ivar unreachable_s: time at which it was suspended because no connection could be opened
+    :ivar disputed_until_s: time until which failed connections do not suspend it
     :ivar suspended_key: key under which it is suspended; None if it is not
     """
 
--- a/toucanhold/platform/policy_gauges.py
+++ b/toucanhold/platform/policy_gauges.py
@@ -3,7 +3,14 @@
 from __future__ import annotations
 
 from toucanhold import metrics
-from toucanhold.gateway import expected_wait, fair_shares, late_holdback, server_speed, trials
+from toucanhold.gateway import (
+    expected_wait,
+    fair_shares,
+    late_holdback,
+    server_speed,
+    slot_shares,
+    trials,
+)
 from toucanhold.platform import policy_set
 
 
@@ -15,6 +22,8 @@
         _register_server_speed(target, policies.server_speed)
     if policies.late_holdback is not None:
         _register_late_holdback(target, policies.late_holdback)
+    if policies.slot_shares is not None:
+        _register_slot_shares(target, policies.slot_shares)
     if policies.expected_wait is not None:
         _register_expected_wait(target, policies.expected_wait)
     if policies.fair_shares is not None:
@@ -55,6 +64,20 @@
     target.add_counter("toucanhold.requests.held", "{request}", "Late requests held back", held)
 
 
+def _register_slot_shares(target: metrics.Metrics, policy: slot_shares.SlotShares) -> None:
+    def share() -> metrics.Observations:
+        for model, value in policy.share_by_model().items():
+            yield value, {"toucanhold.model": model}
+
+    def left() -> metrics.Observations:
+        yield policy.left_count, {}
+
+    target.add_gauge(
+        "toucanhold.slots.share", "1", "Share of the free slots that this entry may use", share
+    )
+    target.add_counter("toucanhold.slots.left", "{decision}", "Servers left to other entries", left)
+
+
 def _register_expected_wait(target: metrics.Metrics, policy: expected_wait.ExpectedWait) -> None:
     def refusals() -> metrics.Observations:
         for service, model, count in policy.refusals():
--- a/toucanhold/platform/policy_set.py
+++ b/toucanhold/platform/policy_set.py
@@ -23,6 +23,7 @@
     selection,
     server_speed,
     shared_counts,
+    slot_shares,
     trial_turns,
     trials,
 )
@@ -67,18 +68,23 @@
     server_trials: trials.ServerTrials | None = attrs.field(default=None, init=False)
     server_speed: server_speed.ServerSpeed | None = attrs.field(default=None, init=False)
     late_holdback: late_holdback.LateHoldback | None = attrs.field(default=None, init=False)
+    slot_shares: slot_shares.SlotShares | None = attrs.field(default=None, init=False)
     expected_wait: expected_wait.ExpectedWait | None = attrs.field(default=None, init=False)
     fair_shares: fair_shares.FairShares | None = attrs.field(default=None, init=False)
+    _shares: entry_shares.EntryShares = attrs.field(init=False)
     first_event_times: first_event_times.FirstEventTimes = attrs.field(
         factory=first_event_times.FirstEventTimes, init=False
     )
 
     def __attrs_post_init__(self) -> None:
         """Build the policies; those built first have the most weight in the order of the queue."""
+        known = self.dependencies
+        self._shares = entry_shares.EntryShares(known.entry_list, known.counts)
         builders = {
             policies.Policy.SERVER_TRIALS: self._build_server_trials,
             policies.Policy.SERVER_SPEED: self._build_server_speed,
             policies.Policy.LATE_HOLDBACK: self._build_late_holdback,
+            policies.Policy.SLOT_SHARES: self._build_slot_shares,
             policies.Policy.EXPECTED_WAIT: self._build_expected_wait,
             policies.Policy.FAIR_SHARES: self._build_fair_shares,
         }
@@ -118,13 +124,18 @@
 
     def _build_late_holdback(self) -> None:
         known = self.dependencies
-        shares = entry_shares.EntryShares(known.entry_list, known.counts)
         self.late_holdback = late_holdback.LateHoldback(
-            shares, known.load_tracker, known.find_usable
+            self._shares, known.load_tracker, known.find_usable
         )
         self.queue.append(self.late_holdback)
         self.count_sources.append(self.late_holdback)
 
+    def _build_slot_shares(self) -> None:
+        self.slot_shares = slot_shares.SlotShares(self._shares, self.dependencies.load_tracker)
+        self.queue.append(self.slot_shares)
+        self.selection.append(self.slot_shares)
+        self.count_sources.append(self.slot_shares)
+
     def _build_expected_wait(self) -> None:
         self.expected_wait = expected_wait.ExpectedWait()
         self.queue.append(self.expected_wait)
