Split three long functions

Change: no behaviour. Result: the tests of the gateway, groups, demand and the platform's parsing pass.

--- a/toucanhold/gateway/attempt.py
+++ b/toucanhold/gateway/attempt.py
@@ -138,14 +138,7 @@
     :raises calls.ResponseLostError: if the server may have run the call, but the caller has no
         complete response; the call may be retried on another server if its route allows that
     """
-    forwarded = calls.ForwardedCall(
-        state.call,
-        state.workspace_name,
-        state.deadline_s - trio.current_time(),
-        state.last_event_id,
-        state.route.is_stream,
-        state.urgency,
-    )
+    forwarded = _forwarded_call(state)
     _log_attempt(state, server, forwarded)
     state.record_attempt(server.server_id)
     try:
@@ -168,6 +161,17 @@
         raise
 
 
+def _forwarded_call(state: CallState) -> calls.ForwardedCall:
+    return calls.ForwardedCall(
+        state.call,
+        state.workspace_name,
+        state.deadline_s - trio.current_time(),
+        state.last_event_id,
+        state.route.is_stream,
+        state.urgency,
+    )
+
+
 async def _stream_response(
     state: CallState,
     forwarded: calls.ForwardedCall,
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -236,18 +236,7 @@
         self.load_tracker = load.LoadTracker()
         self.crash_tracker = crashes.CrashTracker()
         self._build_policies()
-        self.exchange = exchange.Exchange(
-            self.entry_list,
-            self.load_tracker,
-            self.rate_limiter,
-            self.draining_table,
-            self.crash_tracker,
-            self._on_silence_report,
-            self.rng,
-            self.policies.count_sources,
-            self.policies.server_trials,
-            self.policies.server_speed,
-        )
+        self._build_exchange()
         self.silence_detector = silence.SilenceDetector(self.health, self._on_silent_server)
         self.cold_budget = budget.ColdBudget(
             bounds.cold_overage, bounds.cold_slack, self.entry_list
@@ -279,6 +268,20 @@
             self.policies.first_event_times,
         )
 
+    def _build_exchange(self) -> None:
+        self.exchange = exchange.Exchange(
+            self.entry_list,
+            self.load_tracker,
+            self.rate_limiter,
+            self.draining_table,
+            self.crash_tracker,
+            self._on_silence_report,
+            self.rng,
+            self.policies.count_sources,
+            self.policies.server_trials,
+            self.policies.server_speed,
+        )
+
     def _build_policies(self) -> None:
         self.policies = policy_set.PolicySet(
             self.settings.policies,
--- a/toucanhold/replicas/planner.py
+++ b/toucanhold/replicas/planner.py
@@ -270,11 +270,6 @@
                 groups.append(
                     conversion.ServingGroup(group.name, group.record.model, head.domain, members)
                 )
-        loading = collections.Counter(
-            server.domain
-            for server in self.server_registry.of_service(service.name)
-            if preloading.is_loading(server)
-        )
         usable_servers = [each for each in self._usable_servers(service) if each.zone not in closed]
         return composition.ServiceSnapshot(
             service.engine,
@@ -284,7 +279,7 @@
             zone_counts,
             domain_counts,
             ending,
-            loading,
+            self._loading_counts(service),
             closed,
             groups,
             ending_members,
@@ -293,6 +288,13 @@
             service.name in self._follows_demand,
         )
 
+    def _loading_counts(self, service: table.Service) -> collections.Counter[str]:
+        return collections.Counter(
+            server.domain
+            for server in self.server_registry.of_service(service.name)
+            if preloading.is_loading(server)
+        )
+
     def _slots_in_use(self, service: table.Service) -> dict[str, float]:
         if self.load is None:
             return {}
