--- a/toucanhold/gateway/late_holdback.py
+++ b/toucanhold/gateway/late_holdback.py
@@ -129,7 +129,8 @@
         """See :class:`shared_counts.CountSource`."""
         counts = {}
         for state in self._states.values():
-            self._refresh(state, trio.current_time())
+            if not state.is_need_known:
+                self._refresh(state, trio.current_time())
             counts[ARRIVALS_PREFIX + state.name] = _to_count(state.arrivals.per_s())
             counts[NEED_PREFIX + state.name] = _to_count(state.need())
             counts[ON_TIME_PREFIX + state.name] = state.on_time_in_flight()
--- a/toucanhold/gateway/slot_needs.py
+++ b/toucanhold/gateway/slot_needs.py
@@ -132,14 +132,18 @@
         age_s = trio.current_time() - self.started_sum_s / count if count else 0.0
         return max(self.hold_s if self.hold_count else LEARNING_TIME_S, age_s)
 
+    @property
+    def is_need_known(self) -> bool:
+        """Whether arrivals and the time that slots are held have been observed for long enough."""
+        return self.has_arrival_rates and self.hold_count >= MIN_HOLDS
+
     def need(self, priority: float = math.inf) -> float:
         """Return the slots that on-time requests at least as urgent as a priority need."""
         rate_per_s = sum(
             rate.per_s() for each, rate in self.on_time_arrivals.items() if each <= priority
         )
         need = rate_per_s * self.expected_hold_s()
-        is_hold_known = self.hold_count >= MIN_HOLDS or rate_per_s < MIN_RATE_PER_S
-        if self.has_arrival_rates and is_hold_known:
+        if self.is_need_known or (self.has_arrival_rates and rate_per_s < MIN_RATE_PER_S):
             return need
         return max(UNKNOWN_RESERVE_FRACTION * self.share_slots, need)
 
--- a/toucanhold/gateway/targets.py
+++ b/toucanhold/gateway/targets.py
@@ -260,10 +260,10 @@
 
     def _has_capacity(self, service: table.Service, server: servers.Server) -> bool:
         slots = selection.slot_count(service, server)
-        limit = min(
-            (policy.slot_limit(service, server, slots) for policy in self.policies), default=slots
-        )
-        if self.load_tracker.estimate(server.server_id) >= limit:
+        in_flight = self.load_tracker.estimate(server.server_id)
+        if in_flight >= slots or any(
+            in_flight >= policy.slot_limit(service, server, slots) for policy in self.policies
+        ):
             return False
         if not all(policy.is_usable(service, server) for policy in self.policies):
             return False
