--- a/toucanhold/gateway/trials.py
+++ b/toucanhold/gateway/trials.py
@@ -81,7 +81,7 @@
 
     def is_suspended(self, server: servers.Server) -> bool:
         """See :class:`selection.SelectionPolicy`."""
-        self._forgive_newer(server)
+        self._stop_avoiding_newer(server)
         return self._table.find(server) is not None
 
     def due_trials(
@@ -278,7 +278,7 @@
                 reported_by=known.reported_by or None,
             )
 
-    def _forgive_newer(self, server: servers.Server) -> None:
+    def _stop_avoiding_newer(self, server: servers.Server) -> None:
         """Stop avoiding a server that was suspended as an earlier process or with another group."""
         record = self._records.find(server.server_id)
         if record is None or record.suspended_key is None:
