Forget servers that are gone in slot-shares, and clarify comments on demand

Cause: slot-shares kept a state for each server that it ever saw. Change: the registry's changes remove it.

--- a/toucanhold/gateway/slot_shares.py
+++ b/toucanhold/gateway/slot_shares.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import collections
+import collections.abc
 import logging
 import math
 
@@ -170,6 +171,14 @@
             counts[IN_FLIGHT_PREFIX + name] = state.in_flight
         return {key: count for key, count in counts.items() if count}
 
+    def retain(self, is_known: collections.abc.Callable[[str], bool]) -> None:
+        """Forget servers that are gone.
+
+        :param is_known: returns whether a server ID is known
+        """
+        for server_id in [each for each in self._servers if not is_known(each)]:
+            del self._servers[server_id]
+
     def share(self, name: str) -> float:
         """Return this entry's share of the free slots of a service and model, from 0 to 1.
 
--- a/toucanhold/platform/policy_set.py
+++ b/toucanhold/platform/policy_set.py
@@ -109,6 +109,9 @@
         for policy in (self.server_trials, self.server_speed):
             if policy is not None:
                 policy.retain(is_known)
+        if self.slot_shares is not None:
+            known = self.dependencies.server_registry
+            self.slot_shares.retain(lambda name: name in known.servers or name in known.lapsed)
 
     def _build_server_trials(self) -> None:
         from toucanhold.gateway import trial_turns, trials
--- a/toucanhold/replicas/demand.py
+++ b/toucanhold/replicas/demand.py
@@ -14,9 +14,10 @@
 
 from toucanhold.routes import table
 
-FIRST_WEIGHT = 0.01
-# Changing a group's model takes up to 16 s, so waves of demand shorter than this are ignored.
+# Changing a group's model takes up to 16 s, so waves of demand of a few seconds are smoothed out.
 SMOOTHING_S = 5.0
+# Weight of the first observation, before which nothing was observed.
+FIRST_WEIGHT = 0.01
 # A new planner observes for this long before it departs from the configured shares.
 MIN_OBSERVATION_S = 3.0
 # Demand is uneven if, with the configured shares, one model's groups would be this many times as
@@ -58,7 +59,6 @@
         """
         now_s = trio.current_time()
         decay = math.exp((self._updated_s - now_s) / SMOOTHING_S)
-        # The first observation has little weight: others of the same load soon outweigh it.
         gain = max(1 - decay, FIRST_WEIGHT)
         self._weight = decay * self._weight + gain
         self._updated_s = now_s
