Record whether an entry reaches backend servers at all

Callers of entries without links to the servers got "no backend server has room in time", as in an overload, and no line or metric told the two apart.

The client of the servers now connects through a dialer, which records each outcome. Several servers that fail with no success in between log SERVER_LINKS_LOST, the next success SERVER_LINKS_BACK; the metrics are toucanhold_server_links_cut and toucanhold_servers_unreached.

--- a/toucanhold/events.py
+++ b/toucanhold/events.py
@@ -64,6 +64,8 @@
     SERVER_SLOW = (6017, logging.INFO, "a backend server takes longer than others of its kind")
     SERVER_NO_LONGER_SLOW = (6018, logging.INFO, "a slow backend server is as fast as others again")
     SLOW_SERVER_LIMITED = (6019, logging.WARNING, "a backend server is too slow for its requests")
+    SERVER_LINKS_LOST = (6020, logging.WARNING, "this entry connects to no backend server")
+    SERVER_LINKS_BACK = (6021, logging.INFO, "this entry connects to backend servers again")
     GROUP_UNREADABLE = (3014, logging.ERROR, "a stored group could not be read")
     GROUP_ENDING = (3015, logging.INFO, "a group gets no new work and is being dissolved")
     GROUP_REMOVED = (3016, logging.INFO, "a group was removed; its servers are free again")
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -49,6 +49,7 @@
 from toucanhold.relay import following, publishing
 from toucanhold.replicas import plan, planner, records
 from toucanhold.routes import table
+from toucanhold.tunnels import dialing, links
 
 # Servers that change together do so within this time; each return of a watch is a paid call.
 BATCH_DELAY_S = 0.15
@@ -100,7 +101,9 @@
         observer = signals.ObserverGroup(
             (self.rate_limiter, self.backoff_table, self.draining_table)
         )
-        self.server_client = servers.PlatformServerClient(observer)
+        self.server_links = links.ServerLinks()
+        dialer = dialing.DirectDialer(self.server_links)
+        self.server_client = servers.PlatformServerClient(observer, dialer)
         self._build_relay()
         self._build_planner()
         self._build_gateway()
@@ -170,6 +173,11 @@
         self.rate_limiter.retain(is_known)
         self.draining_table.retain(is_known)
         self.policies.retain(is_known)
+        self.server_links.retain(self._is_server_known)
+
+    def _is_server_known(self, server_id: str) -> bool:
+        registry = self.server_registry
+        return server_id in registry.servers or server_id in registry.lapsed
 
     def _own_entry(self) -> entries.Entry:
         entry_settings = self.settings
--- a/toucanhold/platform/gauges.py
+++ b/toucanhold/platform/gauges.py
@@ -48,11 +48,33 @@
     entry.metrics.add_gauge(
         "toucanhold.servers.limited", "{server}", "Servers that name a limit", limited_servers
     )
+    _register_server_links(entry)
     _register_crashes(entry)
     _register_group_load(entry)
     policy_gauges.register(entry.metrics, entry.policies)
 
 
+def _register_server_links(entry: entries.PlatformEntry) -> None:
+    def failing_servers() -> metrics.Observations:
+        yield entry.server_links.failing_count(), {}
+
+    def cut_links() -> metrics.Observations:
+        yield int(entry.server_links.are_cut), {}
+
+    entry.metrics.add_gauge(
+        "toucanhold.servers.unreached",
+        "{server}",
+        "Servers to which the last connection of this entry failed",
+        failing_servers,
+    )
+    entry.metrics.add_gauge(
+        "toucanhold.server_links.cut",
+        "1",
+        "Whether this entry connects to no backend server",
+        cut_links,
+    )
+
+
 def _register_crashes(entry: entries.PlatformEntry) -> None:
     def blocked_requests() -> metrics.Observations:
         yield entry.crash_tracker.blocked_count(), {}
--- a/toucanhold/platform/servers.py
+++ b/toucanhold/platform/servers.py
@@ -11,13 +11,12 @@
 import httpcore
 import trio
 
-from toucanhold import connection_errors
-from toucanhold.backends import pacing
 from toucanhold.gateway import calls
 from toucanhold.platform import headers, registrations
 from toucanhold.platform import signals as platform_signals
 from toucanhold.registry import servers, signals
 from toucanhold.replicas import orders
+from toucanhold.tunnels import dialing
 
 # A connection between zones takes some milliseconds. A lost first packet is retransmitted only
 # after about a second, by which time another server has answered.
@@ -36,7 +35,6 @@
 
 LOGGER = logging.getLogger(__name__)
 
-CONNECT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout)
 TRANSFER_ERRORS = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
 
 
@@ -49,9 +47,11 @@
     millisecond and a hundredth of the price of a request.
 
     :ivar observer: notified of orders and probes, and of the signals in all answers
+    :ivar dialer: opens the connections
     """
 
     observer: signals.ServerObserver
+    dialer: dialing.ServerDialer = attrs.field(factory=dialing.DirectDialer)
     _signal_decoder: platform_signals.SignalDecoder = attrs.field(
         factory=platform_signals.SignalDecoder, init=False
     )
@@ -61,7 +61,7 @@
         self, server: servers.Server, forwarded: calls.ForwardedCall
     ) -> collections.abc.AsyncIterator[calls.Response]:
         """See :class:`calls.ServerClient`."""
-        connection = await _connect(server.address, min(CONNECT_TIMEOUT_S, forwarded.remaining_s))
+        connection = await self._connect(server, min(CONNECT_TIMEOUT_S, forwarded.remaining_s))
         try:
             sent_s = trio.current_time()
             with _translated_errors(server):
@@ -134,7 +134,7 @@
         if body:
             request_headers.append((b"content-type", b"application/json"))
         self.observer.record_control_call(server)
-        connection = await _connect(server.address, CONTROL_TIMEOUT_S)
+        connection = await self._connect(server, CONTROL_TIMEOUT_S)
         content = bytearray()
         sent_s = trio.current_time()
         try:
@@ -163,6 +163,17 @@
             with trio.CancelScope(shield=True):
                 await connection.aclose()
 
+    async def _connect(
+        self, server: servers.Server, timeout_s: float
+    ) -> httpcore.AsyncHTTP11Connection:
+        host, _, port = server.address.rpartition(":")
+        origin = httpcore.Origin(b"http", host.encode(), int(port))
+        try:
+            connection = await self.dialer.connect(server, timeout_s)
+        except dialing.DialError as error:
+            raise calls.NotRunError(str(error), error.is_gone, was_sent=False) from error
+        return httpcore.AsyncHTTP11Connection(origin, connection.stream)
+
     def _observe_signals(
         self, server: servers.Server, response: httpcore.Response, sent_s: float
     ) -> None:
@@ -174,24 +185,6 @@
             self.observer.observe(server, observed, sent_s)
 
 
-async def _connect(address: str, timeout_s: float) -> httpcore.AsyncHTTP11Connection:
-    host, _, port = address.rpartition(":")
-    origin = httpcore.Origin(b"http", host.encode(), int(port))
-    try:
-        stream = await pacing.connect(host, int(port), timeout_s, _no_pause)
-    except CONNECT_ERRORS as error:
-        is_gone = connection_errors.is_connection_refused(error) or isinstance(
-            error, httpcore.ConnectTimeout
-        )
-        detail = f"{address}: cannot connect: {error!r}"
-        raise calls.NotRunError(detail, is_gone, was_sent=False) from error
-    return httpcore.AsyncHTTP11Connection(origin, stream)
-
-
-def _no_pause() -> float:
-    return 0.0
-
-
 def _url(address: str, target: bytes) -> httpcore.URL:
     host, _, port = address.rpartition(":")
     return httpcore.URL(scheme=b"http", host=host.encode(), port=int(port), target=target)
--- /dev/null
+++ b/toucanhold/tunnels/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to backend servers, directly or through another entry."""
