Connect to backend servers through other entries when the own links are cut

Callers of entries that lost their links to all backend servers were refused: 3 of 92 first tries served, those of other entries 352 of 353.

Cause: an entry had no way to a server but its own links. It took each failed connection for that server's failure, tried the next ones for 0.3 s each, and refused the request when the time was over, while other entries reached all servers.

Change: connections are opened by tunnels/dialing.py. It connects directly, and after 0.1 s, or at once where that fails, also through another entry; the first open connection is used. Requests, probes and orders to engines use it alike. A request is still sent once, on an open connection, so it may run no more often than before. Frames of a tunnel end with a sign of how the server's connection ended, so a lost tunnel neither completes an answer nor counts as a crash.

--- a/tests/platform/entry_links.py
+++ b/tests/platform/entry_links.py
@@ -247,4 +247,6 @@
         with unittest.mock.patch.object(pacing, "connect", site.links.connect):
             await site.start(names, server_count)
             yield site
+            for entry_application in site.entries.values():
+                await entry_application.clean_up()
             nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_tunnels.py
@@ -0,0 +1,171 @@
+"""Tests of connections to backend servers through another entry."""
+
+import contextlib
+import random
+import socket
+import struct
+import types
+import unittest
+
+import attrs
+import httpcore
+import trio
+
+from standins import gateways
+from tests.platform import standins
+from toucanhold.gateway import entries
+from toucanhold.peers import transport
+from toucanhold.tunnels import dialing, relays, serving, streams
+
+TIMEOUT_S = 10.0
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+REQUEST = b"x" * (3 * streams.CHUNK_BYTES)
+ANSWER = b"y" * (2 * streams.CHUNK_BYTES + 1)
+
+
+@attrs.define(eq=False)
+class CutDialer(dialing.DirectDialer):
+    """Dialer of an entry that has lost its links to the servers."""
+
+    async def connect(self, server, timeout_s):
+        await trio.sleep(timeout_s)
+        self.own_links.record_failed(server.server_id)
+        raise dialing.DialError("cut", True)
+
+
+@attrs.define(eq=False)
+class Server:
+    """Server that answers once it has read ``REQUEST``, then closes or resets its connection."""
+
+    ending: str = "close"
+    received: bytearray = attrs.field(factory=bytearray)
+    has_been_left: trio.Event = attrs.field(factory=trio.Event)
+
+    async def serve(self, stream):
+        while len(self.received) < len(REQUEST):
+            self.received += await stream.receive_some()
+        if self.ending == "wait":
+            await stream.receive_some()
+            self.has_been_left.set()
+            return
+        await stream.send_all(ANSWER)
+        if self.ending == "reset":
+            # Let the answer arrive first.
+            await trio.sleep(0.1)
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        stream.socket.close()
+
+
+@attrs.define(eq=False)
+class Scene:
+    """A server, and an entry without links to it that reaches it through another entry."""
+
+    backend: Server
+    server: object
+    dialer: dialing.RelayingDialer
+    tunnel_server: serving.TunnelServer
+    relay_scope: trio.CancelScope
+
+    async def exchange(self):
+        """Send ``REQUEST`` and return the answer."""
+        connection = await self.dialer.connect(self.server, 1.0)
+        await connection.stream.write(REQUEST)
+        answer = bytearray()
+        try:
+            while data := await connection.stream.read(1000):
+                answer += data
+        finally:
+            await connection.stream.aclose()
+        return bytes(answer)
+
+
+@contextlib.asynccontextmanager
+async def running(ending="close", is_registered=True):
+    backend = Server(ending)
+    async with trio.open_nursery() as nursery:
+        address = standins.free_address()
+        peers = transport.TcpTransport()
+        server = attrs.evolve(gateways.new_servers(1)["b0"], address=address)
+        await nursery.start(peers.listen, address, backend.serve)
+        known = {server.incarnation: server} if is_registered else {}
+        server_registry = types.SimpleNamespace(find=known.get)
+        tunnel_address = standins.free_address()
+        tunnel_server = serving.TunnelServer(
+            tunnel_address, peers, server_registry, dialing.DirectDialer()
+        )
+        relay_scope = trio.CancelScope()
+
+        async def run_relay(*, task_status):
+            with relay_scope:
+                await tunnel_server.run(task_status=task_status)
+
+        await nursery.start(run_relay)
+        relay = entries.Entry("relay", "z", "r", "", "", "b1", 1.0, tunnel_address)
+        entry_list = types.SimpleNamespace(others=lambda: [relay])
+        relay_table = relays.RelayTable(entry_list, random.Random(1))
+        dialer = dialing.RelayingDialer(CutDialer(), relay_table, peers)
+        yield Scene(backend, server, dialer, tunnel_server, relay_scope)
+        nursery.cancel_scope.cancel()
+
+
+class TunnelTest(unittest.TestCase):
+    def _run(self, test, **fields):
+        async def main():
+            with trio.fail_after(TIMEOUT_S):
+                async with running(**fields) as scene:
+                    await test(scene)
+
+        trio.run(main)
+
+    def test_answers_without_a_length_arrive_whole(self):
+        async def test(scene):
+            self.assertEqual(ANSWER, await scene.exchange())
+            self.assertEqual(REQUEST, bytes(scene.backend.received))
+            self.assertEqual({"relay": 1}, scene.dialer.relay_counts)
+            await scene.tunnel_server.wait_idle()
+
+        self._run(test)
+
+    def test_reset_answers_are_not_complete(self):
+        """Guards against a tunnel that turns a server's reset into the end of its answer."""
+
+        async def test(scene):
+            with self.assertRaises(httpcore.ReadError):
+                await scene.exchange()
+
+        self._run(test, ending="reset")
+
+    def test_answers_of_lost_tunnels_are_not_complete(self):
+        """Guards against a stopped entry that ends or blames on the server what it passed on."""
+
+        async def test(scene):
+            connection = await scene.dialer.connect(scene.server, 1.0)
+            await connection.stream.write(REQUEST)
+            scene.relay_scope.cancel()
+            with self.assertRaises(streams.TunnelLostError):
+                await connection.stream.read(1000)
+            await connection.stream.aclose()
+
+        self._run(test, ending="wait")
+
+    def test_the_server_learns_that_a_caller_has_left(self):
+        """Guards against servers that work on requests whose callers have left."""
+
+        async def test(scene):
+            connection = await scene.dialer.connect(scene.server, 1.0)
+            await connection.stream.write(REQUEST)
+            await connection.stream.aclose()
+            await scene.backend.has_been_left.wait()
+            await scene.tunnel_server.wait_idle()
+
+        self._run(test, ending="wait")
+
+    def test_only_registered_servers_are_connected(self):
+        """Guards against entries that connect others to any address."""
+
+        async def test(scene):
+            with self.assertRaisesRegex(dialing.DialError, "no server b0 is registered"):
+                await scene.dialer.connect(scene.server, 0.3)
+            self.assertEqual(b"", bytes(scene.backend.received))
+
+        self._run(test, is_registered=False)
--- a/toucanhold/gateway/entries.py
+++ b/toucanhold/gateway/entries.py
@@ -32,6 +32,7 @@
     :ivar exchange_address: ``host:port`` for datagrams and streams from other entries
     :ivar boot: unique ID of the process, which distinguishes restarts
     :ivar cores: processor capacity in reference cores
+    :ivar tunnel_address: ``host:port`` for tunnels to backend servers; empty in earlier versions
     """
 
     entry: str
@@ -41,6 +42,7 @@
     exchange_address: str
     boot: str
     cores: float = 1.0
+    tunnel_address: str = ""
 
 
 @attrs.define(eq=False)
--- a/toucanhold/tunnels/links.py
+++ b/toucanhold/gateway/server_links.py
@@ -28,6 +28,7 @@
     """Outcomes of this entry's own connections to backend servers."""
 
     _failing: dict[str, float] = attrs.field(factory=dict, init=False)
+    _relayed: set[str] = attrs.field(factory=set, init=False)
     _failed_since_success: set[str] = attrs.field(factory=set, init=False)
     _last_failure_s: float = attrs.field(default=float("-inf"), init=False)
     _cut_since_s: float | None = attrs.field(default=None, init=False)
@@ -54,6 +55,7 @@
         """Record that a connection to a server was opened."""
         self.record_sign(server_id)
         self._failing.pop(server_id, None)
+        self._relayed.discard(server_id)
         self._failed_since_success.clear()
         if self._cut_since_s is not None:
             events.log(
@@ -78,6 +80,16 @@
                 last_sign_s=round(trio.current_time() - self._newest_sign[1], 3),
             )
 
+    def record_relayed(self, server_id: str) -> bool:
+        """Record that another entry connected to a server after this one had failed.
+
+        :return: whether this is the first time since this entry last connected itself
+        """
+        is_first = server_id not in self._relayed
+        self._failing.setdefault(server_id, trio.current_time())
+        self._relayed.add(server_id)
+        return is_first
+
     def record_sign(self, server_id: str) -> None:
         """Record that a server has sent something over this entry's own links."""
         if self._newest_sign[0] != server_id:
@@ -100,3 +112,4 @@
         :param is_known: returns whether a server ID is registered
         """
         self._failing = {name: at_s for name, at_s in self._failing.items() if is_known(name)}
+        self._relayed = set(filter(is_known, self._relayed))
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -29,6 +29,7 @@
     outcomes,
     policies,
     rate_limiter,
+    server_links,
     sharing,
     silence,
     targets,
@@ -49,7 +50,8 @@
 from toucanhold.relay import following, publishing
 from toucanhold.replicas import plan, planner, records
 from toucanhold.routes import table
-from toucanhold.tunnels import dialing, links
+from toucanhold.tunnels import dialing, relays
+from toucanhold.tunnels import serving as tunnel_serving
 
 # Servers that change together do so within this time; each return of a watch is a paid call.
 BATCH_DELAY_S = 0.15
@@ -101,10 +103,11 @@
         observer = signals.ObserverGroup(
             (self.rate_limiter, self.backoff_table, self.draining_table)
         )
-        self.server_links = links.ServerLinks()
-        dialer = dialing.DirectDialer(self.server_links)
-        self.server_client = servers.PlatformServerClient(observer, dialer)
-        self._build_relay()
+        self.server_links = server_links.ServerLinks()
+        peers = transport.TcpTransport()
+        self._build_tunnels(peers)
+        self.server_client = servers.PlatformServerClient(observer, self.dialer, self.server_links)
+        self._build_relay(peers)
         self._build_planner()
         self._build_gateway()
         gauges.register(self)
@@ -113,6 +116,7 @@
         """See :class:`application.Application`."""
         entry_settings = self.settings
         await nursery.start(self.publisher.run)
+        await nursery.start(self.tunnel_server.run)
         for run in (
             self.follower.run,
             self.server_registry.run,
@@ -155,6 +159,7 @@
             nursery.start_soon(trio.sleep, CALLER_DRAIN_S)
         self._stop_http_servers.set()
         await self._all_http_servers_stopped.wait()
+        await self.tunnel_server.wait_idle()
 
     async def clean_up(self) -> None:
         """See :class:`application.Application`."""
@@ -189,10 +194,18 @@
             entry_settings.exchange_address,
             uuid.uuid4().hex[:12],
             entry_settings.cores,
+            entry_settings.tunnel_address,
         )
 
-    def _build_relay(self) -> None:
-        peers = transport.TcpTransport()
+    def _build_tunnels(self, peers: transport.PeerTransport) -> None:
+        direct = dialing.DirectDialer(self.server_links)
+        relay_table = relays.RelayTable(self.entry_list, self.rng)
+        self.dialer = dialing.RelayingDialer(direct, relay_table, peers)
+        self.tunnel_server = tunnel_serving.TunnelServer(
+            self.settings.tunnel_address, peers, self.server_registry, direct
+        )
+
+    def _build_relay(self, peers: transport.PeerTransport) -> None:
         watch = watching.ServiceWatch(self.store, self.kv_mirror, self._batch_delay_s, self.rng)
         self.hierarchy = hierarchy.Hierarchy(self.entry_list, self._planner_name)
         self.publisher = publishing.Publisher(
--- a/toucanhold/platform/gauges.py
+++ b/toucanhold/platform/gauges.py
@@ -61,6 +61,22 @@
     def cut_links() -> metrics.Observations:
         yield int(entry.server_links.are_cut), {}
 
+    def connections_relayed() -> metrics.Observations:
+        for relay, count in entry.dialer.relay_counts.items():
+            yield count, {"toucanhold.entry": relay}
+
+    def open_tunnels() -> metrics.Observations:
+        yield entry.tunnel_server.open_count, {}
+
+    entry.metrics.add_counter(
+        "toucanhold.connections.relayed",
+        "{connection}",
+        "Connections to servers through another entry",
+        connections_relayed,
+    )
+    entry.metrics.add_gauge(
+        "toucanhold.tunnels.open", "{tunnel}", "Tunnels of other entries through this", open_tunnels
+    )
     entry.metrics.add_gauge(
         "toucanhold.servers.unreached",
         "{server}",
--- a/toucanhold/platform/servers.py
+++ b/toucanhold/platform/servers.py
@@ -11,12 +11,12 @@
 import httpcore
 import trio
 
-from toucanhold.gateway import calls
+from toucanhold.gateway import calls, server_links
 from toucanhold.platform import headers, registrations
 from toucanhold.platform import signals as platform_signals
 from toucanhold.registry import servers, signals
 from toucanhold.replicas import orders
-from toucanhold.tunnels import dialing
+from toucanhold.tunnels import dialing, streams
 
 # A connection between zones takes some milliseconds. A lost first packet is retransmitted only
 # after about a second, by which time another server has answered.
@@ -48,10 +48,12 @@
 
     :ivar observer: notified of orders and probes, and of the signals in all answers
     :ivar dialer: opens the connections
+    :ivar own_links: told when a server answers without another entry between
     """
 
     observer: signals.ServerObserver
     dialer: dialing.ServerDialer = attrs.field(factory=dialing.DirectDialer)
+    own_links: server_links.ServerLinks = attrs.field(factory=server_links.ServerLinks)
     _signal_decoder: platform_signals.SignalDecoder = attrs.field(
         factory=platform_signals.SignalDecoder, init=False
     )
@@ -61,19 +63,23 @@
         self, server: servers.Server, forwarded: calls.ForwardedCall
     ) -> collections.abc.AsyncIterator[calls.Response]:
         """See :class:`calls.ServerClient`."""
-        connection = await self._connect(server, min(CONNECT_TIMEOUT_S, forwarded.remaining_s))
+        started_s = trio.current_time()
+        opened = await self._connect(server, min(CONNECT_TIMEOUT_S, forwarded.remaining_s))
+        connection = _http_connection(server, opened)
         try:
             sent_s = trio.current_time()
+            remaining_s = forwarded.remaining_s - (sent_s - started_s)
             with _translated_errors(server):
-                request = _request(server, forwarded)
+                request = _request(server, attrs.evolve(forwarded, remaining_s=remaining_s))
                 response = await connection.handle_async_request(request)
+            self._record_sign(server, opened)
             self._observe_signals(server, response, sent_s)
             _check_refusal(server, response)
             _check_identity(forwarded.call, response)
             yield calls.Response(
                 response.status,
                 headers.end_to_end(response.headers),
-                _chunks(server, response),
+                self._chunks(server, opened, response),
             )
         finally:
             with trio.CancelScope(shield=True):
@@ -134,7 +140,8 @@
         if body:
             request_headers.append((b"content-type", b"application/json"))
         self.observer.record_control_call(server)
-        connection = await self._connect(server, CONTROL_TIMEOUT_S)
+        opened = await self._connect(server, CONTROL_TIMEOUT_S)
+        connection = _http_connection(server, opened)
         content = bytearray()
         sent_s = trio.current_time()
         try:
@@ -163,16 +170,23 @@
             with trio.CancelScope(shield=True):
                 await connection.aclose()
 
-    async def _connect(
-        self, server: servers.Server, timeout_s: float
-    ) -> httpcore.AsyncHTTP11Connection:
-        host, _, port = server.address.rpartition(":")
-        origin = httpcore.Origin(b"http", host.encode(), int(port))
+    async def _connect(self, server: servers.Server, timeout_s: float) -> dialing.Connection:
         try:
-            connection = await self.dialer.connect(server, timeout_s)
+            return await self.dialer.connect(server, timeout_s)
         except dialing.DialError as error:
             raise calls.NotRunError(str(error), error.is_gone, was_sent=False) from error
-        return httpcore.AsyncHTTP11Connection(origin, connection.stream)
+
+    async def _chunks(
+        self, server: servers.Server, opened: dialing.Connection, response: httpcore.Response
+    ) -> collections.abc.AsyncIterator[bytes]:
+        with _translated_errors(server):
+            async for chunk in response.aiter_stream():
+                self._record_sign(server, opened)
+                yield chunk
+
+    def _record_sign(self, server: servers.Server, opened: dialing.Connection) -> None:
+        if not opened.relay:
+            self.own_links.record_sign(server.server_id)
 
     def _observe_signals(
         self, server: servers.Server, response: httpcore.Response, sent_s: float
@@ -185,6 +199,14 @@
             self.observer.observe(server, observed, sent_s)
 
 
+def _http_connection(
+    server: servers.Server, opened: dialing.Connection
+) -> httpcore.AsyncHTTP11Connection:
+    host, _, port = server.address.rpartition(":")
+    origin = httpcore.Origin(b"http", host.encode(), int(port))
+    return httpcore.AsyncHTTP11Connection(origin, opened.stream)
+
+
 def _url(address: str, target: bytes) -> httpcore.URL:
     host, _, port = address.rpartition(":")
     return httpcore.URL(scheme=b"http", host=host.encode(), port=int(port), target=target)
@@ -239,21 +261,14 @@
             raise calls.ResponseLostError("response has a content encoding that was not requested")
 
 
-async def _chunks(
-    server: servers.Server, response: httpcore.Response
-) -> collections.abc.AsyncIterator[bytes]:
-    with _translated_errors(server):
-        async for chunk in response.aiter_stream():
-            yield chunk
-
-
 @contextlib.contextmanager
 def _translated_errors(server: servers.Server) -> collections.abc.Iterator[None]:
     try:
         yield
     except TRANSFER_ERRORS as error:
         detail = f"{server.server_id}: connection lost: {error!r}"
-        raise calls.ResponseLostError(detail, is_connection_lost=True) from error
+        is_server_lost = not isinstance(error, streams.TunnelLostError)
+        raise calls.ResponseLostError(detail, is_connection_lost=is_server_lost) from error
 
 
 def _order_body(order: orders.Order) -> dict:
--- a/toucanhold/platform/settings.py
+++ b/toucanhold/platform/settings.py
@@ -53,6 +53,7 @@
     :ivar readiness_address: ``IP:port`` of the readiness check
     :ivar directory_address: ``IP:port`` of the directory
     :ivar exchange_address: ``IP:port`` that other entries send to, on the first internal port
+    :ivar tunnel_address: ``IP:port`` for tunnels of other entries, on the second internal port
     :ivar store_address: ``IP:port`` of the platform's store
     :ivar min_lease_s: shortest lease that the store grants
     :ivar cores: this process's share of the processor, in cores of standard speed
@@ -66,6 +67,7 @@
     readiness_address: str
     directory_address: str
     exchange_address: str
+    tunnel_address: str
     store_address: str
     min_lease_s: float
     cores: float
@@ -149,6 +151,7 @@
         readiness_address=reader.text("listen.ready"),
         directory_address=reader.text("listen.directory"),
         exchange_address=f"{reader.text('ip')}:{reader.first_port('internal_ports')}",
+        tunnel_address=f"{reader.text('ip')}:{reader.first_port('internal_ports') + 1}",
         store_address=reader.text("platform.address"),
         min_lease_s=reader.number("platform.ttl_min_ms", 1.0, 0.001),
         # In the file, "cores" is the speed of the one core of which this process has a share,
--- a/toucanhold/tunnels/dialing.py
+++ b/toucanhold/tunnels/dialing.py
@@ -1,16 +1,33 @@
-"""Opens connections to backend servers."""
+"""Opens connections to backend servers, directly or through another entry."""
 
 from __future__ import annotations
 
 import abc
+import collections
+import logging
 
 import attrs
 import httpcore
+import trio
 
-from toucanhold import connection_errors
+from toucanhold import connection_errors, events
 from toucanhold.backends import pacing
+from toucanhold.gateway import entries, server_links
+from toucanhold.peers import frames, transport
 from toucanhold.registry import servers
-from toucanhold.tunnels import links
+from toucanhold.tunnels import messages, relays, streams
+
+# Servers accept connections within milliseconds. After this time, another entry is asked.
+HEAD_START_S = 0.1
+# Time for another entry to connect, which it does over its own links only.
+RELAY_TIMEOUT_S = 0.1
+# Part of that time in which its answer arrives.
+RELAY_ANSWER_S = 0.02
+MESSAGE_LIMIT_BYTES = 1024
+
+STREAM_ERRORS = (httpcore.NetworkError, httpcore.TimeoutException)
+
+LOGGER = logging.getLogger(__name__)
 
 
 class DialError(Exception):
@@ -28,15 +45,15 @@
 class Connection:
     """An open connection to a backend server.
 
-    :ivar is_direct: whether no other entry passes the bytes on
+    :ivar relay: name of the entry that passes the bytes on; empty for a direct connection
     """
 
     stream: httpcore.AsyncNetworkStream
-    is_direct: bool = True
+    relay: str = ""
 
 
 class ServerDialer(abc.ABC):
-    """Opens connections to backend servers."""
+    """Opens connections to backend servers, directly or through another entry."""
 
     @abc.abstractmethod
     async def connect(self, server: servers.Server, timeout_s: float) -> Connection:
@@ -50,10 +67,10 @@
 class DirectDialer(ServerDialer):
     """Connects over this entry's own links.
 
-    :ivar server_links: told of each outcome
+    :ivar own_links: told of each outcome
     """
 
-    server_links: links.ServerLinks = attrs.field(factory=links.ServerLinks)
+    own_links: server_links.ServerLinks = attrs.field(factory=server_links.ServerLinks)
 
     async def connect(self, server: servers.Server, timeout_s: float) -> Connection:
         """See :class:`ServerDialer`."""
@@ -61,15 +78,153 @@
         try:
             stream = await pacing.connect(host, int(port), timeout_s, _no_pause)
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
-            self.server_links.record_failed(server.server_id)
+            self.own_links.record_failed(server.server_id)
             is_gone = connection_errors.is_connection_refused(error) or isinstance(
                 error, httpcore.ConnectTimeout
             )
             detail = f"{server.address}: cannot connect: {error!r}"
             raise DialError(detail, is_gone) from error
-        self.server_links.record_opened(server.server_id)
+        self.own_links.record_opened(server.server_id)
         return Connection(stream)
 
 
+@attrs.define(eq=False)
+class _Race:
+    """Attempts at one connection, of which the first to succeed counts.
+
+    :ivar started_s: trio clock time
+    :ivar is_confirmed_gone: whether an entry that reaches other servers could not connect either
+    """
+
+    server: servers.Server
+    deadline_s: float
+    started_s: float = attrs.field(factory=trio.current_time)
+    winner: Connection | None = None
+    is_confirmed_gone: bool = False
+    errors: list[str] = attrs.field(factory=list)
+
+    @property
+    def remaining_s(self) -> float:
+        return self.deadline_s - trio.current_time()
+
+    async def finish(self, connection: Connection, scope: trio.CancelScope) -> None:
+        """Make a connection the winner and cancel ``scope``; close it if there is one already."""
+        if self.winner is None:
+            self.winner = connection
+            scope.cancel()
+        else:
+            with trio.CancelScope(shield=True):
+                await connection.stream.aclose()
+
+
+@attrs.define(eq=False)
+class RelayingDialer(ServerDialer):
+    """Connects directly, or through another entry if that fails or takes long.
+
+    Only the connection is attempted in several ways. A request is sent once, on the first that is
+    open, so requests that may run only once are as safe as on a direct connection.
+
+    :ivar direct: connects over this entry's own links
+    :ivar relay_counts: number of connections that each other entry has opened
+    """
+
+    direct: DirectDialer
+    relay_table: relays.RelayTable
+    transport: transport.PeerTransport
+    relay_counts: collections.Counter[str] = attrs.field(factory=collections.Counter, init=False)
+
+    async def connect(self, server: servers.Server, timeout_s: float) -> Connection:
+        """See :class:`ServerDialer`."""
+        ranked = self.relay_table.ranked(server) if self._is_failing(server) else None
+        race = _Race(server, trio.current_time() + timeout_s)
+        if ranked is None:
+            try:
+                return await self.direct.connect(server, min(HEAD_START_S, timeout_s))
+            except DialError as error:
+                race.errors.append(str(error))
+                ranked = self.relay_table.ranked(server)
+                if not ranked and error.is_gone and race.remaining_s <= 0:
+                    raise
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._connect_directly, race, nursery.cancel_scope)
+            nursery.start_soon(self._connect_by_relay, race, ranked, nursery.cancel_scope)
+        if race.winner is None:
+            raise DialError("; ".join(race.errors[-3:]), self._is_gone(race, ranked))
+        if race.winner.relay:
+            self._record_relayed(server, race.winner.relay)
+        return race.winner
+
+    def _record_relayed(self, server: servers.Server, relay: str) -> None:
+        self.relay_counts[relay] += 1
+        if self.direct.own_links.record_relayed(server.server_id):
+            events.log(LOGGER, events.Event.SERVER_RELAYED, server=server.server_id, relay=relay)
+
+    def _is_failing(self, server: servers.Server) -> bool:
+        return self.direct.own_links.is_failing(server.server_id)
+
+    def _is_gone(self, race: _Race, ranked: list[entries.Entry]) -> bool:
+        if race.is_confirmed_gone or not ranked:
+            return True
+        own_links = self.direct.own_links
+        return own_links.has_sign_of_others(race.server.server_id, race.started_s)
+
+    async def _connect_directly(self, race: _Race, scope: trio.CancelScope) -> None:
+        try:
+            connection = await self.direct.connect(race.server, max(0.0, race.remaining_s))
+        except DialError as error:
+            race.errors.append(str(error))
+        else:
+            await race.finish(connection, scope)
+
+    async def _connect_by_relay(
+        self, race: _Race, ranked: list[entries.Entry], scope: trio.CancelScope
+    ) -> None:
+        for entry in ranked:
+            if race.remaining_s <= RELAY_ANSWER_S or race.is_confirmed_gone:
+                return
+            try:
+                stream = await self._open_tunnel(race, entry)
+            except (DialError, trio.TooSlowError) as error:
+                race.errors.append(f"entry {entry.entry}: {error!r}")
+                race.is_confirmed_gone |= isinstance(error, DialError) and error.is_gone
+                self.relay_table.record_outcome(entry, race.is_confirmed_gone)
+                continue
+            self.relay_table.record_outcome(entry, has_helped=True)
+            await race.finish(Connection(stream, entry.entry), scope)
+            return
+
+    async def _open_tunnel(self, race: _Race, entry: entries.Entry) -> streams.TunnelStream:
+        """Open a connection through another entry.
+
+        :raises DialError: if it cannot be opened; ``is_gone`` if the entry confirms that the server
+            is the cause
+        :raises trio.TooSlowError: if the entry does not answer in time
+        """
+        timeout_s = min(RELAY_TIMEOUT_S, race.remaining_s)
+        stream: trio.abc.Stream | None = None
+        has_opened = False
+        try:
+            with trio.fail_after(timeout_s):
+                stream = await self.transport.connect(entry.tunnel_address)
+                frame_stream = frames.FrameStream(stream, MESSAGE_LIMIT_BYTES)
+                request = messages.Open(
+                    race.server.server_id, race.server.born_ms, timeout_s - RELAY_ANSWER_S
+                )
+                await frame_stream.send([messages.encode(request)])
+                answer = messages.decode(await frame_stream.receive())
+            if isinstance(answer, messages.Failed):
+                raise DialError(answer.reason, answer.is_confirmed)
+            if not isinstance(answer, messages.Opened):
+                raise DialError(f"expected Opened, got {type(answer).__name__}", False)
+            frame_stream.max_body_bytes = streams.MAX_FRAME_BYTES
+            has_opened = True
+            return streams.TunnelStream(frame_stream)
+        except (transport.TransportError, frames.FrameError, messages.MessageError) as error:
+            raise DialError(str(error), False) from error
+        finally:
+            if stream is not None and not has_opened:
+                await trio.aclose_forcefully(stream)
+
+
 def _no_pause() -> float:
     return 0.0
