Blame a silent server only once another server was heard from

Cause: an entry whose links are cut hears of no server, and took the silence of each of its streams for that server's. Nothing asked whether any other server still sent something.

Change: streams of a silent server are moved at once as before, but the server is avoided, probed and reported only after another server was heard from since, which takes a busy entry 20 ms; or after half a second in which no connection showed that the links are cut.

tests.platform.test_entry_links: the other entries of one whose links fall silent avoided servers before, and avoid none now; tests/test_silence.py has the cases.

--- a/tests/platform/test_entry_links.py
+++ b/tests/platform/test_entry_links.py
@@ -23,6 +23,33 @@
             with self.subTest(how, count=count):
                 trio.run(self._serve_during_cut, f"91.{number}", how, NAMES[:count])
 
+    def test_other_entries_use_servers_that_an_entry_without_links_found_silent(self):
+        """Guards against one entry's cut links that make all entries avoid sound servers."""
+        for number, how in enumerate(entry_links.CUTS):
+            with self.subTest(how):
+                trio.run(self._find_avoided_servers, f"92.{number}", how)
+
+    async def _find_avoided_servers(self, subnet, how):
+        avoided = set()
+
+        async def watch(site):
+            while True:
+                for name in NAMES[1:]:
+                    avoided.update((name, server) for server in site.entries[name].health.avoided())
+                await trio.sleep(0.01)
+
+        with trio.fail_after(TIMEOUT_S):
+            async with entry_links.running(subnet, NAMES) as site, trio.open_nursery() as nursery:
+                nursery.start_soon(watch, site)
+                results = []
+                nursery.start_soon(self._send_all, site, NAMES, "stream", results)
+                await trio.sleep(REQUESTS * INTERVAL_S / 2)
+                site.links.cut(NAMES[0], how)
+                await trio.sleep(CONTACT_S)
+                self.assertEqual([200] * REQUESTS * len(NAMES), [result[2] for result in results])
+                self.assertEqual(set(), avoided)
+                nursery.cancel_scope.cancel()
+
     async def _serve_during_cut(self, subnet, how, cut):
         with trio.fail_after(TIMEOUT_S):
             async with entry_links.running(subnet, NAMES) as site:
@@ -30,6 +57,7 @@
                     site.links.cut(name, how)
                 await self._send_all(site, cut, "first", [])
                 await trio.sleep(CONTACT_S)
+                await self._probe_servers(site, cut)
                 for kind in ("stream", "order", "lookup"):
                     results = []
                     await self._send_all(site, cut, kind, results)
@@ -40,6 +68,13 @@
                         if kind == "stream":
                             self.assertEqual(entry_links.STREAM_BODY, body)
 
+    async def _probe_servers(self, site, names):
+        # A planner without links must neither lose its groups nor stop planning.
+        for name in names:
+            running = site.entries[name]
+            for server in running.server_registry.servers.values():
+                self.assertIsNotNone(await running.server_client.probe(server), (name, server))
+
     async def _send_all(self, site, names, prefix, results):
         async def send(name, number):
             kind = prefix if prefix != "first" else "lookup"
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -6,16 +6,18 @@
 import trio
 
 from tests import clocked
-from toucanhold.gateway import health, silence
+from toucanhold.gateway import health, server_links, silence
 
 
 class SilenceTest(unittest.TestCase):
     """A group has streams at many entries, some of which have more evidence than others."""
 
-    async def _start_detector(self, nursery, longest_pause_s=0.0, is_behind_others=False):
+    async def _start_detector(
+        self, nursery, longest_pause_s=0.0, is_behind_others=False, own_links=None
+    ):
         self.health = health.Health()
         self.silent = []
-        detector = silence.SilenceDetector(self.health, self.silent.append)
+        detector = silence.SilenceDetector(self.health, self.silent.append, own_links)
         nursery.start_soon(detector.run)
         stream = silence.WatchedStream("s1", lambda: True, longest_pause_s, is_behind_others)
         detector.add(stream)
@@ -50,6 +52,32 @@
             self.assertFalse(self.health.is_avoided("s1"))
             nursery.cancel_scope.cancel()
 
+    @clocked.on_test_clock
+    async def test_a_head_is_not_blamed_for_links_that_are_cut(self):
+        """Guards against reports of sound heads by an entry that hears of no server."""
+        for sign, is_cut, is_blamed in (
+            ("s2", False, True),
+            ("s1", False, True),
+            ("s1", True, False),
+            ("s2", True, True),
+        ):
+            own_links = server_links.ServerLinks()
+            with self.subTest(sign=sign, is_cut=is_cut):
+                async with trio.open_nursery() as nursery:
+                    _, stream = await self._start_detector(nursery, own_links=own_links)
+                    stream.record_event()
+                    own_links.record_sign("s2")
+                    await trio.sleep(0.25)
+                    self.assertTrue(stream.scope.cancel_called)
+                    self.assertEqual([], self.silent)
+                    for name in ("s3", "s4", "s5") if is_cut else ():
+                        own_links.record_failed(name)
+                    own_links.record_sign(sign)
+                    await trio.sleep(silence.MAX_UNCONFIRMED_S)
+                    self.assertEqual(["s1"] if is_blamed else [], self.silent)
+                    self.assertEqual(is_blamed, self.health.is_avoided("s1"))
+                    nursery.cancel_scope.cancel()
+
     @clocked.on_test_clock
     async def test_a_head_that_prefills_long_prompts_is_not_considered_silent(self):
         """Guards against moving streams from healthy heads, which slows down the other heads."""
--- a/toucanhold/gateway/silence.py
+++ b/toucanhold/gateway/silence.py
@@ -11,7 +11,7 @@
 import trio
 
 from toucanhold import events, notifier
-from toucanhold.gateway import health
+from toucanhold.gateway import health, server_links
 
 MIN_CHECK_INTERVAL_S = 0.02
 # Time by which a check may be late because this process was paused or busy. What servers sent
@@ -43,6 +43,8 @@
 CONFIRMED_PAUSE_FRACTION = 0.7
 # Time for which another entry's report is valid and the reported server is avoided.
 CONFIRMATION_VALIDITY_S = 1.0
+# Time for any other server to send something, which shows that this entry's own links work.
+MAX_UNCONFIRMED_S = 0.5
 
 LOGGER = logging.getLogger(__name__)
 
@@ -107,13 +109,19 @@
     other heads, which prefill the prompts again, pause for longer themselves, and are considered
     silent next.
 
+    If the links of this entry are cut, all its streams stop as well. A silent server is therefore
+    avoided and reported only once another server has sent something.
+
     :ivar on_silent: called with the ID of a server that has fallen silent
+    :ivar own_links: the links of this entry to the servers; None if they are not tracked
     """
 
     health: health.Health
     on_silent: collections.abc.Callable[[str], None]
+    own_links: server_links.ServerLinks | None = None
     _pause_estimates: dict[str, _PauseEstimate] = attrs.field(factory=dict, init=False)
     _confirmed_until_s: dict[str, float] = attrs.field(factory=dict, init=False)
+    _unconfirmed_since_s: dict[str, float] = attrs.field(factory=dict, init=False)
     _check_requested: notifier.Notifier = attrs.field(factory=notifier.Notifier, init=False)
     _streams: dict[str, list[WatchedStream]] = attrs.field(
         factory=lambda: collections.defaultdict(list), init=False
@@ -165,12 +173,15 @@
             now_s = trio.current_time()
             if now_s < check_at_s + MAX_CHECK_DELAY_S:
                 self._check_streams(now_s)
+            self._confirm_silent_servers(now_s)
 
     def _next_check_s(self) -> float:
         """Return the trio clock time before which no server can be considered silent."""
+        now_s = trio.current_time()
+        if self._unconfirmed_since_s:
+            return now_s + MIN_CHECK_INTERVAL_S
         if not self._streams:
             return math.inf
-        now_s = trio.current_time()
         # No limit is shorter, so a stream that is added meanwhile is checked in time.
         next_check_s = now_s + CONFIRMED_SILENCE_S
         for server_id, streams in self._streams.items():
@@ -196,7 +207,8 @@
     def _handle_silent_server(
         self, server_id: str, streams: list[WatchedStream], silent_s: float
     ) -> None:
-        if not self.health.is_avoided(server_id):
+        is_known = self.health.is_avoided(server_id) or server_id in self._unconfirmed_since_s
+        if not is_known:
             events.log(
                 LOGGER,
                 events.Event.HEAD_SILENT,
@@ -205,14 +217,34 @@
                 silent_s=round(silent_s, 3),
                 usual_s=round(self._pause_estimates[server_id].mean_s, 3),
             )
-            self.health.avoid(server_id, "all streams of the server are silent")
-            self._confirmed_until_s.pop(server_id, None)
-            self.on_silent(server_id)
+            self._unconfirmed_since_s[server_id] = trio.current_time()
         for stream in streams:
             # A stream that no other server can continue stays open, as the head may still recover.
             if stream.may_fail_over():
                 stream.scope.cancel()
 
+    def _confirm_silent_servers(self, now_s: float) -> None:
+        for server_id, since_s in list(self._unconfirmed_since_s.items()):
+            is_expired = now_s - since_s > MAX_UNCONFIRMED_S
+            is_confirmed = self._has_sign_of_others(server_id, since_s, is_expired)
+            if not is_confirmed and not is_expired:
+                continue
+            del self._unconfirmed_since_s[server_id]
+            if is_confirmed and not self._has_resumed(server_id, since_s):
+                self.health.avoid(server_id, "all streams of the server are silent")
+                self._confirmed_until_s.pop(server_id, None)
+                self.on_silent(server_id)
+
+    def _has_sign_of_others(self, server_id: str, since_s: float, is_expired: bool) -> bool:
+        """Return whether another server was heard from, or at least no link seems to be cut."""
+        if self.own_links is None or self.own_links.has_sign_of_others(server_id, since_s):
+            return True
+        return is_expired and not self.own_links.are_cut
+
+    def _has_resumed(self, server_id: str, since_s: float) -> bool:
+        streams = self._streams.get(server_id, ())
+        return any(stream.last_activity_s > since_s and stream.has_started for stream in streams)
+
 
 def _last_activity_s(streams: collections.abc.Iterable[WatchedStream]) -> float:
     return max(stream.last_activity_s for stream in streams)
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -263,7 +263,9 @@
         )
         self._build_policies()
         self._build_exchange()
-        self.silence_detector = silence.SilenceDetector(self.health, self._on_silent_server)
+        self.silence_detector = silence.SilenceDetector(
+            self.health, self._on_silent_server, self.server_links
+        )
         self.cold_budget = budget.ColdBudget(
             bounds.cold_overage, bounds.cold_slack, self.entry_list
         )
