Refuse at once while no entry reaches servers, and ask several entries

With the links of all entries cut, each request tried four servers for 0.3 s each before it was refused.

Change: while an entry's own links are cut and no other entry could help within the last second, one attempt goes on and the other requests are refused at once. Other entries are asked one after the other as long as there is time, and remembered by server where they reach others. Errors of this process, such as a lack of descriptors, are not blamed on servers.

The test of four entries that all lose their links failed without the first part in the cases of silent and refused links, and passes.

--- a/tests/platform/test_entry_links.py
+++ b/tests/platform/test_entry_links.py
@@ -13,6 +13,10 @@
 # How the links are cut, and of how many entries.
 CASES = (("silent", 1), ("silent", 3), ("reset", 3), ("refuse", 3))
 INTERVAL_S = 0.05
+# Callers give a request 3 s; a refusal must not use up much of it.
+REFUSAL_S = 0.375
+# Callers come back within this time after a refusal.
+RETURN_S = 1.5
 TIMEOUT_S = 60
 
 
@@ -68,6 +72,30 @@
                         if kind == "stream":
                             self.assertEqual(entry_links.STREAM_BODY, body)
 
+    def test_callers_are_refused_at_once_while_no_entry_reaches_servers(self):
+        """Guards against callers that wait for servers which no entry reaches."""
+        for number, how in enumerate(entry_links.CUTS):
+            with self.subTest(how):
+                trio.run(self._refuse_during_cut, f"93.{number}", how)
+
+    async def _refuse_during_cut(self, subnet, how):
+        with trio.fail_after(TIMEOUT_S):
+            async with entry_links.running(subnet, NAMES) as site:
+                for name in NAMES:
+                    site.links.cut(name, how)
+                await self._send_all(site, NAMES, "first", [])
+                results = []
+                await self._send_all(site, NAMES, "order", results)
+                self.assertEqual({503}, {result[2] for result in results})
+                late = [result for result in results if result[3] > REFUSAL_S]
+                self.assertLess(len(late), len(results) / 4, late)
+                self.assertEqual(0, sum(site.runs(result[0]) for result in results))
+                site.links.cuts.clear()
+                await trio.sleep(RETURN_S)
+                results = []
+                await self._send_all(site, NAMES, "order", results)
+                self.assertEqual({200}, {result[2] for result in results})
+
     async def _probe_servers(self, site, names):
         # A planner without links must neither lose its groups nor stop planning.
         for name in names:
--- a/toucanhold/tunnels/dialing.py
+++ b/toucanhold/tunnels/dialing.py
@@ -93,6 +93,8 @@
     """Attempts at one connection, of which the first to succeed counts.
 
     :ivar started_s: trio clock time
+    :ivar has_server_failed: whether the direct connection was refused or timed out; other errors
+        are local
     :ivar is_confirmed_gone: whether an entry that reaches other servers could not connect either
     """
 
@@ -100,6 +102,7 @@
     deadline_s: float
     started_s: float = attrs.field(factory=trio.current_time)
     winner: Connection | None = None
+    has_server_failed: bool = False
     is_confirmed_gone: bool = False
     errors: list[str] = attrs.field(factory=list)
 
@@ -107,6 +110,11 @@
     def remaining_s(self) -> float:
         return self.deadline_s - trio.current_time()
 
+    def record_direct_error(self, error: DialError) -> None:
+        """Record why the direct connection failed."""
+        self.has_server_failed |= error.is_gone
+        self.errors.append(str(error))
+
     async def finish(self, connection: Connection, scope: trio.CancelScope) -> None:
         """Make a connection the winner and cancel ``scope``; close it if there is one already."""
         if self.winner is None:
@@ -132,38 +140,55 @@
     relay_table: relays.RelayTable
     transport: transport.PeerTransport
     relay_counts: collections.Counter[str] = attrs.field(factory=collections.Counter, init=False)
+    _running_races: int = attrs.field(default=0, init=False)
 
     async def connect(self, server: servers.Server, timeout_s: float) -> Connection:
         """See :class:`ServerDialer`."""
-        ranked = self.relay_table.ranked(server) if self._is_failing(server) else None
         race = _Race(server, trio.current_time() + timeout_s)
-        if ranked is None:
+        if not self.direct.own_links.is_failing(server.server_id):
             try:
                 return await self.direct.connect(server, min(HEAD_START_S, timeout_s))
             except DialError as error:
-                race.errors.append(str(error))
-                ranked = self.relay_table.ranked(server)
-                if not ranked and error.is_gone and race.remaining_s <= 0:
-                    raise
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._connect_directly, race, nursery.cancel_scope)
-            nursery.start_soon(self._connect_by_relay, race, ranked, nursery.cancel_scope)
+                race.record_direct_error(error)
+        elif self._is_known_to_fail():
+            raise DialError("neither this entry nor another reaches servers", False)
+        await self._run_race(race)
         if race.winner is None:
-            raise DialError("; ".join(race.errors[-3:]), self._is_gone(race, ranked))
+            raise DialError("; ".join(race.errors[-3:]), self._is_gone(race))
         if race.winner.relay:
             self._record_relayed(server, race.winner.relay)
         return race.winner
 
+    async def _run_race(self, race: _Race) -> None:
+        self._running_races += 1
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._connect_directly, race, nursery.cancel_scope)
+                nursery.start_soon(self._connect_by_relay, race, nursery.cancel_scope)
+        finally:
+            self._running_races -= 1
+
+    def _is_known_to_fail(self) -> bool:
+        """Return whether no entry reaches servers, and an attempt is being made already.
+
+        Callers are refused at once, and told to come back, while one of them finds out if the links
+        are back.
+        """
+        return (
+            self._running_races > 0
+            and self.direct.own_links.are_cut
+            and self.relay_table.are_all_avoided()
+        )
+
     def _record_relayed(self, server: servers.Server, relay: str) -> None:
         self.relay_counts[relay] += 1
         if self.direct.own_links.record_relayed(server.server_id):
             events.log(LOGGER, events.Event.SERVER_RELAYED, server=server.server_id, relay=relay)
 
-    def _is_failing(self, server: servers.Server) -> bool:
-        return self.direct.own_links.is_failing(server.server_id)
-
-    def _is_gone(self, race: _Race, ranked: list[entries.Entry]) -> bool:
-        if race.is_confirmed_gone or not ranked:
+    def _is_gone(self, race: _Race) -> bool:
+        if not race.has_server_failed:
+            return False
+        if race.is_confirmed_gone or not self.relay_table.ranked(race.server):
             return True
         own_links = self.direct.own_links
         return own_links.has_sign_of_others(race.server.server_id, race.started_s)
@@ -172,24 +197,24 @@
         try:
             connection = await self.direct.connect(race.server, max(0.0, race.remaining_s))
         except DialError as error:
-            race.errors.append(str(error))
+            race.record_direct_error(error)
         else:
             await race.finish(connection, scope)
 
-    async def _connect_by_relay(
-        self, race: _Race, ranked: list[entries.Entry], scope: trio.CancelScope
-    ) -> None:
-        for entry in ranked:
-            if race.remaining_s <= RELAY_ANSWER_S or race.is_confirmed_gone:
+    async def _connect_by_relay(self, race: _Race, scope: trio.CancelScope) -> None:
+        for entry in self.relay_table.ranked(race.server):
+            if race.remaining_s <= RELAY_ANSWER_S:
                 return
             try:
                 stream = await self._open_tunnel(race, entry)
             except (DialError, trio.TooSlowError) as error:
                 race.errors.append(f"entry {entry.entry}: {error!r}")
-                race.is_confirmed_gone |= isinstance(error, DialError) and error.is_gone
-                self.relay_table.record_outcome(entry, race.is_confirmed_gone)
+                is_confirmed = isinstance(error, DialError) and error.is_gone
+                race.is_confirmed_gone |= is_confirmed
+                # An entry that reaches other servers may still help with those.
+                self.relay_table.record_failed(entry, race.server if is_confirmed else None)
                 continue
-            self.relay_table.record_outcome(entry, has_helped=True)
+            self.relay_table.record_opened(entry)
             await race.finish(Connection(stream, entry.entry), scope)
             return
 
