Add a failing test of a model that is left without a group

Two small groups and three spares of the large model filled a domain of nine servers, and no group was converted.

The test asks the planner for its next step in that state: there is none, neither at the configured shares nor with the groups following the demand.

--- a/tests/test_conversion.py
+++ b/tests/test_conversion.py
@@ -7,6 +7,7 @@
 import collections
 import unittest
 
+import attrs
 import trio
 
 from standins import replicas
@@ -149,6 +150,29 @@
                 self.assertEqual("large", fixture.placements[0].model)
                 self.assertEqual(step.domain, fixture.placements[0].members[0].domain)
 
+    def test_a_model_without_a_group_gets_one_of_two_groups_of_the_other(self):
+        """Guards against a model that nobody serves while the other one has a group to spare.
+
+        Two small groups and three spares of the large model fill a domain of nine servers. With one
+        group of each, the small model is a little further below its target than the large one.
+        """
+        for slots_in_use in ({}, {"large": 1.0, "small": 9.0}):
+            with self.subTest(slots_in_use=slots_in_use):
+                fixture = DomainFixture(9, 4, 3, domains=1)
+                snapshot = attrs.evolve(fixture.snapshot(), slots_in_use=slots_in_use)
+                planner = composition.PlacementPlanner(snapshot)
+                self.assertEqual(bool(slots_in_use), planner.follows_demand)
+                self.assertEqual([], planner.placements())
+                step = planner.next_conversion()
+                self.assertIsNotNone(step)
+                self.assertEqual(("large", 1), (step.model.name, len(step.to_stage)))
+                fixture.stage_model(step)
+                step = fixture.new_planner().next_conversion()
+                self.assertEqual(1, len(step.preempted))
+                fixture.preempt_groups(step, is_torn_down=True)
+                fixture.new_planner()
+                self.assertEqual(["large"], [each.model for each in fixture.placements])
+
     def test_freed_servers_are_reserved_for_the_group_that_they_are_freed_for(self):
         """Guards against small groups that re-form from servers freed for the large group."""
         fixture = DomainFixture(37, 16, 4, domains=2)
