Bound what a tunnel's peer may ask for, and the wait for tunnels at a stop

A malformed message with a timeout that is no number ended the process that received it (found by reading; trio refuses such a deadline). It is refused now, as are timeouts out of bounds, each with a test. A planned stop waits for the tunnels of other entries only within its grace period: one of an entry that is gone would have kept it until it is killed.

--- a/tests/test_conversion.py
+++ b/tests/test_conversion.py
@@ -250,16 +250,18 @@
         for seed in (1, 7, 16):
             with self.subTest(seed=seed):
                 async with trio.open_nursery() as nursery:
-                    engine = new_engine(4, 3)
-                    cluster = replica_cluster.Cluster(nursery, engine, 1, 9, seed)
-                    await cluster.add_servers()
-                    node = cluster.start("entry-1")
-                    await cluster.wait_for(lambda: _all_models_serve(node), 60)
-                    await self._lose_servers(cluster, node, random.Random(seed))
-                    await cluster.wait_for(lambda: _all_models_serve(node), 60)
-                    self.assertEqual([], cluster.fleet.violations)
+                    await self._serve_after_losses(nursery, seed)
                     nursery.cancel_scope.cancel()
 
+    async def _serve_after_losses(self, nursery, seed):
+        cluster = replica_cluster.Cluster(nursery, new_engine(4, 3), 1, 9, seed)
+        await cluster.add_servers()
+        node = cluster.start("entry-1")
+        await cluster.wait_for(lambda: _all_models_serve(node), 60)
+        await self._lose_servers(cluster, node, random.Random(seed))
+        await cluster.wait_for(lambda: _all_models_serve(node), 60)
+        self.assertEqual([], cluster.fleet.violations)
+
     async def _lose_servers(self, cluster, node, rng):
         """Lose and restart servers one after the other; return when all are back."""
         await trio.sleep(rng.uniform(1, 5))
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -14,8 +14,8 @@
 from standins import gateways
 from tests.platform import standins
 from toucanhold.gateway import entries
-from toucanhold.peers import transport
-from toucanhold.tunnels import dialing, relays, serving, streams
+from toucanhold.peers import frames, transport
+from toucanhold.tunnels import dialing, messages, relays, serving, streams
 
 TIMEOUT_S = 10.0
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -160,6 +160,22 @@
 
         self._run(test, ending="wait")
 
+    def test_invalid_requests_do_not_stop_the_entry(self):
+        """Guards against a malformed message that ends the process that receives it."""
+
+        async def test(scene):
+            invalid = [b"", b"x", messages.encode(messages.Opened())]
+            for timeout_s in (float("nan"), -1.0, float("inf")):
+                invalid.append(messages.encode(messages.Open("b0", 1, timeout_s)))
+            for body in invalid:
+                stream = await scene.dialer.transport.connect(scene.tunnel_server.address)
+                await frames.FrameStream(stream, 1000).send([body])
+                self.assertEqual(b"", await stream.receive_some())
+                await stream.aclose()
+            self.assertEqual(ANSWER, await scene.exchange())
+
+        self._run(test)
+
     def test_only_registered_servers_are_connected(self):
         """Guards against entries that connect others to any address."""
 
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -61,6 +61,8 @@
 # Callers cache an address for up to three times its TTL; the rest is a margin.
 CALLER_DRAIN_S = 3.2 * directory.ADDRESS_TTL_S
 IDLE_TIMEOUT_S = 75.0
+# Part of the grace period of a planned stop that is kept for the clean-up.
+STOP_MARGIN_S = 2.0
 
 LOGGER = logging.getLogger(__name__)
 
@@ -151,6 +153,7 @@
 
     async def stop(self) -> None:
         """See :class:`application.Application`."""
+        stopping_s = trio.current_time()
         events.log(LOGGER, events.Event.ENTRY_STOPPING, in_flight=self.gateway.in_flight)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.planner_lease.release)
@@ -159,7 +162,9 @@
             nursery.start_soon(trio.sleep, CALLER_DRAIN_S)
         self._stop_http_servers.set()
         await self._all_http_servers_stopped.wait()
-        await self.tunnel_server.wait_idle()
+        # Tunnels of entries that are gone end by themselves only later.
+        with trio.move_on_at(stopping_s + self.settings.bounds.grace_s - STOP_MARGIN_S):
+            await self.tunnel_server.wait_idle()
 
     async def clean_up(self) -> None:
         """See :class:`application.Application`."""
--- a/toucanhold/tunnels/dialing.py
+++ b/toucanhold/tunnels/dialing.py
@@ -203,7 +203,7 @@
 
     async def _connect_by_relay(self, race: _Race, scope: trio.CancelScope) -> None:
         for entry in self.relay_table.ranked(race.server):
-            if race.remaining_s <= RELAY_ANSWER_S:
+            if race.remaining_s <= 2 * RELAY_ANSWER_S:
                 return
             try:
                 stream = await self._open_tunnel(race, entry)
--- a/toucanhold/tunnels/serving.py
+++ b/toucanhold/tunnels/serving.py
@@ -70,6 +70,10 @@
         request = messages.decode(await frame_stream.receive())
         if not isinstance(request, messages.Open):
             raise messages.MessageError(f"expected Open, got {type(request).__name__}")
+        if not 0 <= request.timeout_s <= MAX_CONNECT_TIMEOUT_S:
+            raise messages.MessageError(
+                f"expected a timeout of 0 to {MAX_CONNECT_TIMEOUT_S} s, got {request.timeout_s}"
+            )
         server = self.server_registry.find((request.server_id, request.born_ms))
         if server is None:
             answer = messages.Failed(f"no server {request.server_id} is registered here", False)
@@ -95,7 +99,7 @@
     async def _connect(self, server: servers.Server, timeout_s: float) -> dialing.Connection:
         if self.dialer.own_links.are_cut:
             raise dialing.DialError("this entry has lost its links to the servers as well", False)
-        return await self.dialer.connect(server, min(max(timeout_s, 0.0), MAX_CONNECT_TIMEOUT_S))
+        return await self.dialer.connect(server, timeout_s)
 
     async def _forward(
         self,
