Wait for busy entries that connect others to servers

Each entry asked had 0.1 s to answer. On a busy machine none did, so all were taken for cut and avoided for a second, and the requests sent after them failed too.

Now a further entry is asked after 0.1 s while the first is still waited for, up to a second and three at a time. Once one that reaches other servers could not connect either, further ones get no more time than the direct connection, so that a dead server costs what it did.

tests/test_tunnels.py: a connection through an entry that is busy for half a second failed before; one to a dead server is still given up within 0.45 s.

--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -18,6 +18,7 @@
 from toucanhold.tunnels import dialing, messages, relays, serving, streams
 
 TIMEOUT_S = 10.0
+BUSY_S = 0.5
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 REQUEST = b"x" * (3 * streams.CHUNK_BYTES)
 ANSWER = b"y" * (2 * streams.CHUNK_BYTES + 1)
@@ -33,6 +34,25 @@
         raise dialing.DialError("cut", True)
 
 
+@attrs.define(eq=False)
+class FailingDialer(dialing.DirectDialer):
+    """Dialer of an entry that reaches other servers, but not this one."""
+
+    async def connect(self, server, timeout_s):
+        await trio.sleep(timeout_s)
+        self.own_links.record_sign("another server")
+        raise dialing.DialError("dead", True)
+
+
+@attrs.define(eq=False)
+class BusyDialer(dialing.DirectDialer):
+    """Dialer of an entry that is busy for some time before it connects."""
+
+    async def connect(self, server, timeout_s):
+        await trio.sleep(BUSY_S)
+        return await super().connect(server, timeout_s)
+
+
 @attrs.define(eq=False)
 class Server:
     """Server that answers once it has read ``REQUEST``, then closes or resets its connection."""
@@ -80,7 +100,7 @@
 
 
 @contextlib.asynccontextmanager
-async def running(ending="close", is_registered=True):
+async def running(ending="close", is_registered=True, relay_dialer=dialing.DirectDialer):
     backend = Server(ending)
     async with trio.open_nursery() as nursery:
         address = standins.free_address()
@@ -90,9 +110,7 @@
         known = {server.incarnation: server} if is_registered else {}
         server_registry = types.SimpleNamespace(find=known.get)
         tunnel_address = standins.free_address()
-        tunnel_server = serving.TunnelServer(
-            tunnel_address, peers, server_registry, dialing.DirectDialer()
-        )
+        tunnel_server = serving.TunnelServer(tunnel_address, peers, server_registry, relay_dialer())
         relay_scope = trio.CancelScope()
 
         async def run_relay(*, task_status):
@@ -126,6 +144,26 @@
 
         self._run(test)
 
+    def test_busy_entries_are_waited_for(self):
+        """Guards against requests that are refused because the entries that could help are busy."""
+
+        async def test(scene):
+            self.assertEqual(ANSWER, await scene.exchange())
+
+        self._run(test, relay_dialer=BusyDialer)
+
+    def test_a_dead_server_is_given_up_in_the_time_for_a_direct_connection(self):
+        """Guards against requests that wait for other entries to try a server that is gone."""
+
+        async def test(scene):
+            started_s = trio.current_time()
+            with self.assertRaises(dialing.DialError) as raised:
+                await scene.dialer.connect(scene.server, 0.3)
+            self.assertTrue(raised.exception.is_gone)
+            self.assertLess(trio.current_time() - started_s, 0.45)
+
+        self._run(test, relay_dialer=FailingDialer)
+
     def test_reset_answers_are_not_complete(self):
         """Guards against a tunnel that turns a server's reset into the end of its answer."""
 
--- a/toucanhold/tunnels/dialing.py
+++ b/toucanhold/tunnels/dialing.py
@@ -17,12 +17,16 @@
 from toucanhold.registry import servers
 from toucanhold.tunnels import messages, relays, streams
 
-# Servers accept connections within milliseconds. After this time, another entry is asked.
+# Servers accept connections within milliseconds. After this time, another entry is asked, and after
+# the same time a further one.
 HEAD_START_S = 0.1
-# Time for another entry to connect, which it does over its own links only.
-RELAY_TIMEOUT_S = 0.1
-# Part of that time in which its answer arrives.
-RELAY_ANSWER_S = 0.02
+# Time for another entry to connect over its own links.
+RELAY_CONNECT_TIMEOUT_S = 0.2
+# Busy entries answer late. To refuse the request instead would serve nobody.
+RELAY_TIMEOUT_S = 1.0
+# Entries that may be asked in all, and at the same time.
+MAX_RELAYS = 6
+MAX_PENDING_RELAYS = 3
 MESSAGE_LIMIT_BYTES = 1024
 
 STREAM_ERRORS = (httpcore.NetworkError, httpcore.TimeoutException)
@@ -92,10 +96,12 @@
 class _Race:
     """Attempts at one connection, of which the first to succeed counts.
 
+    :ivar deadline_s: trio clock time until which the server may accept a direct connection
     :ivar started_s: trio clock time
     :ivar has_server_failed: whether the direct connection was refused or timed out; other errors
         are local
     :ivar is_confirmed_gone: whether an entry that reaches other servers could not connect either
+    :ivar relay_scope: bounds the time in which other entries may connect
     """
 
     server: servers.Server
@@ -105,6 +111,10 @@
     has_server_failed: bool = False
     is_confirmed_gone: bool = False
     errors: list[str] = attrs.field(factory=list)
+    relay_scope: trio.CancelScope = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.relay_scope = trio.CancelScope(deadline=self.started_s + RELAY_TIMEOUT_S)
 
     @property
     def remaining_s(self) -> float:
@@ -115,6 +125,11 @@
         self.has_server_failed |= error.is_gone
         self.errors.append(str(error))
 
+    def confirm_gone(self) -> None:
+        """Record that another entry could not connect; give further ones no extra time."""
+        self.is_confirmed_gone = True
+        self.relay_scope.deadline = min(self.relay_scope.deadline, self.deadline_s)
+
     async def finish(self, connection: Connection, scope: trio.CancelScope) -> None:
         """Make a connection the winner and cancel ``scope``; close it if there is one already."""
         if self.winner is None:
@@ -202,41 +217,59 @@
             await race.finish(connection, scope)
 
     async def _connect_by_relay(self, race: _Race, scope: trio.CancelScope) -> None:
-        for entry in self.relay_table.ranked(race.server):
-            if race.remaining_s <= 2 * RELAY_ANSWER_S:
-                return
-            try:
-                stream = await self._open_tunnel(race, entry)
-            except (DialError, trio.TooSlowError) as error:
-                race.errors.append(f"entry {entry.entry}: {error!r}")
-                is_confirmed = isinstance(error, DialError) and error.is_gone
-                race.is_confirmed_gone |= is_confirmed
-                # An entry that reaches other servers may still help with those.
-                self.relay_table.record_failed(entry, race.server if is_confirmed else None)
-                continue
+        pending = trio.CapacityLimiter(MAX_PENDING_RELAYS)
+        with race.relay_scope:
+            async with trio.open_nursery() as nursery:
+                for entry in self.relay_table.ranked(race.server)[:MAX_RELAYS]:
+                    has_answered = trio.Event()
+                    await pending.acquire_on_behalf_of(has_answered)
+                    nursery.start_soon(self._ask_relay, race, entry, scope, pending, has_answered)
+                    with trio.move_on_after(HEAD_START_S):
+                        await has_answered.wait()
+
+    async def _ask_relay(
+        self,
+        race: _Race,
+        entry: entries.Entry,
+        scope: trio.CancelScope,
+        pending: trio.CapacityLimiter,
+        has_answered: trio.Event,
+    ) -> None:
+        try:
+            stream = await self._open_tunnel(race, entry)
+        except DialError as error:
+            race.errors.append(f"entry {entry.entry}: {error}")
+            if error.is_gone:
+                race.confirm_gone()
+            # An entry that reaches other servers may still help with those.
+            self.relay_table.record_failed(entry, race.server if error.is_gone else None)
+        except trio.Cancelled:
+            if trio.current_time() >= race.started_s + RELAY_TIMEOUT_S:
+                self.relay_table.record_failed(entry, None)
+            raise
+        else:
             self.relay_table.record_opened(entry)
             await race.finish(Connection(stream, entry.entry), scope)
-            return
+        finally:
+            pending.release_on_behalf_of(has_answered)
+            has_answered.set()
 
     async def _open_tunnel(self, race: _Race, entry: entries.Entry) -> streams.TunnelStream:
         """Open a connection through another entry.
 
         :raises DialError: if it cannot be opened; ``is_gone`` if the entry confirms that the server
             is the cause
-        :raises trio.TooSlowError: if the entry does not answer in time
         """
-        timeout_s = min(RELAY_TIMEOUT_S, race.remaining_s)
         stream: trio.abc.Stream | None = None
         has_opened = False
         try:
-            with trio.fail_after(timeout_s):
-                stream = await self.transport.connect(entry.tunnel_address)
-                frame_stream = frames.FrameStream(stream, MESSAGE_LIMIT_BYTES)
-                request = messages.Open(
-                    race.server.server_id, race.server.born_ms, timeout_s - RELAY_ANSWER_S
-                )
-                await frame_stream.send([messages.encode(request)])
-                answer = messages.decode(await frame_stream.receive())
+            stream = await self.transport.connect(entry.tunnel_address)
+            frame_stream = frames.FrameStream(stream, MESSAGE_LIMIT_BYTES)
+            request = messages.Open(
+                race.server.server_id, race.server.born_ms, RELAY_CONNECT_TIMEOUT_S
+            )
+            await frame_stream.send([messages.encode(request)])
+            answer = messages.decode(await frame_stream.receive())
             if isinstance(answer, messages.Failed):
                 raise DialError(answer.reason, answer.is_confirmed)
             if not isinstance(answer, messages.Opened):
