--- a/tests/test_conversion.py
+++ b/tests/test_conversion.py
@@ -152,11 +152,8 @@
                 self.assertEqual(step.domain, fixture.placements[0].members[0].domain)
 
     def test_a_model_without_a_group_gets_one_of_two_groups_of_the_other(self):
-        """Guards against a model that nobody serves while the other one has a group to spare.
-
-        Two small groups and three spares of the large model fill a domain of nine servers. With one
-        group of each, the small model is a little further below its target than the large one.
-        """
+        """Guards against a model that nobody serves while the other one has a group to spare."""
+        # With one group of each, the small model is further below its target than the large one.
         for slots_in_use in ({}, {"large": 1.0, "small": 9.0}):
             with self.subTest(slots_in_use=slots_in_use):
                 fixture = DomainFixture(9, 4, 3, domains=1)
