Log and count each retry that servers get, with what the entry believed

RETRY_SENT names each repeat before it is sent, with its cause, the share, requests, retries and the number allowed; RETRY_NOT_SENT takes one back; a counter has the sum by service and cause. No decision changes.

--- a/toucanhold/events.py
+++ b/toucanhold/events.py
@@ -99,6 +99,8 @@
     QUEUE_TIME_LEARNED = (2019, logging.INFO, "the time that requests may queue has changed")
     WORKSPACE_HELD_BACK = (2020, logging.INFO, "requests of a workspace with less use went first")
     REQUEST_BLOCKED = (2021, logging.INFO, "a request that crashes servers is refused")
+    RETRY_SENT = (2022, logging.INFO, "a backend server got a request that another may have got")
+    RETRY_NOT_SENT = (2023, logging.INFO, "a retry could not be sent and is still to be made")
     FREE_SLOTS_LEFT = (2015, logging.INFO, "free slots of a server are left to other entries")
     PEER_CONNECTED = (7001, logging.INFO, "a stream to another entry was established")
     PEER_LOST = (7002, logging.WARNING, "a stream to another entry has ended")
--- a/toucanhold/gateway/attempt.py
+++ b/toucanhold/gateway/attempt.py
@@ -9,7 +9,7 @@
 import trio
 
 from toucanhold import events
-from toucanhold.gateway import calls, health, outcomes, silence
+from toucanhold.gateway import budget, calls, health, outcomes, silence
 from toucanhold.registry import servers
 from toucanhold.routes import table
 from toucanhold.routing import sse
@@ -67,6 +67,8 @@
     :ivar queue_fraction: fraction of the route's objective that it may spend in the queue
     :ivar has_response_started: whether the start of a response was sent to the caller
     :ivar last_event_id: ID of the last event that the caller has received; None before the first
+    :ivar retry: retry by which the current or next attempt is made; None for the first attempt,
+        and for further ones of a call of which no server has received anything
     :ivar progress: progress of the current or last attempt
     """
 
@@ -85,6 +87,7 @@
     failed_connects: int = 0
     queue_fraction: float = QUEUE_TIME_FRACTION
     has_response_started: bool = False
+    retry: budget.Retry | None = None
     last_event_id: int | None = attrs.field(init=False)
     progress: AnswerProgress = attrs.field(factory=AnswerProgress, init=False)
     _event_id_before_attempt: int | None = None
@@ -135,6 +138,17 @@
         self.progress = AnswerProgress()
         self._event_id_before_attempt = self.last_event_id
 
+    def log_retry(self, is_sent: bool) -> None:
+        """Log that this attempt sends the call once more, or that it could not."""
+        if self.retry is not None:
+            self.retry.log(self.call.call_id, self.server_id, is_sent)
+
+    def record_arrival(self) -> None:
+        """Record that the server of the current attempt has received the call, or may have."""
+        if self.retry is not None:
+            self.retry.record_sent()
+            self.retry = None
+
     @property
     def may_have_run(self) -> bool:
         """Whether a server may have started to run the call."""
@@ -167,6 +181,7 @@
     forwarded = _forwarded_call(state)
     _log_attempt(state, server, forwarded)
     state.record_attempt(server.server_id)
+    state.log_retry(is_sent=True)
     try:
         with observed.watch():
             if state.route.is_stream:
@@ -181,9 +196,17 @@
                     observed,
                 )
             async with client.exchange(server, forwarded) as response:
+                state.record_arrival()
                 return await _forward_buffered(state, response, server_health, may_fail_over)
-    except calls.NotRunError:
+    except calls.NotRunError as error:
         state.attempt_count -= 1
+        if error.was_sent:
+            state.record_arrival()
+        else:
+            state.log_retry(is_sent=False)
+        raise
+    except BaseException:
+        state.record_arrival()
         raise
 
 
@@ -217,6 +240,7 @@
     try:
         with stream.scope:
             async with client.exchange(server, forwarded) as response:
+                state.record_arrival()
                 if response.status == 200:
                     status = await _forward_stream(state, response, stream, observed)
                     server_health.record_outcome(server.server_id, is_failure=False)
--- a/toucanhold/gateway/budget.py
+++ b/toucanhold/gateway/budget.py
@@ -4,11 +4,14 @@
 
 import collections
 import collections.abc
+import enum
+import logging
 
 import attrs
 import trio
 
-from toucanhold.gateway import entries, sharing
+from toucanhold import events
+from toucanhold.gateway import calls, entries, sharing
 from toucanhold.registry import servers
 
 BUCKETS_PER_WINDOW = 10
@@ -18,6 +21,8 @@
 # Fraction of the retry limit that is left to requests whose failed attempt was a trial.
 TRIAL_FRACTION = 0.85
 
+LOGGER = logging.getLogger(__name__)
+
 
 @attrs.define
 class _SlidingWindow:
@@ -56,15 +61,87 @@
     window_s: float
 
 
+@attrs.frozen
+class RetryUse:
+    """What an entry believes of a service's retries when it decides about one.
+
+    :ivar share: this entry's share of all callers
+    :ivar requests: requests of this entry's callers in the window
+    :ivar retries: retries of this entry in the window
+    :ivar allowed: most retries that this entry may have in the window
+    """
+
+    share: float
+    requests: float
+    retries: float
+    allowed: float
+
+
+class RetryCause(enum.Enum):
+    """Why a request is sent to another server."""
+
+    REFUSED = "refused"
+    CONNECTION_LOST = "connection lost"
+    ANSWER_LOST = "answer lost"
+
+
+def retry_cause(error: calls.ExchangeError) -> RetryCause:
+    """Return why a request is sent again after an attempt failed."""
+    if isinstance(error, calls.NotRunError):
+        return RetryCause.REFUSED
+    if isinstance(error, calls.ResponseLostError) and error.is_connection_lost:
+        return RetryCause.CONNECTION_LOST
+    return RetryCause.ANSWER_LOST
+
+
+@attrs.define(eq=False)
+class Retry:
+    """A retry that the budget allowed.
+
+    :ivar believed: what the entry believed when it was allowed
+    """
+
+    retry_budget: RetryBudget
+    service: str
+    cause: RetryCause
+    believed: RetryUse
+
+    def log(self, request_id: str, server_id: str, is_sent: bool) -> None:
+        """Log that the request is sent by this retry, or that no connection could be opened.
+
+        It is logged before it is sent, so that the retries of a process that is killed are known.
+        """
+        events.log(
+            LOGGER,
+            events.Event.RETRY_SENT if is_sent else events.Event.RETRY_NOT_SENT,
+            request_id=request_id,
+            service=self.service,
+            server=server_id,
+            cause=self.cause.value,
+            share=round(self.believed.share, 4),
+            requests=self.believed.requests,
+            retries=self.believed.retries,
+            allowed=round(self.believed.allowed, 1),
+        )
+
+    def record_sent(self) -> None:
+        """Record that a server has received the request by this retry, or may have."""
+        self.retry_budget.sent_counts[self.service, self.cause] += 1
+
+
 @attrs.define(eq=False)
 class RetryBudget:
     """Limits this entry's retries to its share of each service's retry limit.
 
     :ivar share: returns this entry's share of all callers, from 0 to 1
+    :ivar sent_counts: number of retries that were sent, by service and cause
     """
 
     bound: RetryBound
     share: collections.abc.Callable[[], float]
+    sent_counts: collections.Counter[tuple[str, RetryCause]] = attrs.field(
+        factory=collections.Counter, init=False
+    )
     _requests: dict[str, _SlidingWindow] = attrs.field(factory=dict, init=False)
     _retries: dict[str, _SlidingWindow] = attrs.field(factory=dict, init=False)
 
@@ -78,20 +155,33 @@
         :param is_trial: whether the failed attempt was a trial at a suspended server. Its request
             served all callers, so it may also use a part of the headroom.
         """
-        if not self._is_within(service, TRIAL_FRACTION if is_trial else USABLE_FRACTION):
+        if not self._is_within(service, is_trial):
             return False
         self._window(self._retries, service).add()
         return True
 
     def has_remaining(self, service: str) -> bool:
         """Return whether a retry is left, without consuming it."""
-        return self._is_within(service, USABLE_FRACTION)
+        return self._is_within(service, is_trial=False)
 
-    def _is_within(self, service: str, fraction: float) -> bool:
-        retries = self._window(self._retries, service).total()
+    def use(self, service: str, is_trial: bool = False) -> RetryUse:
+        """Return what this entry believes of the retries of a service.
+
+        :param is_trial: see :meth:`try_acquire`
+        """
+        fraction = TRIAL_FRACTION if is_trial else USABLE_FRACTION
         requests = self._window(self._requests, service).total()
-        slack = self.bound.slack * self.share()
-        return retries + 1 <= fraction * (self.bound.ratio * requests + slack)
+        share = self.share()
+        return RetryUse(
+            share,
+            requests,
+            self._window(self._retries, service).total(),
+            fraction * (self.bound.ratio * requests + self.bound.slack * share),
+        )
+
+    def _is_within(self, service: str, is_trial: bool) -> bool:
+        use = self.use(service, is_trial)
+        return use.retries + 1 <= use.allowed
 
     def _window(self, windows: dict[str, _SlidingWindow], service: str) -> _SlidingWindow:
         if service not in windows:
--- a/toucanhold/gateway/gateway.py
+++ b/toucanhold/gateway/gateway.py
@@ -301,8 +301,12 @@
             state.failed_connects += 1
             if state.failed_connects <= MAX_FREE_CONNECTS:
                 return ""
+        use = self.retry_budget.use(state.service.name, state.is_trial)
         if not self.retry_budget.try_acquire(state.service.name, state.is_trial):
             return "the retry budget of the service is used up"
+        if not isinstance(error, calls.NotRunError) or error.was_sent:
+            cause = budget.retry_cause(error)
+            state.retry = budget.Retry(self.retry_budget, state.service.name, cause, use)
         return ""
 
     def _raise_failure(
--- a/toucanhold/platform/gauges.py
+++ b/toucanhold/platform/gauges.py
@@ -50,12 +50,23 @@
     entry.metrics.add_gauge(
         "toucanhold.servers.limited", "{server}", "Servers that name a limit", limited_servers
     )
+    _register_retries(entry)
     _register_server_links(entry)
     _register_crashes(entry)
     _register_group_load(entry)
     policy_gauges.register(entry.metrics, entry.policies)
 
 
+def _register_retries(entry: entries.PlatformEntry) -> None:
+    def retries_sent() -> metrics.Observations:
+        for (service, cause), count in entry.gateway.retry_budget.sent_counts.items():
+            yield count, {"toucanhold.service": service, "toucanhold.cause": cause.value}
+
+    entry.metrics.add_counter(
+        "toucanhold.retries.sent", "{request}", "Requests sent to another server", retries_sent
+    )
+
+
 def _register_server_links(entry: entries.PlatformEntry) -> None:
     def failing_servers() -> metrics.Observations:
         yield entry.server_links.failing_count(), {}
