--- /dev/null
+++ b/tests/retry_site.py
@@ -0,0 +1,141 @@
+"""Entries that share the retry limit of a service, on an in-memory key-value service."""
+
+import collections
+import contextlib
+import itertools
+import random
+
+import attrs
+import trio
+
+from standins import gateways, memory
+from toucanhold.coordination import mirror, watching
+from toucanhold.gateway import budget, entries, sharing
+
+SERVICE = "desk"
+BOUND = budget.RetryBound(ratio=0.2, slack=100.0, window_s=10.0)
+START_S = 0.7
+WATCH_DELAY_S = 0.15
+FAILURE_AFTER_S = 0.05
+
+
+@attrs.define(eq=False, slots=False)
+class SiteEntry:
+    """One process of an entry: its entry list, and its part of the retry limit.
+
+    :ivar scope: cancelling it ends the process as a kill would
+    """
+
+    own: entries.Entry
+    platform: memory.MemoryPlatform
+    rng: random.Random
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+
+    def __attrs_post_init__(self):
+        """Build the components."""
+        name = self.own.entry
+        kv_mirror = mirror.Mirror()
+        client = self.platform.client(name)
+        self.watch = watching.ServiceWatch(
+            self.platform.change_source(name), kv_mirror, lambda: WATCH_DELAY_S, self.rng
+        )
+        self.entry_list = entries.EntryList(self.own, client, kv_mirror, self.rng)
+        self.retry_budget = budget.RetryBudget(
+            BOUND, lambda: sharing.share(self.own, self.entry_list.others())
+        )
+
+    async def run(self):
+        """Run until the scope is cancelled."""
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.watch.run)
+                nursery.start_soon(self.entry_list.run)
+                nursery.start_soon(self.entry_list.run_expiry)
+                await trio.sleep_forever()
+
+    async def retry(self):
+        """Return whether a request is sent again after a failed attempt."""
+        return self.retry_budget.try_acquire(SERVICE)
+
+
+@attrs.define(eq=False, slots=False)
+class RetrySite:
+    """Entries, their callers and what a service gets.
+
+    :ivar requests_s: times of the callers' requests
+    :ivar retries_s: times at which the service got a request once more
+    """
+
+    entry_count: int
+    seed: int = 1
+    platform: memory.MemoryPlatform = attrs.field(factory=memory.MemoryPlatform)
+    entries: dict[str, SiteEntry] = attrs.field(factory=dict)
+    requests_s: list[float] = attrs.field(factory=list)
+    retries_s: list[float] = attrs.field(factory=list)
+    _boots: itertools.count = attrs.field(factory=itertools.count, init=False)
+    _nursery: trio.Nursery = attrs.field(init=False)
+
+    @contextlib.asynccontextmanager
+    async def running(self, start_delay_s=0.1):
+        """Run the entries, which start one after the other."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            for number in range(self.entry_count):
+                self.start(f"e{number}")
+                await trio.sleep(start_delay_s)
+            yield self
+            nursery.cancel_scope.cancel()
+
+    def start(self, name):
+        """Start a process of an entry."""
+        number = next(self._boots)
+        own = attrs.evolve(gateways.new_entry(name), boot=f"boot-{number}")
+        entry = SiteEntry(own, self.platform, random.Random(f"{self.seed}/{number}"))
+        self.entries[name] = entry
+        self._nursery.start_soon(entry.run)
+
+    async def restart(self, name):
+        """Kill the process of an entry and start another."""
+        self.entries.pop(name).scope.cancel()
+        await trio.sleep(START_S)
+        self.start(name)
+
+    async def send(self, per_s, duration_s, failing=None):
+        """Send requests to all entries alike, whose first attempts fail.
+
+        :param failing: names of the entries at which attempts fail; None for all
+        """
+        end_s = trio.current_time() + duration_s
+        rng = random.Random(self.seed)
+        while trio.current_time() < end_s:
+            await trio.sleep(rng.expovariate(per_s))
+            name = rng.choice(sorted(self.entries))
+            self.requests_s.append(trio.current_time())
+            entry = self.entries[name]
+            entry.retry_budget.record_request(SERVICE)
+            if failing is None or name in failing:
+                self._nursery.start_soon(self._fail, entry)
+
+    async def _fail(self, entry):
+        await trio.sleep(FAILURE_AFTER_S)
+        if not entry.scope.cancel_called and await entry.retry():
+            self.retries_s.append(trio.current_time())
+
+    def most_in_a_window(self):
+        """Return the most retries in any window, as a part of the allowed."""
+        most = 0.0
+        window = collections.deque()
+        for retried_s in self.retries_s:
+            window.append(retried_s)
+            while window[0] < retried_s - BOUND.window_s:
+                window.popleft()
+            most = max(most, len(window) / self._allowed(retried_s - BOUND.window_s))
+        return most
+
+    def _allowed(self, start_s):
+        """Return the retries allowed in a window, by the most requests in it or just before."""
+        counts = (
+            sum(0 <= sent_s - start_s + early_s <= BOUND.window_s for sent_s in self.requests_s)
+            for early_s in (0.0, BOUND.window_s / 2, BOUND.window_s)
+        )
+        return BOUND.ratio * max(counts) + BOUND.slack
