Hold the retry limit in every window, whatever entries know of each other

Cause: an entry derived its part from who it believed to be there now, and compared it with what this process had counted. A part was used again after a restart, and grew at once when others left, while the window still held what these had used.

The slack is now divided into 16 shares, keys in the store that one entry holds at a time by conditional writes, without leases; a share that changes hands is in nobody's use for a window. The ratio is accounted by each process for its own callers' requests. Retries count while they may still arrive, from the decision to the server's first sign, and not when no server got them. Entries lend each other what they do not need, by datagrams; the lender counts a loan first, and it ends for the borrower before it does for the lender.

--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -23,6 +23,7 @@
     limits,
     load,
     rate_limiter,
+    retry_budget,
     silence,
     targets,
 )
@@ -319,6 +320,17 @@
     return next((entry for entry in known if (entry.entry, entry.boot) == (name, boot)), None)
 
 
+@attrs.define(eq=False)
+class FixedLimitShare(retry_budget.LimitShare):
+    """A share of the limits of all entries that does not change."""
+
+    value: float
+
+    def fraction(self, window_s: float) -> float:
+        """See :class:`retry_budget.LimitShare`."""
+        return self.value
+
+
 @attrs.define(eq=False, slots=False)
 class GatewayFixture:
     """A gateway with in-memory servers.
@@ -376,7 +388,7 @@
             self.routes,
             self.server_client,
             admission.Admission(server_targets),
-            budget.RetryBudget(budget.RetryBound(0.2, self.retry_slack, 10.0), lambda: 1),
+            retry_budget.RetryBudget(retry_budget.RetryBound(0.2, self.retry_slack, 10.0)),
             self.health,
             self.crashes,
             silence.SilenceDetector(self.health, self.silent_servers.append),
--- a/tests/retry_site.py
+++ b/standins/retries.py
@@ -8,12 +8,12 @@
 import attrs
 import trio
 
-from standins import gateways, memory
+from standins import gateways, lending, memory
 from toucanhold.coordination import mirror, watching
-from toucanhold.gateway import budget, entries, sharing
+from toucanhold.gateway import entries, limit_shares, retry_budget, retry_lending
 
 SERVICE = "desk"
-BOUND = budget.RetryBound(ratio=0.2, slack=100.0, window_s=10.0)
+BOUND = retry_budget.RetryBound(ratio=0.2, slack=100.0, window_s=10.0)
 START_S = 0.7
 WATCH_DELAY_S = 0.15
 FAILURE_AFTER_S = 0.05
@@ -21,13 +21,14 @@
 
 @attrs.define(eq=False, slots=False)
 class SiteEntry:
-    """One process of an entry: its entry list, and its part of the retry limit.
+    """One process of an entry: its entry list, its part of the retry limit, and loans.
 
     :ivar scope: cancelling it ends the process as a kill would
     """
 
     own: entries.Entry
     platform: memory.MemoryPlatform
+    network: lending.LoanNetwork
     rng: random.Random
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
 
@@ -40,8 +41,10 @@
             self.platform.change_source(name), kv_mirror, lambda: WATCH_DELAY_S, self.rng
         )
         self.entry_list = entries.EntryList(self.own, client, kv_mirror, self.rng)
-        self.retry_budget = budget.RetryBudget(
-            BOUND, lambda: sharing.share(self.own, self.entry_list.others())
+        self.limit_shares = limit_shares.LimitShares(client, kv_mirror, self.entry_list, self.rng)
+        self.retry_budget = retry_budget.RetryBudget(BOUND, self.limit_shares)
+        self.retry_lending = retry_lending.RetryLending(
+            self.entry_list, self.retry_budget, self.network.transport(name), self.rng
         )
 
     async def run(self):
@@ -51,11 +54,17 @@
                 nursery.start_soon(self.watch.run)
                 nursery.start_soon(self.entry_list.run)
                 nursery.start_soon(self.entry_list.run_expiry)
+                nursery.start_soon(self.limit_shares.run)
+                nursery.start_soon(self.retry_lending.run)
                 await trio.sleep_forever()
 
     async def retry(self):
         """Return whether a request is sent again after a failed attempt."""
-        return self.retry_budget.try_acquire(SERVICE)
+        retry = await self.retry_budget.acquire(SERVICE, retry_budget.RetryCause.ANSWER_LOST)
+        if retry is None:
+            return False
+        retry.settle()
+        return True
 
 
 @attrs.define(eq=False, slots=False)
@@ -70,11 +79,16 @@
     seed: int = 1
     platform: memory.MemoryPlatform = attrs.field(factory=memory.MemoryPlatform)
     entries: dict[str, SiteEntry] = attrs.field(factory=dict)
+    network: lending.LoanNetwork = attrs.field(init=False)
     requests_s: list[float] = attrs.field(factory=list)
     retries_s: list[float] = attrs.field(factory=list)
     _boots: itertools.count = attrs.field(factory=itertools.count, init=False)
     _nursery: trio.Nursery = attrs.field(init=False)
 
+    def __attrs_post_init__(self):
+        """Connect the entries."""
+        self.network = lending.LoanNetwork(random.Random(self.seed))
+
     @contextlib.asynccontextmanager
     async def running(self, start_delay_s=0.1):
         """Run the entries, which start one after the other."""
@@ -89,8 +103,9 @@
     def start(self, name):
         """Start a process of an entry."""
         number = next(self._boots)
-        own = attrs.evolve(gateways.new_entry(name), boot=f"boot-{number}")
-        entry = SiteEntry(own, self.platform, random.Random(f"{self.seed}/{number}"))
+        own = attrs.evolve(gateways.new_entry(name), boot=f"boot-{number}", lending_address=name)
+        rng = random.Random(f"{self.seed}/{number}")
+        entry = SiteEntry(own, self.platform, self.network, rng)
         self.entries[name] = entry
         self._nursery.start_soon(entry.run)
 
@@ -116,6 +131,16 @@
             if failing is None or name in failing:
                 self._nursery.start_soon(self._fail, entry)
 
+    def retry_again_at(self, names, per_s):
+        """Let attempts of earlier requests fail at a few entries until the site ends."""
+        self._nursery.start_soon(self._fail_again, list(names), per_s)
+
+    async def _fail_again(self, names, per_s):
+        rng = random.Random(self.seed)
+        while True:
+            await trio.sleep(rng.expovariate(per_s))
+            self._nursery.start_soon(self._fail, self.entries[rng.choice(names)])
+
     async def _fail(self, entry):
         await trio.sleep(FAILURE_AFTER_S)
         if not entry.scope.cancel_called and await entry.retry():
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -39,7 +39,7 @@
         self.errors = collections.Counter()
         for scene in self.scenes:
             scene.entry_list.other_entries = [each for each in own if each is not scene.entry]
-            scene.gateway.retry_budget.share = lambda: 1 / entry_count
+            scene.gateway.retry_budget.limit_share = gateways.FixedLimitShare(1 / entry_count)
             scene.turns = trial_turns.TrialTurns(scene.entry_list, scene.rate_limiter.counts)
             scene.trials = trials.ServerTrials(
                 scene.health, scene.loads, scene.limit_table, scene.turns
--- a/toucanhold/clock.py
+++ b/toucanhold/clock.py
@@ -35,3 +35,9 @@
     """Return the current point in time."""
     boot_s = time.clock_gettime(time.CLOCK_BOOTTIME)
     return Instant(trio.current_time(), boot_s - time.clock_gettime(time.CLOCK_MONOTONIC))
+
+
+def elapsed_s() -> float:
+    """Return the time since some fixed point, with that for which the VM was suspended."""
+    current = now()
+    return current.monotonic_s + current.suspended_s
--- a/toucanhold/events.py
+++ b/toucanhold/events.py
@@ -102,6 +102,7 @@
     RETRY_SENT = (2022, logging.INFO, "a backend server got a request that another may have got")
     RETRY_NOT_SENT = (2023, logging.INFO, "a retry could not be sent and is still to be made")
     FREE_SLOTS_LEFT = (2015, logging.INFO, "free slots of a server are left to other entries")
+    LIMIT_SHARE_TAKEN = (7011, logging.INFO, "this entry holds a share of the limits of all")
     PEER_CONNECTED = (7001, logging.INFO, "a stream to another entry was established")
     PEER_LOST = (7002, logging.WARNING, "a stream to another entry has ended")
     PEER_REFUSED = (7003, logging.WARNING, "a stream was refused: the peer failed authentication")
--- a/toucanhold/gateway/attempt.py
+++ b/toucanhold/gateway/attempt.py
@@ -9,7 +9,7 @@
 import trio
 
 from toucanhold import events
-from toucanhold.gateway import budget, calls, health, outcomes, silence
+from toucanhold.gateway import calls, health, outcomes, retry_budget, silence
 from toucanhold.registry import servers
 from toucanhold.routes import table
 from toucanhold.routing import sse
@@ -67,8 +67,9 @@
     :ivar queue_fraction: fraction of the route's objective that it may spend in the queue
     :ivar has_response_started: whether the start of a response was sent to the caller
     :ivar last_event_id: ID of the last event that the caller has received; None before the first
-    :ivar retry: retry by which the current or next attempt is made; None for the first attempt,
-        and for further ones of a call of which no server has received anything
+    :ivar has_arrived: whether a server has received the call, or may have
+    :ivar retry: retry by which the current or next attempt is made; None without one
+    :ivar unplaced_count: number of times that no server was found for a retry
     :ivar progress: progress of the current or last attempt
     """
 
@@ -87,7 +88,9 @@
     failed_connects: int = 0
     queue_fraction: float = QUEUE_TIME_FRACTION
     has_response_started: bool = False
-    retry: budget.Retry | None = None
+    has_arrived: bool = False
+    retry: retry_budget.Retry | None = None
+    unplaced_count: int = 0
     last_event_id: int | None = attrs.field(init=False)
     progress: AnswerProgress = attrs.field(factory=AnswerProgress, init=False)
     _event_id_before_attempt: int | None = None
@@ -140,13 +143,21 @@
 
     def log_retry(self, is_sent: bool) -> None:
         """Log that this attempt sends the call once more, or that it could not."""
-        if self.retry is not None:
+        if self.retry is not None and self.has_arrived:
             self.retry.log(self.call.call_id, self.server_id, is_sent)
 
     def record_arrival(self) -> None:
         """Record that the server of the current attempt has received the call, or may have."""
+        if self.retry is not None and self.has_arrived:
+            self.retry.settle()
+            self.retry = None
+        self.cancel_retry()
+        self.has_arrived = True
+
+    def cancel_retry(self) -> None:
+        """Give back a retry that no server has received."""
         if self.retry is not None:
-            self.retry.record_sent()
+            self.retry.cancel()
             self.retry = None
 
     @property
--- a/toucanhold/gateway/entries.py
+++ b/toucanhold/gateway/entries.py
@@ -35,6 +35,7 @@
     :ivar boot: unique ID of the process, which distinguishes restarts
     :ivar cores: processor capacity in reference cores
     :ivar tunnel_address: ``host:port`` for tunnels to backend servers; empty in earlier versions
+    :ivar lending_address: ``host:port`` for datagrams about lent retries; empty in earlier versions
     """
 
     entry: str
@@ -45,6 +46,7 @@
     boot: str
     cores: float = 1.0
     tunnel_address: str = ""
+    lending_address: str = ""
 
 
 @attrs.define(eq=False)
--- a/toucanhold/gateway/gateway.py
+++ b/toucanhold/gateway/gateway.py
@@ -13,7 +13,6 @@
 from toucanhold.gateway import (
     admission,
     attempt,
-    budget,
     calls,
     crash_guard,
     crashes,
@@ -22,6 +21,7 @@
     lateness,
     outcomes,
     queueing,
+    retry_budget,
     signatures,
     silence,
 )
@@ -36,6 +36,8 @@
 # Servers per call that may refuse the connection without a retry of the shared budget: nothing
 # reached them. A whole zone that restarts would otherwise use up the budget within a second.
 MAX_FREE_CONNECTS = 3
+# Times that a request queues again for a retry that it has been granted.
+MAX_UNPLACED = 3
 RETRY_AFTER_S = 1.0
 # A small entry that starts has read a large configuration within this time of its first request. A
 # caller that is sent away comes back later than that.
@@ -58,7 +60,7 @@
     routes: table.RouteTableHolder
     server_client: calls.ServerClient
     admission: admission.Admission
-    retry_budget: budget.RetryBudget
+    retry_budget: retry_budget.RetryBudget
     health: health.Health
     crash_tracker: crashes.CrashTracker
     silence_detector: silence.SilenceDetector
@@ -123,7 +125,10 @@
         state.queue_fraction = self.first_event_times.queue_fraction(service, call.model, route)
         status = 0
         with trio.move_on_at(deadline_s) as scope:
-            status = await self._run_attempts(state)
+            try:
+                status = await self._run_attempts(state)
+            finally:
+                state.cancel_retry()
         if scope.cancelled_caught:
             if state.has_response_started:
                 raise calls.ResponseLostError("the time for the request is over")
@@ -144,13 +149,13 @@
                 status = await self._run_attempt(state, excluded, guard)
             except calls.NotRunError as error:
                 self._handle_not_run(state, excluded, error)
-                self._check_retry(state, error)
+                await self._check_retry(state, error)
             except calls.ResponseLostError as error:
                 excluded.add(state.server_id)
                 state.record_lost_response()
                 self.health.record_outcome(state.server_id, is_failure=True)
                 guard.record_lost(state.server_id, error, state.progress)
-                self._check_retry(state, error)
+                await self._check_retry(state, error)
             else:
                 if status is None:
                     continue
@@ -171,6 +176,7 @@
             async with placement as server:
                 if guard.is_blocked:
                     return None
+                self._renew_retry(state)
                 state.may_wait_at_server = self.admission.may_wait_at(state.service, server)
                 may_fail_over = functools.partial(
                     self._may_fail_over, state, excluded | {server.server_id}
@@ -268,13 +274,13 @@
             )
             self.silence_detector.on_silent(state.server_id)
 
-    def _check_retry(self, state: attempt.CallState, error: calls.ExchangeError) -> None:
+    async def _check_retry(self, state: attempt.CallState, error: calls.ExchangeError) -> None:
         """Return if the call may be retried on another server, and consume a retry.
 
         :raises calls.CallError: if it may not and no response has started
         :raises calls.ResponseLostError: if it may not and a response has started
         """
-        reason = self._retry_denial_reason(state, error)
+        reason = await self._retry_denial_reason(state, error)
         events.log(
             LOGGER,
             events.Event.CALL_RESENT if not reason else events.Event.RETRY_DENIED,
@@ -288,7 +294,9 @@
         if reason:
             self._raise_failure(state, calls.RefusalReason.RESPONSE_LOST, RETRY_AFTER_S)
 
-    def _retry_denial_reason(self, state: attempt.CallState, error: calls.ExchangeError) -> str:
+    async def _retry_denial_reason(
+        self, state: attempt.CallState, error: calls.ExchangeError
+    ) -> str:
         """Return why the call may not be retried; if it may, consume a retry and return ""."""
         if isinstance(error, calls.ResponseLostError):
             if not state.route.may_repeat:
@@ -301,13 +309,26 @@
             state.failed_connects += 1
             if state.failed_connects <= MAX_FREE_CONNECTS:
                 return ""
-        use = self.retry_budget.use(state.service.name, state.is_trial)
-        if not self.retry_budget.try_acquire(state.service.name, state.is_trial):
-            return "the retry budget of the service is used up"
-        if not isinstance(error, calls.NotRunError) or error.was_sent:
-            cause = budget.retry_cause(error)
-            state.retry = budget.Retry(self.retry_budget, state.service.name, cause, use)
-        return ""
+        if state.retry is not None:
+            state.unplaced_count += 1
+            return "" if state.unplaced_count <= MAX_UNPLACED else "no server had room for it"
+        state.retry = await self.retry_budget.acquire(
+            state.service.name, retry_budget.retry_cause(error), state.is_trial
+        )
+        return "" if state.retry is not None else "the retry budget of the service is used up"
+
+    def _renew_retry(self, state: attempt.CallState) -> None:
+        """Replace a retry that was borrowed and has waited for a server for too long.
+
+        :raises calls.CallError: if none is left
+        """
+        if state.retry is None or state.retry.may_begin:
+            return
+        cause = state.retry.cause
+        state.cancel_retry()
+        state.retry = self.retry_budget.try_acquire(state.service.name, cause, state.is_trial)
+        if state.retry is None:
+            raise calls.CallError(calls.RefusalReason.NO_SERVER, retry_after_s=RETRY_AFTER_S)
 
     def _raise_failure(
         self, state: attempt.CallState, reason: calls.RefusalReason, retry_after_s: float
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -24,13 +24,15 @@
     gateway,
     health,
     hierarchy,
+    limit_shares,
     limits,
     load,
     outcomes,
     policies,
     rate_limiter,
+    retry_budget,
+    retry_lending,
     server_links,
-    sharing,
     silence,
     targets,
 )
@@ -111,6 +113,7 @@
         self.server_client = servers.PlatformServerClient(observer, self.dialer, self.server_links)
         self._build_relay(peers)
         self._build_planner()
+        self._build_retries()
         self._build_gateway()
         gauges.register(self)
 
@@ -130,6 +133,8 @@
             self.gateway.silence_detector.run,
             self.exchange.run,
             self.crash_store.run,
+            self.limit_shares.run,
+            self.retry_lending.run,
             self._reload_on_signal,
         ):
             nursery.start_soon(run)
@@ -200,6 +205,7 @@
             uuid.uuid4().hex[:12],
             entry_settings.cores,
             entry_settings.tunnel_address,
+            entry_settings.lending_address,
         )
 
     def _build_tunnels(self, peers: transport.PeerTransport) -> None:
@@ -258,6 +264,17 @@
     def _model_load(self, service: table.Service) -> tuple[dict[str, float], dict[str, float]]:
         return self.server_selector.model_load(service)
 
+    def _build_retries(self) -> None:
+        self.limit_shares = limit_shares.LimitShares(
+            self.store, self.kv_mirror, self.entry_list, self.rng
+        )
+        bound = _retry_bound(self.settings.bounds)
+        self.retry_budget = retry_budget.RetryBudget(bound, self.limit_shares)
+        transport = retry_lending.UdpTransport(self.settings.lending_address)
+        self.retry_lending = retry_lending.RetryLending(
+            self.entry_list, self.retry_budget, transport, self.rng
+        )
+
     def _build_gateway(self) -> None:
         bounds = self.settings.bounds
         self.health = health.Health()
@@ -291,7 +308,7 @@
             self.routes,
             self.server_client,
             admission.Admission(self.server_selector, self.policies.queue),
-            budget.RetryBudget(_retry_bound(bounds), self._traffic_share),
+            self.retry_budget,
             self.health,
             self.crash_tracker,
             self.silence_detector,
@@ -346,7 +363,7 @@
         events.log(LOGGER, events.Event.SETTINGS_RELOADED, bounds=attrs.asdict(new_settings.bounds))
 
     def _apply_bounds(self, bounds: settings.Bounds) -> None:
-        self.gateway.retry_budget.bound = _retry_bound(bounds)
+        self.retry_budget.bound = _retry_bound(bounds)
         self.cold_budget.overage, self.cold_budget.slack = bounds.cold_overage, bounds.cold_slack
         self.planner.stall_s = bounds.stall_s
 
@@ -354,9 +371,6 @@
         self.exchange.report_silent(server_id)
         self.planner.suspect(server_id)
 
-    def _traffic_share(self) -> float:
-        return sharing.share(self.entry_list.own, self.entry_list.others())
-
     def _on_silence_report(self, server_id: str, entry_name: str) -> None:
         if self.silence_detector.confirm(server_id, entry_name):
             self.planner.suspect(server_id)
@@ -424,5 +438,5 @@
             self._all_http_servers_stopped.set()
 
 
-def _retry_bound(bounds: settings.Bounds) -> budget.RetryBound:
-    return budget.RetryBound(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s)
+def _retry_bound(bounds: settings.Bounds) -> retry_budget.RetryBound:
+    return retry_budget.RetryBound(bounds.retry_ratio, bounds.retry_slack, bounds.retry_window_s)
--- a/toucanhold/platform/gauges.py
+++ b/toucanhold/platform/gauges.py
@@ -59,9 +59,26 @@
 
 def _register_retries(entry: entries.PlatformEntry) -> None:
     def retries_sent() -> metrics.Observations:
-        for (service, cause), count in entry.gateway.retry_budget.sent_counts.items():
+        for (service, cause), count in entry.retry_budget.sent_counts.items():
             yield count, {"toucanhold.service": service, "toucanhold.cause": cause.value}
 
+    def borrowed_retries() -> metrics.Observations:
+        for service, amount in entry.retry_budget.borrowed_counts.items():
+            yield amount, {"toucanhold.service": service}
+
+    def limit_shares() -> metrics.Observations:
+        window_s = entry.settings.bounds.retry_window_s
+        yield len(entry.limit_shares.usable(window_s)), {}
+
+    entry.metrics.add_counter(
+        "toucanhold.retries.borrowed",
+        "{request}",
+        "Requests sent to another server on loan from other entries",
+        borrowed_retries,
+    )
+    entry.metrics.add_gauge(
+        "toucanhold.limit_shares.held", "{share}", "Usable shares of limits", limit_shares
+    )
     entry.metrics.add_counter(
         "toucanhold.retries.sent", "{request}", "Requests sent to another server", retries_sent
     )
--- a/toucanhold/platform/settings.py
+++ b/toucanhold/platform/settings.py
@@ -54,6 +54,7 @@
     :ivar directory_address: ``IP:port`` of the directory
     :ivar exchange_address: ``IP:port`` that other entries send to, on the first internal port
     :ivar tunnel_address: ``IP:port`` for tunnels of other entries, on the second internal port
+    :ivar lending_address: ``IP:port`` for datagrams about lent retries, on the third internal port
     :ivar store_address: ``IP:port`` of the platform's store
     :ivar min_lease_s: shortest lease that the store grants
     :ivar cores: this process's share of the processor, in cores of standard speed
@@ -68,6 +69,7 @@
     directory_address: str
     exchange_address: str
     tunnel_address: str
+    lending_address: str
     store_address: str
     min_lease_s: float
     cores: float
@@ -152,6 +154,7 @@
         directory_address=reader.text("listen.directory"),
         exchange_address=f"{reader.text('ip')}:{reader.first_port('internal_ports')}",
         tunnel_address=f"{reader.text('ip')}:{reader.first_port('internal_ports') + 1}",
+        lending_address=f"{reader.text('ip')}:{reader.first_port('internal_ports') + 2}",
         store_address=reader.text("platform.address"),
         min_lease_s=reader.number("platform.ttl_min_ms", 1.0, 0.001),
         # In the file, "cores" is the speed of the one core of which this process has a share,
