Keep cut-off and new entries from flooding a cold server

Entries that started together sent 100 requests in a second to a server that tolerates 59, since each knew no others yet; two of six that were left divided what four cut-off ones went on using (69).

An entry uses no part until it has been listed for a second, nor when it has heard nothing of the store for 10 s; what a departed entry had is divided 12 s after it. The shares by size of servers' own limits follow the same rule. The store being down for more than 10 s keeps cold servers unused for the rest of it.

--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -302,11 +302,16 @@
     version: int = 0
     is_stopping: bool = False
     departed: list[entries.Entry] = attrs.field(factory=list)
+    may_use_parts: bool = True
 
     def others(self) -> list[entries.Entry]:
         """See :class:`entries.EntryList`."""
         return list(self.other_entries)
 
+    def sharing(self) -> list[entries.Entry]:
+        """See :class:`entries.EntryList`."""
+        return list(self.other_entries)
+
     def find(self, name: str, boot: str) -> entries.Entry | None:
         """See :class:`entries.EntryList`."""
         return _find(self.other_entries, name, boot)
--- a/standins/retries.py
+++ b/standins/retries.py
@@ -10,7 +10,7 @@
 
 from standins import gateways, lending, memory
 from toucanhold.coordination import mirror, watching
-from toucanhold.gateway import entries, limit_shares, retry_budget, retry_lending
+from toucanhold.gateway import budget, entries, limit_shares, retry_budget, retry_lending
 
 SERVICE = "desk"
 BOUND = retry_budget.RetryBound(ratio=0.2, slack=100.0, window_s=10.0)
@@ -21,7 +21,7 @@
 
 @attrs.define(eq=False, slots=False)
 class SiteEntry:
-    """One process of an entry: its entry list, its part of the retry limit, and loans.
+    """One process of an entry: its entry list, its part of shared limits, and loans.
 
     :ivar scope: cancelling it ends the process as a kill would
     """
@@ -43,6 +43,7 @@
         self.entry_list = entries.EntryList(self.own, client, kv_mirror, self.rng)
         self.limit_shares = limit_shares.LimitShares(client, kv_mirror, self.entry_list, self.rng)
         self.retry_budget = retry_budget.RetryBudget(BOUND, self.limit_shares)
+        self.cold_budget = budget.ColdBudget(1.5, 5, self.entry_list)
         self.retry_lending = retry_lending.RetryLending(
             self.entry_list, self.retry_budget, self.network.transport(name), self.rng
         )
--- a/toucanhold/gateway/budget.py
+++ b/toucanhold/gateway/budget.py
@@ -36,6 +36,8 @@
 
         :param max_requests_per_s: rate that the server tolerates from all entries together
         """
+        if not self.entry_list.may_use_parts:
+            return False
         total = USABLE_FRACTION * (max_requests_per_s * self.overage + self.slack)
         return len(self._recent_sends(server.server_id)) < self._quota(server, total)
 
@@ -55,7 +57,7 @@
     def _compute_quota(self, server: servers.Server, total: float) -> int:
         # Most requests reach a server from entries in its own zone, so only these share the limit;
         # entries in other zones share it if the server's zone has none.
-        own, others = self.entry_list.own, self.entry_list.others()
+        own, others = self.entry_list.own, self.entry_list.sharing()
         zone_entries = [entry for entry in others if entry.zone == server.zone]
         if own.zone == server.zone:
             return sharing.quota(total, server.server_id, own, zone_entries)
--- a/toucanhold/gateway/entries.py
+++ b/toucanhold/gateway/entries.py
@@ -8,7 +8,7 @@
 import attrs
 import trio
 
-from toucanhold import codec, events
+from toucanhold import clock, codec, events
 from toucanhold.coordination import keyvalue, lease, mirror
 
 ENTRIES_PREFIX = "toucanhold/entries/"
@@ -18,6 +18,12 @@
 # All leases may lapse during an outage of the key-value service. Each entry registers again within
 # a second after it.
 LAPSE_GRACE_S = 2.0
+# An entry uses no parts of common limits until it has been listed for this long, so that the others
+# know of it, nor after it has heard nothing of the key-value service for the second time. The
+# others divide its parts only later than that.
+SETTLE_S = 1.0
+PARTS_VALIDITY_S = 10.0
+PARTS_HELD_S = 12.0
 # Longer than an entry goes on serving after it has deregistered.
 DEPARTED_VALIDITY_S = 60.0
 
@@ -69,6 +75,8 @@
     _others: dict[str, Entry] = attrs.field(factory=dict, init=False)
     # Entries that left, with the trio clock time until which they may still be serving.
     _departed: dict[str, tuple[Entry, float]] = attrs.field(factory=dict, init=False)
+    _sharing_count: int = attrs.field(default=0, init=False)
+    _listed_at: clock.Instant | None = attrs.field(default=None, init=False)
     _leased_key: lease.LeasedKey = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -100,6 +108,24 @@
         """Return the other registered entries."""
         return list(self._others.values())
 
+    def sharing(self) -> list[Entry]:
+        """Return the other entries that may use parts of common limits.
+
+        Entries that have left are included until they have certainly stopped.
+        """
+        held_from_s = trio.current_time() + DEPARTED_VALIDITY_S - PARTS_HELD_S
+        held = [entry for entry, until_s in self._departed.values() if until_s > held_from_s]
+        return self.others() + held
+
+    @property
+    def may_use_parts(self) -> bool:
+        """Whether the others reckon with this entry when they divide common limits."""
+        return (
+            self._listed_at is not None
+            and self._listed_at.age_s() >= SETTLE_S
+            and self.kv_mirror.sync_status.confirmed_at.age_s() < PARTS_VALIDITY_S
+        )
+
     def find(self, name: str, boot: str) -> Entry | None:
         """Return another entry, or None if it is not registered or has restarted since.
 
@@ -129,6 +155,8 @@
         for key in keys:
             self._records.pop(key, None)
             item = self.kv_mirror.items.get(key)
+            if key == self._own_key:
+                self._listed_at = clock.now() if item is not None else None
             if item is None or key == self._own_key:
                 continue
             try:
@@ -165,6 +193,10 @@
             for name, (entry, until_s) in self._departed.items()
             if name not in others and now_s < until_s
         }
+        sharing_count = len(self.sharing())
+        if sharing_count != self._sharing_count:
+            self._sharing_count = sharing_count
+            self.version += 1
 
     async def run_expiry(self) -> None:
         """Remove entries that did not register again after an outage, until cancelled."""
--- a/toucanhold/gateway/rate_limiter.py
+++ b/toucanhold/gateway/rate_limiter.py
@@ -212,8 +212,10 @@
         return settled / (settled + self.counts.others(key))
 
     def _share_by_size(self) -> float:
+        if not self.entry_list.may_use_parts:
+            return 0.0
         if self._size_share[0] != self.entry_list.version:
-            share = sharing.share(self.entry_list.own, self.entry_list.others())
+            share = sharing.share(self.entry_list.own, self.entry_list.sharing())
             self._size_share = self.entry_list.version, share
         return self._size_share[1]
 
