Discard old requests, and do not wait for loans while nobody lends

Two faults of the new retry budget, found by reading it: a process without retries kept the counts of all its requests, and a request whose retry nobody could lend waited 0.08 s for its final answer each time. Tests for both.

--- a/tests/test_retry_ledger.py
+++ b/tests/test_retry_ledger.py
@@ -91,3 +91,10 @@
             ledger.record_request(0.02 * number)
         self.assertGreaterEqual(ledger.headroom(9.0, ALLOWANCE), 23)
         self.assertEqual(15, ledger.headroom(9.0, ALLOWANCE, ahead_s=3.0))
+
+    def test_requests_without_retries_are_not_kept(self):
+        """Guards against a process whose memory grows with its age."""
+        ledger = new_ledger()
+        for tick in range(10_000):
+            ledger.record_request(0.2 * tick)
+        self.assertLessEqual(len(ledger._requests), retry_ledger.MAX_REQUEST_BUCKETS + 1)
--- a/tests/test_retry_lending.py
+++ b/tests/test_retry_lending.py
@@ -91,6 +91,18 @@
         self.assertGreater(granted, 0.5 * BOUND.slack)
         self.assertLessEqual(granted, BOUND.slack)
 
+    @on_pair
+    async def test_requests_do_not_wait_while_nobody_has_retries_left(self, pair):
+        """Guards against final answers that are held back for loans that nobody gives."""
+        pair.lender.budget.limit_share = gateways.FixedLimitShare(0.0)
+        with trio.move_on_after(2.0):
+            while True:
+                await pair.borrow()
+                await trio.sleep(0.01)
+        started_s = trio.current_time()
+        self.assertIsNone(await pair.borrow())
+        self.assertEqual(started_s, trio.current_time())
+
     @on_pair
     async def test_unused_retries_are_returned(self, pair):
         """Guards against loans that nobody uses and that the lender counts for a window."""
--- a/toucanhold/gateway/limit_shares.py
+++ b/toucanhold/gateway/limit_shares.py
@@ -140,7 +140,7 @@
 
     async def _take_one(self) -> bool:
         """Try to take a share that is free; return whether there was one."""
-        if not self.kv_mirror.revision:
+        if not self.kv_mirror.revision or self.entry_list.is_stopping:
             return False
         serving = max(1, len(self.entry_list.serving()))
         has_room = len(self._held) < math.ceil(SHARE_COUNT / serving)
--- a/toucanhold/gateway/retry_budget.py
+++ b/toucanhold/gateway/retry_budget.py
@@ -176,7 +176,8 @@
 
     :ivar bound: limit of each service
     :ivar limit_share: the part of the slack that is this entry's
-    :ivar has_lenders: whether other entries may lend retries
+    :ivar has_lenders: whether there may be entries that lend retries
+    :ivar are_lenders_empty: whether the entries asked last lent nothing
     :ivar loan_needed: notified when retries are to be borrowed
     :ivar sent_counts: number of retries that were sent, by service and cause
     :ivar borrowed_counts: number of borrowed retries that were used, by service
@@ -185,6 +186,7 @@
     bound: RetryBound
     limit_share: LimitShare = attrs.field(factory=WholeLimit)
     has_lenders: bool = False
+    are_lenders_empty: bool = False
     loan_needed: notifier.Notifier = attrs.field(factory=notifier.Notifier, init=False)
     sent_counts: collections.Counter[tuple[str, RetryCause]] = attrs.field(
         factory=collections.Counter, init=False
@@ -207,7 +209,7 @@
         :param is_trial: see :meth:`try_acquire`
         """
         retry = self.try_acquire(service, cause, is_trial)
-        if retry is not None or not self.has_lenders:
+        if retry is not None or not self.has_lenders or self.are_lenders_empty:
             return retry
         state = self._state(service)
         state.waiting += 1
@@ -232,7 +234,7 @@
         state = self._state(service)
         state.wanted_s.append(clock.elapsed_s())
         retry = self._take(service, cause, is_trial)
-        if self.has_lenders and self.loan_needed_count(service):
+        if self.loan_needed_count(service) and self.has_lenders:
             self.loan_needed.notify_all()
         return retry
 
--- a/toucanhold/gateway/retry_ledger.py
+++ b/toucanhold/gateway/retry_ledger.py
@@ -20,6 +20,8 @@
 import attrs
 
 BUCKETS_PER_WINDOW = 50
+# Older ones are discarded beyond this, also while there are no retries.
+MAX_REQUEST_BUCKETS = 4 * BUCKETS_PER_WINDOW
 # Requests of two windows count, half each.
 REQUEST_WEIGHT = 0.5
 
@@ -56,7 +58,10 @@
 
     def record_request(self, now_s: float) -> None:
         """Count a caller's request."""
-        self._requests[self._bucket(now_s)] += 1
+        bucket = self._bucket(now_s)
+        if len(self._requests) > MAX_REQUEST_BUCKETS:
+            self._discard_older(bucket - BUCKETS_PER_WINDOW)
+        self._requests[bucket] += 1
 
     def add_pending(self, amount: float) -> None:
         """Count a retry, or a part of one, that a server may receive at any time from now on."""
--- a/toucanhold/gateway/retry_lending.py
+++ b/toucanhold/gateway/retry_lending.py
@@ -27,6 +27,8 @@
 EMPTY_S = 0.4
 # While nobody lends anything, entries are asked at growing intervals.
 MAX_ROUND_S = 0.5
+# Beyond this interval, requests no longer wait for a loan.
+EMPTY_ROUND_S = 0.15
 # More is asked for than is needed, because some lend less. What is left over is returned.
 ASK_FACTOR = 1.5
 IDLE_S = 5.0
@@ -194,6 +196,7 @@
             self._empty_until_s.pop((ask.service, message.entry), None)
         if message.amount:
             self._round_s = ROUND_S
+            self.budget.are_lenders_empty = False
             loan = retry_loans.HeldLoan(message.entry, message.number, message.amount, ask.sent_s)
             self.budget.add_loan(ask.service, loan)
 
@@ -213,8 +216,9 @@
             services = self.budget.services_in_need()
             for service in services:
                 await self._ask(service)
+            self._round_s = min(MAX_ROUND_S, 1.5 * self._round_s) if services else ROUND_S
+            self.budget.are_lenders_empty = self._round_s > EMPTY_ROUND_S
             if services:
-                self._round_s = min(MAX_ROUND_S, 1.5 * self._round_s)
                 await trio.sleep(self._round_s * self.rng.uniform(0.8, 1.2))
             else:
                 wait_s = RETURN_INTERVAL_S if self.budget.has_loans() else IDLE_S
