--- a/toucanhold/gateway/retry_ledger.py
+++ b/toucanhold/gateway/retry_ledger.py
@@ -56,8 +56,12 @@
         factory=lambda: collections.defaultdict(float), init=False
     )
 
+    # The last result of `headroom`, and what it was computed for; cleared by each change.
+    _cached: tuple[tuple, float] = attrs.field(default=((), 0.0), init=False)
+
     def record_request(self, now_s: float) -> None:
         """Count a caller's request."""
+        self._clear_cached()
         bucket = self._bucket(now_s)
         if len(self._requests) > MAX_REQUEST_BUCKETS:
             self._discard_older(bucket - BUCKETS_PER_WINDOW)
@@ -65,23 +69,28 @@
 
     def add_pending(self, amount: float) -> None:
         """Count a retry, or a part of one, that a server may receive at any time from now on."""
+        self._clear_cached()
         self.pending += amount
 
     def cancel_pending(self, amount: float) -> None:
         """Discard a pending retry that no server receives."""
+        self._clear_cached()
         self.pending -= amount
 
     def settle_pending(self, amount: float, now_s: float) -> None:
         """Count a pending retry that a server has received by now, or never will."""
+        self._clear_cached()
         self.pending -= amount
         self._retries[self._bucket(now_s)] += amount
 
     def lend(self, amount: float, until_s: float) -> None:
         """Count retries that another entry may make until ``until_s``."""
+        self._clear_cached()
         self._retries[self._bucket(until_s)] += amount
 
     def take_back(self, amount: float, until_s: float) -> None:
         """Discard lent retries that the other entry did not make and no longer will."""
+        self._clear_cached()
         bucket = self._bucket(until_s)
         self._retries[bucket] = max(0.0, self._retries[bucket] - amount)
 
@@ -102,8 +111,14 @@
         :param ahead_s: time for which the retries may still be delayed
         """
         newest = self._bucket(now_s)
-        self._discard_older(newest - BUCKETS_PER_WINDOW)
         last_start = newest + math.ceil(ahead_s * BUCKETS_PER_WINDOW / self.window_s)
+        key = newest, last_start, allowance
+        if self._cached[0] != key:
+            self._cached = key, self._compute_headroom(newest, last_start, allowance)
+        return self._cached[1]
+
+    def _compute_headroom(self, newest: int, last_start: int, allowance: Allowance) -> float:
+        self._discard_older(newest - BUCKETS_PER_WINDOW)
         first_start = newest - BUCKETS_PER_WINDOW
         oldest = first_start - BUCKETS_PER_WINDOW
         counts = (self._requests.get(bucket, 0) for bucket in range(oldest, newest + 1))
@@ -123,6 +138,9 @@
             headroom = min(headroom, allowed - retries)
         return headroom
 
+    def _clear_cached(self) -> None:
+        self._cached = (), 0.0
+
     def _bucket(self, time_s: float) -> int:
         return math.floor(time_s * BUCKETS_PER_WINDOW / self.window_s)
 
