Let the soak lose answers while entries restart, and check retries in every window

The last and the next process of an entry were never checked together. Plain servers now lose 95 of 100 answers for 12 s while all entries are killed in series, and arrivals beyond the first are compared with the limit in each 10 s over all entries, without an excuse.

--- a/tests/platform/soak/backends.py
+++ b/tests/platform/soak/backends.py
@@ -1,5 +1,6 @@
 """Backend servers of the soak: registrations, orders and requests, over HTTP."""
 
+import collections.abc
 import json
 import urllib.parse
 
@@ -161,6 +162,7 @@
     """HTTP interface of one server.
 
     :ivar slowdowns: factor of the time that requests take, by server
+    :ivar is_answer_lost: returns whether a plain server loses the answer of a request
     """
 
     name: str
@@ -168,6 +170,7 @@
     run_log: RunLog
     signal_record: object
     slowdowns: dict
+    is_answer_lost: collections.abc.Callable
 
     @property
     def server(self):
@@ -274,6 +277,9 @@
             )
             return
         await trio.sleep(PLAIN_REQUEST_S * self.slowdown)
+        if self.is_answer_lost():
+            # Not a broken connection, which would be taken for a crash.
+            response_headers = [(b"x-attempt-id", b"another")]
         if self.server.is_reachable:
             await asgi.respond(
                 send, 200, response_headers, urllib.parse.unquote(scope["path"]).encode()
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -65,13 +65,17 @@
 
     async def _kill_entry(self):
         if entry := self._reserve(self.site.entries):
-            self.log(f"kill {entry}")
-            disturbance = self.site.signal_record.begin_disturbance(entry)
-            await self.site.group.kill(entry)
-            await trio.sleep(self.site.rng.uniform(0.1, 2))
-            await self.site.start_entry(entry)
-            disturbance[-1] = trio.current_time()
-            self.reserved_targets.discard(entry)
+            await self.restart_killed(entry, self.site.rng.uniform(0.1, 2))
+
+    async def restart_killed(self, entry, down_s=0.1):
+        """Kill the process of a reserved entry, and start another."""
+        self.log(f"kill {entry}")
+        disturbance = self.site.signal_record.begin_disturbance(entry)
+        await self.site.group.kill(entry)
+        await trio.sleep(down_s)
+        await self.site.start_entry(entry)
+        disturbance[-1] = trio.current_time()
+        self.reserved_targets.discard(entry)
 
     async def _pause_entry(self):
         if entry := self._reserve(self.site.entries):
--- a/tests/platform/soak/running.py
+++ b/tests/platform/soak/running.py
@@ -8,7 +8,7 @@
 import trio
 
 from standins import processes
-from tests.platform.soak import callers, crashing, faults, links, signals
+from tests.platform.soak import callers, crashing, faults, links, retries, signals
 from tests.platform.soak import site as sites
 
 FAULTS_S = 20.0
@@ -50,7 +50,8 @@
     """Run one seed for ``faults_s`` of faults and the recovery after them.
 
     :param has_signals: whether servers also send signals, see :mod:`signals`, requests crash them,
-        see :mod:`crashing`, and entries lose their links to them, see :mod:`links`
+        see :mod:`crashing`, entries lose their links to them, see :mod:`links`, and servers lose
+        answers while entries restart in series, see :mod:`retries`
     """
     async with sites.running(seed, folder, subnet, has_signals) as site:
         caller_record = callers.CallerRecord()
@@ -70,6 +71,7 @@
                 nursery.start_soon(crashing.CrashingCaller(site).run, faults_s)
                 nursery.start_soon(crashing.CrashingPartCaller(site).run, faults_s)
                 nursery.start_soon(link_injector.run, faults_s)
+                nursery.start_soon(retries.LossInjector(site, injector).run, faults_s)
             await injector.run(faults_s)
             await trio.sleep(RECOVERY_S)
             since_s = trio.current_time()
@@ -98,6 +100,7 @@
     violations += [f"process: {text}" for text in site.stop_failures]
     violations += signals.check(site.signal_record)
     violations += crashing.check(site, caller_record)
+    violations += retries.check(site)
     order_attempts = set(caller_record.order_attempts)
     for attempt in order_attempts:
         if len(site.run_log.runs_by_attempt.get(attempt, ())) > 1:
--- a/tests/platform/soak/site.py
+++ b/tests/platform/soak/site.py
@@ -27,6 +27,8 @@
     table.Model("large", size=4, share=0.57, pace=1.0, load_s=0.6, warm_s=0.3),
     table.Model("small", size=3, share=0.43, pace=0.6, load_s=0.5, warm_s=0.3),
 )
+RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_S = 0.2, 80, 10
+PLAIN_PREFIX = "p"
 PORTS = {"front": 8227, "ready": 8220, "directory": 8224, "between": 7340}
 
 
@@ -37,6 +39,7 @@
     :ivar subnet: middle two bytes of the loopback addresses of this run's entries
     :ivar has_policies: whether entries run with all optional policies
     :ivar has_link_cuts: whether entries may lose their links to the servers, see :mod:`links`
+    :ivar lost_fraction: fraction of the plain servers' answers that are lost
     :ivar version: version of the current configuration
     :ivar route_prefixes: path prefixes that configurations added, in order
     :ivar stop_failures: descriptions of stops that were slow or failed
@@ -48,6 +51,7 @@
     nursery: trio.Nursery
     group: processes.ProcessGroup
     has_link_cuts: bool = False
+    lost_fraction: float = 0.0
     version: int = 0
     route_prefixes: list = attrs.field(factory=list)
     stop_failures: list = attrs.field(factory=list)
@@ -56,6 +60,7 @@
 
     def __attrs_post_init__(self):
         self.rng = random.Random(self.seed)
+        self.loss_rng = random.Random(f"losses {self.seed}")
         self.store = backends.ExpiringStore()
         self.addresses = {}
         self.engine = replicas.new_engine(*MODELS)
@@ -90,10 +95,17 @@
         store_address = await self._start_server(self.store)
         for entry in self.entries:
             self.store_proxies[entry] = await self._start_proxy(store_address)
-        names = [f"s{n}" for n in range(MODEL_SERVERS)] + [f"p{n}" for n in range(PLAIN_SERVERS)]
+        names = [f"s{n}" for n in range(MODEL_SERVERS)] + [
+            f"{PLAIN_PREFIX}{n}" for n in range(PLAIN_SERVERS)
+        ]
         for number, name in enumerate(names):
             app = backends.BackendApp(
-                name, self.fleet, self.run_log, self.signal_record, self.slowdowns
+                name,
+                self.fleet,
+                self.run_log,
+                self.signal_record,
+                self.slowdowns,
+                self._is_answer_lost,
             )
             self.server_proxies[name] = await self._start_proxy(await self._start_server(app))
             self.server_proxies[name].is_greeting = self.has_link_cuts
@@ -104,6 +116,9 @@
         for entry in self.entries:
             await self.start_entry(entry)
 
+    def _is_answer_lost(self):
+        return self.loss_rng.random() < self.lost_fraction
+
     async def start_entry(self, entry):
         """Start an entry's process."""
         path = self.folder / f"{entry}.toml"
@@ -183,9 +198,9 @@
 cpu_share = 1.0
 cores = 1
 [bounds]
-retry_ratio = 0.2
-retry_slack = 132
-retry_window_s = 10
+retry_ratio = {RETRY_RATIO}
+retry_slack = {RETRY_SLACK}
+retry_window_s = {RETRY_WINDOW_S}
 stall_ms = {int(replicas.STALL_S * 1000)}
 grace_s = {GRACE_S}
 [platform]
