--- a/standins/retries.py
+++ b/standins/retries.py
@@ -1,5 +1,6 @@
 """Entries that share the retry limit of a service, on an in-memory key-value service."""
 
+import bisect
 import collections
 import contextlib
 import itertools
@@ -35,13 +36,12 @@
     def __attrs_post_init__(self):
         """Build the components."""
         name = self.own.entry
-        kv_mirror = mirror.Mirror()
+        self.kv_mirror = mirror.Mirror()
         client = self.platform.client(name)
-        self.watch = watching.ServiceWatch(
-            self.platform.change_source(name), kv_mirror, lambda: WATCH_DELAY_S, self.rng
+        self.entry_list = entries.EntryList(self.own, client, self.kv_mirror, self.rng)
+        self.limit_shares = limit_shares.LimitShares(
+            client, self.kv_mirror, self.entry_list, self.rng
         )
-        self.entry_list = entries.EntryList(self.own, client, kv_mirror, self.rng)
-        self.limit_shares = limit_shares.LimitShares(client, kv_mirror, self.entry_list, self.rng)
         self.retry_budget = retry_budget.RetryBudget(BOUND, self.limit_shares)
         self.cold_budget = budget.ColdBudget(1.5, 5, self.entry_list)
         self.retry_lending = retry_lending.RetryLending(
@@ -52,13 +52,26 @@
         """Run until the scope is cancelled."""
         with self.scope:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self.watch.run)
+                nursery.start_soon(self.follow_store)
                 nursery.start_soon(self.entry_list.run)
                 nursery.start_soon(self.entry_list.run_expiry)
                 nursery.start_soon(self.limit_shares.run)
-                nursery.start_soon(self.retry_lending.run)
+                nursery.start_soon(self.lend)
                 await trio.sleep_forever()
 
+    async def follow_store(self):
+        """Keep the mirror up to date."""
+        source = self.platform.change_source(self.own.entry)
+        await watching.ServiceWatch(source, self.kv_mirror, lambda: WATCH_DELAY_S, self.rng).run()
+
+    async def lend(self):
+        """Lend retries to other entries, and borrow from them."""
+        await self.retry_lending.run()
+
+    def record_request(self):
+        """Count a caller's request."""
+        self.retry_budget.record_request(SERVICE)
+
     async def retry(self):
         """Return whether a request is sent again after a failed attempt."""
         retry = await self.retry_budget.acquire(SERVICE, retry_budget.RetryCause.ANSWER_LOST)
@@ -72,12 +85,14 @@
 class RetrySite:
     """Entries, their callers and what a service gets.
 
+    :ivar entry_type: how an entry takes part in the limit
     :ivar requests_s: times of the callers' requests
     :ivar retries_s: times at which the service got a request once more
     """
 
     entry_count: int
     seed: int = 1
+    entry_type: type[SiteEntry] = SiteEntry
     platform: memory.MemoryPlatform = attrs.field(factory=memory.MemoryPlatform)
     entries: dict[str, SiteEntry] = attrs.field(factory=dict)
     network: lending.LoanNetwork = attrs.field(init=False)
@@ -106,7 +121,7 @@
         number = next(self._boots)
         own = attrs.evolve(gateways.new_entry(name), boot=f"boot-{number}", lending_address=name)
         rng = random.Random(f"{self.seed}/{number}")
-        entry = SiteEntry(own, self.platform, self.network, rng)
+        entry = self.entry_type(own, self.platform, self.network, rng)
         self.entries[name] = entry
         self._nursery.start_soon(entry.run)
 
@@ -128,7 +143,7 @@
             name = rng.choice(sorted(self.entries))
             self.requests_s.append(trio.current_time())
             entry = self.entries[name]
-            entry.retry_budget.record_request(SERVICE)
+            entry.record_request()
             if failing is None or name in failing:
                 self._nursery.start_soon(self._fail, entry)
 
@@ -155,13 +170,15 @@
             window.append(retried_s)
             while window[0] < retried_s - BOUND.window_s:
                 window.popleft()
-            most = max(most, len(window) / self._allowed(retried_s - BOUND.window_s))
+            most = max(most, len(window) / self.allowed(retried_s - BOUND.window_s))
         return most
 
-    def _allowed(self, start_s):
+    def allowed(self, start_s):
         """Return the retries allowed in a window, by the most requests in it or just before."""
-        counts = (
-            sum(0 <= sent_s - start_s + early_s <= BOUND.window_s for sent_s in self.requests_s)
-            for early_s in (0.0, BOUND.window_s / 2, BOUND.window_s)
-        )
+        starts_s = (start_s - early_s for early_s in (0.0, BOUND.window_s / 2, BOUND.window_s))
+        counts = [
+            bisect.bisect_right(self.requests_s, each_s + BOUND.window_s)
+            - bisect.bisect_left(self.requests_s, each_s)
+            for each_s in starts_s
+        ]
         return BOUND.ratio * max(counts) + BOUND.slack
