--- a/tests/test_rate_limiter.py
+++ b/tests/test_rate_limiter.py
@@ -211,3 +211,18 @@
         _, error = await scene.send(gateways.new_call("/lookups/1", body=str(number).encode()))
         if error is not None:
             refused.append((trio.current_time() - began_s, error))
+
+
+class NewEntryTest(unittest.TestCase):
+    @clocked.on_test_clock
+    async def test_an_entry_that_the_others_do_not_know_sends_nothing_to_a_limited_server(self):
+        """Guards against entries that start together and each take the limit by their size."""
+        entry_list = gateways.FixedEntryList(gateways.new_entry("e0"), may_use_parts=False)
+        limiter = rate_limiter.RateLimiter(limits.LimitTable(), entry_list, random.Random(1))
+        limiter.limit_table.merge(new_limit(20.0), "")
+        for _ in range(10):
+            await trio.sleep(0.2)
+            self.assertFalse(limiter.may_send(SERVER))
+        entry_list.may_use_parts = True
+        await trio.sleep(0.5)
+        self.assertTrue(limiter.may_send(SERVER))
--- a/tests/test_shared_retries.py
+++ b/tests/test_shared_retries.py
@@ -80,15 +80,18 @@
             await site.send(REQUESTS_PER_S, 15.0)
         self.assertLessEqual(site.most_in_a_window(), 1.0)
 
-    @clocked.on_test_clock
-    async def test_a_few_entries_can_use_nearly_the_whole_retry_limit(self):
-        """Guards against failures at a few entries that leave the others' part unused."""
-        site = retries.RetrySite(ENTRY_COUNT)
+    async def _fail_at_a_few(self, site):
         async with site.running():
             await trio.sleep(4)
             await site.send(REQUESTS_PER_S, 8.0, failing=())
             site.retry_again_at(FEW, per_s=REQUESTS_PER_S)
             await site.send(REQUESTS_PER_S, 14.0, failing=())
+
+    @clocked.on_test_clock
+    async def test_a_few_entries_can_use_nearly_the_whole_retry_limit(self):
+        """Guards against failures at a few entries that leave the others' part unused."""
+        site = retries.RetrySite(ENTRY_COUNT)
+        await self._fail_at_a_few(site)
         self.assertGreaterEqual(site.most_in_a_window(), MIN_USED)
         self.assertLessEqual(site.most_in_a_window(), 1.0)
 
@@ -98,10 +101,6 @@
         site = retries.RetrySite(ENTRY_COUNT)
         site.network.loss = 0.3
         site.network.delay_s = 0.4
-        async with site.running():
-            await trio.sleep(4)
-            await site.send(REQUESTS_PER_S, 8.0, failing=())
-            site.retry_again_at(FEW, per_s=REQUESTS_PER_S)
-            await site.send(REQUESTS_PER_S, 14.0, failing=())
+        await self._fail_at_a_few(site)
         self.assertLessEqual(site.most_in_a_window(), 1.0)
         self.assertGreater(len(site.retries_s), 0)
