--- a/toucanhold/gateway/entries.py
+++ b/toucanhold/gateway/entries.py
@@ -18,11 +18,12 @@
 # All leases may lapse during an outage of the key-value service. Each entry registers again within
 # a second after it.
 LAPSE_GRACE_S = 2.0
-# An entry uses no parts of common limits until it has been listed for this long, so that the others
-# know of it, nor after it has heard nothing of the key-value service for the second time. The
-# others divide its parts only later than that.
+# An entry uses no parts of common limits until it has been listed for this long: the others do not
+# know of it yet.
 SETTLE_S = 1.0
+# Nor after it has heard nothing of the key-value service for this long: it may no longer be listed.
 PARTS_VALIDITY_S = 10.0
+# The parts of an entry that left are divided after this time, when it has stopped using them.
 PARTS_HELD_S = 12.0
 # Longer than an entry goes on serving after it has deregistered.
 DEPARTED_VALIDITY_S = 60.0
--- a/toucanhold/gateway/retry_budget.py
+++ b/toucanhold/gateway/retry_budget.py
@@ -178,7 +178,7 @@
     :ivar limit_share: the part of the slack that is this entry's
     :ivar has_lenders: whether there may be entries that lend retries
     :ivar are_lenders_empty: whether the entries asked last lent nothing
-    :ivar loan_needed: notified when retries are to be borrowed
+    :ivar loan_needed: notified when :meth:`services_in_need` may have changed
     :ivar sent_counts: number of retries that were sent, by service and cause
     :ivar borrowed_counts: number of borrowed retries that were used, by service
     """
--- a/toucanhold/gateway/retry_loans.py
+++ b/toucanhold/gateway/retry_loans.py
@@ -16,7 +16,7 @@
 
 # Time from asking to the end of a loan.
 LOAN_S = 1.0
-# Retries begin within this time after asking; the rest is for connecting and sending.
+# Borrowed retries begin within this time after asking; the rest is for connecting and sending.
 USABLE_S = 0.6
 MAX_AMOUNT = 1000.0
 
