Conclude nothing from a pause of the process until its data has been read

What callers saw: after a pause of an entry's process, sound servers were taken for silent, their streams moved, and all other entries told to avoid them. Cause: a late check was left out, but the next one followed 0.02 s later, before a busy process had read what had arrived; and the time in which another server had to be heard from ran on during the pause. Change: after a late check the next waits as long as the pause, 0.2 s at most, and the pause does not count as time without a sign of other servers. Evidence: logs of test_entry_links beside seven busy processes: two entries find servers silent in the same millisecond, right after a gap in all logs. Both new tests fail before the change and pass with it.

--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -153,6 +153,37 @@
             self.assertFalse(stream.scope.cancel_called)
             nursery.cancel_scope.cancel()
 
+    @clocked.on_test_clock
+    async def test_nothing_is_concluded_until_events_of_a_pause_are_read(self):
+        """Guards against silence concluded while a busy process still reads what has arrived."""
+        async with trio.open_nursery() as nursery:
+            _, stream = await self._start_detector(nursery)
+            await trio.sleep(0.05)
+            stream.record_event()
+            trio.lowlevel.current_clock().jump(1.0)
+            await trio.sleep(0.1)
+            stream.record_event()
+            await trio.sleep(0.15)
+            self.assertFalse(stream.scope.cancel_called)
+            await trio.sleep(silence.MAX_STARTED_SILENCE_S)
+            self.assertTrue(stream.scope.cancel_called)
+            nursery.cancel_scope.cancel()
+
+    @clocked.on_test_clock
+    async def test_a_pause_of_the_process_leaves_time_for_signs_of_other_servers(self):
+        """Guards against a server blamed after a pause in which no server could be heard from."""
+        own_links = server_links.ServerLinks()
+        async with trio.open_nursery() as nursery:
+            _, stream = await self._start_detector(nursery, own_links=own_links)
+            stream.record_event()
+            await trio.sleep(0.25)
+            trio.lowlevel.current_clock().jump(1.0)
+            await trio.sleep(0.3)
+            self.assertEqual([], self.silent)
+            await trio.sleep(silence.MAX_UNCONFIRMED_S)
+            self.assertEqual(["s1"], self.silent)
+            nursery.cancel_scope.cancel()
+
     async def _record_event_soon(self, stream):
         await trio.sleep(0.01)
         stream.record_event()
--- a/toucanhold/gateway/silence.py
+++ b/toucanhold/gateway/silence.py
@@ -15,8 +15,10 @@
 
 MIN_CHECK_INTERVAL_S = 0.02
 # Time by which a check may be late because this process was paused or busy. What servers sent
-# meanwhile is not read yet, so nothing is concluded from that check.
+# meanwhile is not read yet, so nothing is concluded from that check, nor until it has been read.
 MAX_CHECK_DELAY_S = 0.04
+# Reading it takes as long as the pause at most, and no longer than this.
+MAX_CATCH_UP_S = 0.2
 # Streams of healthy heads pause for less with every engine, unless long prompts are prefilled
 # between their steps.
 STARTED_SILENCE_S = 0.2
@@ -122,6 +124,7 @@
     _pause_estimates: dict[str, _PauseEstimate] = attrs.field(factory=dict, init=False)
     _confirmed_until_s: dict[str, float] = attrs.field(factory=dict, init=False)
     _unconfirmed_since_s: dict[str, float] = attrs.field(factory=dict, init=False)
+    _caught_up_s: float = attrs.field(default=-math.inf, init=False)
     _check_requested: notifier.Notifier = attrs.field(factory=notifier.Notifier, init=False)
     _streams: dict[str, list[WatchedStream]] = attrs.field(
         factory=lambda: collections.defaultdict(list), init=False
@@ -168,12 +171,19 @@
     async def run(self) -> None:
         """Check the streams when a server may have been silent for too long, until cancelled."""
         while True:
-            check_at_s = self._next_check_s()
+            check_at_s = max(self._next_check_s(), self._caught_up_s)
             await self._check_requested.wait(check_at_s - trio.current_time())
             now_s = trio.current_time()
-            if now_s < check_at_s + MAX_CHECK_DELAY_S:
+            if now_s >= check_at_s + MAX_CHECK_DELAY_S:
+                self._ignore_pause(now_s, now_s - check_at_s)
+            elif now_s >= self._caught_up_s:
                 self._check_streams(now_s)
-            self._confirm_silent_servers(now_s)
+                self._confirm_silent_servers(now_s)
+
+    def _ignore_pause(self, now_s: float, pause_s: float) -> None:
+        self._caught_up_s = now_s + min(pause_s, MAX_CATCH_UP_S)
+        for server_id in self._unconfirmed_since_s:
+            self._unconfirmed_since_s[server_id] += pause_s
 
     def _next_check_s(self) -> float:
         """Return the trio clock time before which no server can be considered silent."""
