Blame no silent server while connections to other servers fail

What callers saw: an entry that lost its links reported a sound server as silent, so all entries avoided it. Cause: a silent server was blamed after 0.5 s without a sign of another one, unless three connections had failed by then. A cut entry with few requests, or a slow one, has only one or two failures by that time. Change: one failed connection to another server since the last that was opened is enough to leave the server alone, as no server has been heard from. Evidence: a run that failed with 0.502 s between "stalled" and "avoided", two relayed servers before it and no sign of any. The new test fails before the change.

--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -184,6 +184,21 @@
             self.assertEqual(["s1"], self.silent)
             nursery.cancel_scope.cancel()
 
+    @clocked.on_test_clock
+    async def test_a_head_is_not_blamed_while_another_server_cannot_be_reached(self):
+        """Guards against a head blamed before enough connections have failed to show a cut."""
+        for failed, is_blamed in (("s1", True), ("s2", False)):
+            own_links = server_links.ServerLinks()
+            with self.subTest(failed=failed):
+                async with trio.open_nursery() as nursery:
+                    _, stream = await self._start_detector(nursery, own_links=own_links)
+                    stream.record_event()
+                    await trio.sleep(0.25)
+                    own_links.record_failed(failed)
+                    await trio.sleep(silence.MAX_UNCONFIRMED_S)
+                    self.assertEqual(is_blamed, self.health.is_avoided("s1"))
+                    nursery.cancel_scope.cancel()
+
     async def _record_event_soon(self, stream):
         await trio.sleep(0.01)
         stream.record_event()
--- a/toucanhold/gateway/server_links.py
+++ b/toucanhold/gateway/server_links.py
@@ -43,6 +43,14 @@
             and trio.current_time() - self._last_failure_s < FAILURE_VALIDITY_S
         )
 
+    def has_failed_with_others(self, server_id: str) -> bool:
+        """Return whether connections to other servers have failed since the last that was opened.
+
+        :param server_id: server whose own failures do not count
+        """
+        is_recent = trio.current_time() - self._last_failure_s < FAILURE_VALIDITY_S
+        return is_recent and not self._failed_since_success <= {server_id}
+
     def is_failing(self, server_id: str) -> bool:
         """Return whether the last connection to a server failed, or all links appear to be cut."""
         return server_id in self._failing or self.are_cut
--- a/toucanhold/gateway/silence.py
+++ b/toucanhold/gateway/silence.py
@@ -249,7 +249,7 @@
         """Return whether another server was heard from, or at least no link seems to be cut."""
         if self.own_links is None or self.own_links.has_sign_of_others(server_id, since_s):
             return True
-        return is_expired and not self.own_links.are_cut
+        return is_expired and not self.own_links.has_failed_with_others(server_id)
 
     def _has_resumed(self, server_id: str, since_s: float) -> bool:
         streams = self._streams.get(server_id, ())
