--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -136,6 +136,7 @@
     :ivar is_misdirected: whether it responds that another server was meant, or another head
     :ivar is_answer_lost: whether it runs the call and then breaks the connection
     :ivar signals: signals in each of its answers
+    :ivar paused_until_s: time on trio's clock until which it accepts connections and sends nothing
     """
 
     status: int = 200
@@ -151,6 +152,13 @@
     is_misdirected: bool = False
     is_answer_lost: bool = False
     signals: signals.Signals = signals.Signals()
+    paused_until_s: float = 0.0
+
+    async def work(self, duration_s: float) -> None:
+        """Work for a time; a pause meanwhile is added to it."""
+        await trio.sleep(duration_s)
+        while trio.current_time() < self.paused_until_s:
+            await trio.sleep_until(self.paused_until_s)
 
 
 @attrs.define(eq=False)
@@ -195,7 +203,7 @@
                 await trio.sleep(0.001)
                 self._send_signals(server, sent_s)
                 raise calls.NotRunError(f"{name}: no free slot; the call was not run")
-            await trio.sleep(behaviour.response_delay_s)
+            await behaviour.work(behaviour.response_delay_s)
             self.executed_calls.append((name, forwarded.call.call_id))
             if behaviour.is_answer_lost:
                 raise calls.ResponseLostError(f"{name}: connection lost", is_connection_lost=True)
@@ -225,7 +233,7 @@
             if sent_count == behaviour.stall_after:
                 await trio.sleep_forever()
             if sent_count:
-                await trio.sleep(behaviour.event_interval_s)
+                await behaviour.work(behaviour.event_interval_s)
             yield f"id: {number}\ndata: token {number}\n\n".encode()
             sent_count += 1
 
