Log who ended an attempt or answer early, and on what

Cause: RETRY_DENIED and CALL_ENDED do not tell a stream that the entry gave up from one that its server broke off. Change: CALL_ENDED names who decided, and each lost attempt has an ATTEMPT_LOST with what was left of attempts, retries and time.

--- a/toucanhold/gateway/attempt.py
+++ b/toucanhold/gateway/attempt.py
@@ -261,7 +261,10 @@
         if state.route.may_repeat:
             silence_detector.remove(stream)
     if stream.scope.cancelled_caught:
-        raise calls.ResponseLostError("the server sent no events within the silence limit")
+        raise calls.ResponseLostError(
+            f"the server sent no events for {stream.silent_s:.3f} s",
+            decided_by=calls.Decider.ENTRY,
+        )
     return status
 
 
@@ -338,7 +341,10 @@
     is_failure = response.status >= FIRST_SERVER_ERROR_STATUS
     if is_failure and state.route.may_repeat and may_fail_over():
         # Servers fail some requests that they could serve; another server responds in time.
-        raise calls.ResponseLostError(f"the server responded with status {response.status}")
+        raise calls.ResponseLostError(
+            f"the server responded with status {response.status}",
+            decided_by=calls.Decider.ENTRY,
+        )
     server_health.record_outcome(state.server_id, is_failure)
     if state.has_response_started:
         raise calls.ResponseLostError(
--- a/toucanhold/gateway/calls.py
+++ b/toucanhold/gateway/calls.py
@@ -40,21 +40,36 @@
     LATE = "late"
 
 
+class Decider(enum.Enum):
+    """Who ended an attempt or a response before it was complete."""
+
+    SERVER = "backend server"
+    ENTRY = "this entry"
+    TUNNEL = "another entry, through which the server was reached"
+    DEADLINE = "deadline"
+
+
 class CallError(Exception):
     """Raised when a call is refused and no response from a backend server is forwarded.
 
     :ivar reason: why the call is refused
     :ivar may_have_run: whether a backend server may have run the call or may still run it
     :ivar retry_after_s: delay after which the caller may retry; None for no hint
+    :ivar decided_by: who ended the call
     """
 
     def __init__(
-        self, reason: RefusalReason, may_have_run: bool = False, retry_after_s: float | None = None
+        self,
+        reason: RefusalReason,
+        may_have_run: bool = False,
+        retry_after_s: float | None = None,
+        decided_by: Decider = Decider.ENTRY,
     ) -> None:
         super().__init__(reason.value)
         self.reason = reason
         self.may_have_run = may_have_run
         self.retry_after_s = retry_after_s
+        self.decided_by = decided_by
 
 
 class ExchangeError(Exception):
@@ -83,11 +98,15 @@
     """Raised when a response is lost or unusable and the request may have run.
 
     :ivar is_connection_lost: whether the connection was lost, as it is when a server crashes
+    :ivar decided_by: who ended the response
     """
 
-    def __init__(self, detail: str, is_connection_lost: bool = False) -> None:
+    def __init__(
+        self, detail: str, is_connection_lost: bool = False, decided_by: Decider = Decider.SERVER
+    ) -> None:
         super().__init__(detail)
         self.is_connection_lost = is_connection_lost
+        self.decided_by = decided_by
 
 
 @attrs.frozen
--- a/toucanhold/gateway/gateway.py
+++ b/toucanhold/gateway/gateway.py
@@ -131,11 +131,14 @@
                 state.cancel_retry()
         if scope.cancelled_caught:
             if state.has_response_started:
-                raise calls.ResponseLostError("the time for the request is over")
+                raise calls.ResponseLostError(
+                    "the time for the request is over", decided_by=calls.Decider.DEADLINE
+                )
             raise calls.CallError(
                 calls.RefusalReason.DEADLINE_EXCEEDED,
                 state.may_have_run,
                 retry_after_s=RETRY_AFTER_S,
+                decided_by=calls.Decider.DEADLINE,
             )
         return status
 
@@ -152,6 +155,7 @@
                 await self._check_retry(state, error)
             except calls.ResponseLostError as error:
                 excluded.add(state.server_id)
+                self._log_lost(state, error)
                 state.record_lost_response()
                 self.health.record_outcome(state.server_id, is_failure=True)
                 guard.record_lost(state.server_id, error, state.progress)
@@ -193,7 +197,7 @@
                     )
         except calls.CallError as error:
             if state.has_response_started:
-                raise calls.ResponseLostError(str(error)) from error
+                raise calls.ResponseLostError(str(error), decided_by=error.decided_by) from error
             if state.may_have_run:
                 raise calls.CallError(calls.RefusalReason.RESPONSE_LOST, True) from error
             raise
@@ -274,6 +278,21 @@
             )
             self.silence_detector.on_silent(state.server_id)
 
+    def _log_lost(self, state: attempt.CallState, error: calls.ResponseLostError) -> None:
+        use = self.retry_budget.use(state.service.name, state.is_trial)
+        events.log(
+            LOGGER,
+            events.Event.ATTEMPT_LOST,
+            request_id=state.call.call_id,
+            server=state.server_id,
+            decided_by=error.decided_by.value,
+            failure=str(error),
+            after_event=state.last_event_id,
+            attempts_left=state.route.max_attempts + state.extra_attempts - state.attempt_count,
+            retries_left=round(use.headroom + use.borrowed, 2),
+            remaining_s=round(state.deadline_s - trio.current_time(), 3),
+        )
+
     async def _check_retry(self, state: attempt.CallState, error: calls.ExchangeError) -> None:
         """Return if the call may be retried on another server, and consume a retry.
 
@@ -292,7 +311,9 @@
             reason=reason or None,
         )
         if reason:
-            self._raise_failure(state, calls.RefusalReason.RESPONSE_LOST, RETRY_AFTER_S)
+            decided_by = getattr(error, "decided_by", calls.Decider.SERVER)
+            reason = calls.RefusalReason.RESPONSE_LOST
+            self._raise_failure(state, reason, RETRY_AFTER_S, decided_by)
 
     async def _retry_denial_reason(
         self, state: attempt.CallState, error: calls.ExchangeError
@@ -331,7 +352,11 @@
             raise calls.CallError(calls.RefusalReason.NO_SERVER, retry_after_s=RETRY_AFTER_S)
 
     def _raise_failure(
-        self, state: attempt.CallState, reason: calls.RefusalReason, retry_after_s: float
+        self,
+        state: attempt.CallState,
+        reason: calls.RefusalReason,
+        retry_after_s: float,
+        decided_by: calls.Decider = calls.Decider.ENTRY,
     ) -> None:
         """Raise the error that describes how far the call has progressed.
 
@@ -339,9 +364,10 @@
         :raises calls.CallError: if not; with RESPONSE_LOST if the call may have run
         """
         if state.has_response_started:
-            raise calls.ResponseLostError(reason.value)
+            raise calls.ResponseLostError(reason.value, decided_by=decided_by)
         if state.may_have_run:
-            raise calls.CallError(calls.RefusalReason.RESPONSE_LOST, may_have_run=True)
+            lost = calls.RefusalReason.RESPONSE_LOST
+            raise calls.CallError(lost, may_have_run=True, decided_by=decided_by)
         if reason is calls.RefusalReason.RESPONSE_LOST:
             reason = calls.RefusalReason.NO_SERVER
-        raise calls.CallError(reason, retry_after_s=retry_after_s)
+        raise calls.CallError(reason, retry_after_s=retry_after_s, decided_by=decided_by)
--- a/toucanhold/gateway/silence.py
+++ b/toucanhold/gateway/silence.py
@@ -95,6 +95,11 @@
         self.has_started = True
         self.last_activity_s = now_s
 
+    @property
+    def silent_s(self) -> float:
+        """Time since the server last sent data of this stream."""
+        return trio.current_time() - self.last_activity_s
+
     def set_pause_estimate(self, pause_estimate: _PauseEstimate) -> None:
         """Set the estimate of the server to which this stream's pauses are added."""
         self._pause_estimate = pause_estimate
--- a/toucanhold/platform/front.py
+++ b/toucanhold/platform/front.py
@@ -120,11 +120,11 @@
         call = read_call(scope, body, arrived_s)
         timer = self.metrics.new_timer(call.method, "calls")
         reply = HttpReply(send, self.is_stopping(), timer)
-        outcome = "left"
+        outcome, decided_by = "left", "caller"
         async with trio.open_nursery() as nursery:
             # When the caller disconnects, the backend server's slot must be freed at once.
             nursery.start_soon(_cancel_on_disconnect, receive, nursery.cancel_scope)
-            outcome = await self._answer(call, reply)
+            outcome, decided_by = await self._answer(call, reply)
             nursery.cancel_scope.cancel()
         timer.finish(reply.status, outcome)
         events.log(
@@ -135,6 +135,7 @@
             model=call.model or None,
             status=reply.status or None,
             outcome=outcome,
+            decided_by=decided_by,
             first_s=(
                 round(reply.first_chunk_s - arrived_s, 3)
                 if reply.first_chunk_s is not None
@@ -144,17 +145,18 @@
             took_s=round(trio.current_time() - arrived_s, 3),
         )
 
-    async def _answer(self, call: calls.Call, reply: HttpReply) -> str:
+    async def _answer(self, call: calls.Call, reply: HttpReply) -> tuple[str, str | None]:
+        """Answer a call; return how that ended, and who ended it if that was early."""
         try:
             await self.gateway.serve(call, reply)
-            return "answered"
+            return "answered", None
         except calls.CallError as error:
             await _refuse(reply, error)
-            return error.reason.value
+            return error.reason.value, error.decided_by.value
         except calls.ResponseLostError as error:
             # Returning with the answer unfinished makes the HTTP server close the connection, so
             # the caller cannot take a truncated answer for a complete one.
-            return f"broken off: {error}"
+            return f"broken off: {error}", error.decided_by.value
 
 
 def read_call(scope: asgi.Scope, body: bytes, arrived_s: float) -> calls.Call:
--- a/toucanhold/platform/servers.py
+++ b/toucanhold/platform/servers.py
@@ -269,7 +269,8 @@
     except TRANSFER_ERRORS as error:
         detail = f"{server.server_id}: connection lost: {error!r}"
         is_server_lost = not isinstance(error, streams.TunnelLostError)
-        raise calls.ResponseLostError(detail, is_connection_lost=is_server_lost) from error
+        decided_by = calls.Decider.SERVER if is_server_lost else calls.Decider.TUNNEL
+        raise calls.ResponseLostError(detail, is_server_lost, decided_by) from error
 
 
 def _order_body(order: orders.Order) -> dict:
