Keep groups whose members pause

What callers saw: streams at sound heads broke off with a reset connection while other servers paused. Cause: a member that answered no probe within 0.35 s was taken for dead; its group was dissolved, and its head told to abort its work. Change: a server that accepts a connection and answers nothing is probed again every 0.25 s, and is considered unreachable after 2 s, as long as callers keep a stream without events. Dark and crashed servers are found as before. Such a server shows no partition either.

--- a/standins/replicas.py
+++ b/standins/replicas.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import contextlib
 import random
 
@@ -71,7 +72,8 @@
     :ivar born_ms: start time of its present process; increases with each restart
     :ivar mode: ``up``, ``dark`` (dead and unreachable), ``apart`` (running, but unreachable from
         entries and the key-value service), ``unlisted`` (running and reachable, but partitioned
-        from the key-value service)
+        from the key-value service), ``paused`` (its VM accepts connections, but the process stands
+        still)
     :ivar staged: models staged on its host
     :ivar model: model that it has loaded; empty for none
     :ivar order_count: number of orders that it has begun to execute
@@ -178,6 +180,15 @@
             self._stall_heads_of(name)
         self.nursery.start_soon(self._expire_registration, server)
 
+    async def pause(self, name: str, duration_s: float) -> None:
+        """Let the process of a server stand still, and wait until it goes on."""
+        server = self.servers[name]
+        server.mode = "paused"
+        await trio.sleep(duration_s)
+        if server.mode == "paused":
+            server.mode = "up"
+            await self.register(server)
+
     async def partition_together(self, names: list[str]) -> None:
         """Partition servers that still reach each other, so that their groups do not stall."""
         for name in names:
@@ -206,6 +217,10 @@
         await trio.sleep(0.002)
         self.sent_orders.append((trio.current_time(), server.server_id, order))
         target = self.servers[server.server_id]
+        if target.mode == "paused":
+            self.nursery.start_soon(self._execute_late, target, order, order_count)
+            await trio.sleep(0.4)
+            return orders.OrderOutcome.LOST
         if not target.is_reachable:
             await trio.sleep(0.3)
             return orders.OrderOutcome.UNREACHABLE
@@ -217,10 +232,14 @@
             return orders.OrderOutcome.UNREACHABLE
         return await self._execute(target, order, order_count)
 
-    async def probe(self, server: servers.Server) -> servers.Server | None:
+    async def probe(
+        self, server: servers.Server, on_connected: collections.abc.Callable[[], None]
+    ) -> servers.Server | None:
         """See :class:`orders.EngineClient`."""
         await trio.sleep(0.002)
         target = self.servers[server.server_id]
+        if target.is_reachable or target.mode == "paused":
+            on_connected()
         if not target.is_reachable:
             await trio.sleep(0.3)
             return None
--- a/tests/platform/soak/backends.py
+++ b/tests/platform/soak/backends.py
@@ -223,7 +223,7 @@
         return send_with_signals
 
     async def _report(self, send):
-        state = await self.fleet.probe(self.server.registration())
+        state = await self.fleet.probe(self.server.registration(), lambda: None)
         if state is not None:
             await asgi.respond_json(
                 send, 200, model_fields(state) | {"seq": state.order_count, "busy": False}
--- a/tests/platform/test_entry_links.py
+++ b/tests/platform/test_entry_links.py
@@ -106,7 +106,8 @@
         for name in names:
             running = site.entries[name]
             for server in running.server_registry.servers.values():
-                self.assertIsNotNone(await running.server_client.probe(server), (name, server))
+                report = await running.server_client.probe(server, lambda: None)
+                self.assertIsNotNone(report, (name, server))
 
     async def _send_all(self, site, names, prefix, results):
         async def send(name, number):
--- a/tests/platform/test_platform_calls.py
+++ b/tests/platform/test_platform_calls.py
@@ -230,7 +230,7 @@
         """Guards against signals that are read only in answers to callers' requests."""
         server = scene.registered_servers["b0"]
         server_app.signals = [(b"server-limit", b"2")]
-        await scene.gateway.server_client.probe(server)
+        await scene.gateway.server_client.probe(server, lambda: None)
         self.assertEqual(2.0, scene.limit_table.rate_per_s(server))
         server_app.signals = [(b"server-leaving", b"1")]
         await scene.gateway.server_client.send(server, orders.Leave("g1", 1), 0, 9)
@@ -245,7 +245,7 @@
         join = orders.Join("g1", 5, "m0", ("b0", "b1"))
         self.assertIs(orders.OrderOutcome.BEGUN, await client.send(server, join, 0, 9))
         self.assertIs(orders.OrderOutcome.REFUSED, await client.send(server, join, 0, 9))
-        self.assertEqual(1, (await client.probe(server)).order_count)
+        self.assertEqual(1, (await client.probe(server, lambda: None)).order_count)
         order_fields = server_app.orders[0]
         self.assertEqual(
             ("join", "g1", 5, 9),
--- a/tests/test_backoffs.py
+++ b/tests/test_backoffs.py
@@ -134,7 +134,7 @@
         self.received.append(order)
         return orders.OrderOutcome.BEGUN
 
-    async def probe(self, server):
+    async def probe(self, server, on_connected):
         self.received.append("probe")
         return attrs.evolve(server, order_count=3)
 
--- a/tests/test_ordering.py
+++ b/tests/test_ordering.py
@@ -25,12 +25,12 @@
     async def send(self, server, order, order_count, fence):
         return await self.delegate.send(server, order, order_count, fence)
 
-    async def probe(self, server):
+    async def probe(self, server, on_connected):
         if self.lost:
             self.lost -= 1
             await trio.sleep(1)
             return None
-        return await self.delegate.probe(server)
+        return await self.delegate.probe(server, on_connected)
 
 
 class ProbeTest(unittest.TestCase):
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -99,6 +99,39 @@
             self.assertEqual([], cluster.fleet.violations)
             nursery.cancel_scope.cancel()
 
+    @clocked.on_test_clock
+    async def test_a_pause_of_a_member_does_not_end_its_group(self):
+        """Guards against a sound group that is dissolved, with its streams, as a member pauses."""
+        async with trio.open_nursery() as nursery:
+            cluster, node = await start_formed_cluster(nursery)
+            before = set(node.group_table.groups)
+            group = node.serving_groups("large")[0]
+            for rank in (0, 2):
+                nursery.start_soon(cluster.fleet.pause, group.record.members[rank].server_id, 1.3)
+                await trio.sleep(0.2)
+                node.planner.suspect(group.head.server_id)
+                await trio.sleep(2.0)
+                self.assertEqual(before, set(node.group_table.groups))
+                self.assertEqual(2, len(node.serving_groups("large")))
+            self.assertEqual([], cluster.fleet.violations)
+            nursery.cancel_scope.cancel()
+
+    @clocked.on_test_clock
+    async def test_a_member_that_stands_still_for_long_is_replaced(self):
+        """Guards against a group that is kept for a member that will never go on."""
+        async with trio.open_nursery() as nursery:
+            cluster, node = await start_formed_cluster(nursery)
+            group = node.serving_groups("large")[0]
+            nursery.start_soon(cluster.fleet.pause, group.record.members[2].server_id, 60)
+            await trio.sleep(0.3)
+            node.planner.suspect(group.head.server_id)
+            start_s = trio.current_time()
+            await cluster.wait_for(lambda: group.name not in node.group_table.groups, 10)
+            await cluster.wait_for(lambda: len(node.serving_groups("large")) == 2, 10)
+            self.assertLess(trio.current_time() - start_s, 4.0)
+            self.assertEqual([], cluster.fleet.violations)
+            nursery.cancel_scope.cancel()
+
     @clocked.on_test_clock
     async def test_head_that_left_its_group_joins_the_next_one_without_delay(self):
         """Guards against refused joins after a leave has incremented the order count."""
--- a/toucanhold/events.py
+++ b/toucanhold/events.py
@@ -66,6 +66,7 @@
     SLOW_SERVER_LIMITED = (6019, logging.WARNING, "a backend server is too slow for its requests")
     SERVER_LINKS_LOST = (6020, logging.WARNING, "this entry connects to no backend server")
     SERVER_LINKS_BACK = (6021, logging.INFO, "this entry connects to backend servers again")
+    SERVER_RESUMED = (6023, logging.INFO, "a backend server that answered nothing answers again")
     SERVER_RELAYED = (6022, logging.INFO, "another entry connects to a server that this one cannot")
     GROUP_UNREADABLE = (3014, logging.ERROR, "a stored group could not be read")
     GROUP_ENDING = (3015, logging.INFO, "a group gets no new work and is being dissolved")
--- a/toucanhold/platform/servers.py
+++ b/toucanhold/platform/servers.py
@@ -103,10 +103,14 @@
             return orders.OrderOutcome.BEGUN
         return orders.OrderOutcome.HOLDS if status == 200 else orders.OrderOutcome.REFUSED
 
-    async def probe(self, server: servers.Server) -> servers.Server | None:
+    async def probe(
+        self, server: servers.Server, on_connected: collections.abc.Callable[[], None]
+    ) -> servers.Server | None:
         """See :class:`orders.EngineClient`."""
         try:
-            status, content = await self._control_call(server, b"GET", b"/report", b"")
+            status, content = await self._control_call(
+                server, b"GET", b"/report", b"", on_connected
+            )
             report_fields = json.loads(content) if status == 200 else None
         except (calls.ExchangeError, ValueError) as error:
             LOGGER.debug("%s: no report: %s", server.server_id, error)
@@ -131,7 +135,12 @@
         return attrs.evolve(reported, order_count=order_count)
 
     async def _control_call(
-        self, server: servers.Server, method: bytes, target: bytes, body: bytes
+        self,
+        server: servers.Server,
+        method: bytes,
+        target: bytes,
+        body: bytes,
+        on_connected: collections.abc.Callable[[], None] = lambda: None,
     ) -> tuple[int, bytes]:
         request_headers = [
             (b"host", server.address.encode()),
@@ -142,6 +151,7 @@
             request_headers.append((b"content-type", b"application/json"))
         self.observer.record_control_call(server)
         opened = await self._connect(server, CONTROL_TIMEOUT_S)
+        on_connected()
         connection = _http_connection(server, opened)
         content = bytearray()
         sent_s = trio.current_time()
--- a/toucanhold/replicas/ordering.py
+++ b/toucanhold/replicas/ordering.py
@@ -27,6 +27,10 @@
 # Part of the probe timeout left for the results of other servers that were probed at the same time.
 PROBE_SETTLE_S = 0.05
 
+# A server that accepts connections and answers nothing may only be paused. Its group goes on with
+# its work afterwards. Callers abandon a stream after two seconds without an event.
+MAX_PAUSE_S = 2.0
+
 # Servers report their state as it was up to 0.2 s ago.
 MAX_REPORT_AGE_S = 0.25
 
@@ -56,6 +60,9 @@
     )
     _order_counts: dict[tuple[str, int], int] = attrs.field(factory=dict, init=False)
     _unreachable_until_s: dict[tuple[str, int], float] = attrs.field(factory=dict, init=False)
+    _paused: dict[tuple[str, int], tuple[servers.Server, float]] = attrs.field(
+        factory=dict, init=False
+    )
     _locks: dict[str, trio.Lock] = attrs.field(
         factory=lambda: collections.defaultdict(trio.Lock), init=False
     )
@@ -110,29 +117,56 @@
         """Return the server's current state, or None if it does not answer or has restarted.
 
         A server with a backoff is not probed: it has answered recently, and is returned as known.
+        One that may be paused is not considered unreachable for :data:`MAX_PAUSE_S`.
         """
         if self.backoff_table.remaining_s(server):
             return server
-        report = await self._probe_twice(server)
-        self.reachability.record_probe(server, report is not None)
+        was_connected = trio.Event()
+        report = await self._probe_twice(server, was_connected)
+        self.reachability.record_probe(server, report is not None or was_connected.is_set())
         if report is None:
             # Wait until all servers that were probed together have their results recorded.
             await trio.sleep(PROBE_SETTLE_S)
+            if was_connected.is_set() and self._may_be_paused(server):
+                return None
         if report is None or report.incarnation != server.incarnation:
             self._mark_unreachable(server.incarnation)
             return None
         self._unreachable_until_s.pop(server.incarnation, None)
+        self._record_resumed(server.incarnation)
         self._order_counts[server.incarnation] = report.order_count or 0
         return report
 
-    async def _probe_twice(self, server: servers.Server) -> servers.Server | None:
+    def paused(self) -> list[servers.Server]:
+        """Return the servers that accepted connections but answered none of their last probes."""
+        return [server for server, _ in self._paused.values()]
+
+    def _may_be_paused(self, server: servers.Server) -> bool:
+        now_s = trio.current_time()
+        _, since_s = self._paused.setdefault(server.incarnation, (server, now_s - PROBE_TIMEOUT_S))
+        if now_s - since_s < MAX_PAUSE_S:
+            return True
+        del self._paused[server.incarnation]
+        return False
+
+    def _record_resumed(self, incarnation: tuple[str, int]) -> None:
+        if incarnation in self._paused:
+            _, since_s = self._paused.pop(incarnation)
+            paused_s = round(trio.current_time() - since_s, 3)
+            events.log(
+                LOGGER, events.Event.SERVER_RESUMED, server=incarnation[0], paused_s=paused_s
+            )
+
+    async def _probe_twice(
+        self, server: servers.Server, was_connected: trio.Event
+    ) -> servers.Server | None:
         reports: list[servers.Server] = []
         with trio.move_on_after(PROBE_TIMEOUT_S - PROBE_SETTLE_S):
             async with trio.open_nursery() as nursery:
 
                 async def probe_once(delay_s: float) -> None:
                     await trio.sleep(delay_s)
-                    answer = await self.engine_client.probe(server)
+                    answer = await self.engine_client.probe(server, was_connected.set)
                     if answer is not None:
                         reports.append(answer)
                         nursery.cancel_scope.cancel()
--- a/toucanhold/replicas/orders.py
+++ b/toucanhold/replicas/orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import collections.abc
 import enum
 
 import attrs
@@ -92,5 +93,10 @@
         """
 
     @abc.abstractmethod
-    async def probe(self, server: servers.Server) -> servers.Server | None:
-        """Return the server's current state, or None if it does not answer."""
+    async def probe(
+        self, server: servers.Server, on_connected: collections.abc.Callable[[], None]
+    ) -> servers.Server | None:
+        """Return the server's current state, or None if it does not answer.
+
+        :param on_connected: called once the server's VM has accepted a connection
+        """
--- a/toucanhold/replicas/probing.py
+++ b/toucanhold/replicas/probing.py
@@ -13,6 +13,8 @@
 # Probe interval of members whose registration has lapsed. A dead member stalls its group for up to
 # this long unless the group's streams reveal it sooner.
 LAPSED_PROBE_INTERVAL_S = 0.5
+# Probe interval of servers that may be paused.
+PAUSED_PROBE_INTERVAL_S = 0.25
 # Other servers of the same zone that are probed together with servers that may be dead.
 WITNESSES_PER_ZONE = 2
 
@@ -38,6 +40,7 @@
     def probe(self, nursery: trio.Nursery) -> None:
         """Start the probes that are due; the order sender and registry record the results."""
         self._probe_suspects(nursery)
+        self._probe_paused(nursery)
         self._probe_lapsed(nursery)
 
     def _probe_suspects(self, nursery: trio.Nursery) -> None:
@@ -58,6 +61,14 @@
         for server in [*probed, *self._witnesses(probed)]:
             nursery.start_soon(self.order_sender.probe, server)
 
+    def _probe_paused(self, nursery: trio.Nursery) -> None:
+        now_s = trio.current_time()
+        for server in self.order_sender.paused():
+            last_s = self._last_probe_s.get(server.server_id, 0.0)
+            if now_s - last_s >= PAUSED_PROBE_INTERVAL_S:
+                self._last_probe_s[server.server_id] = now_s
+                nursery.start_soon(self.order_sender.probe, server)
+
     def _probe_lapsed(self, nursery: trio.Nursery) -> None:
         if not self.server_registry.lapsed:
             return
@@ -80,7 +91,9 @@
         report = await self.order_sender.probe(server)
         if report is not None:
             self.server_registry.update_lapsed(report)
-        elif not self.order_sender.reachability.is_partitioned(server.zone):
+        elif self.order_sender.is_unreachable(
+            server.incarnation
+        ) and not self.order_sender.reachability.is_partitioned(server.zone):
             self.server_registry.remove(server.server_id)
             self.on_dead()
 
