Find silent servers that still get requests, and give back retries of backups without a connection

What callers saw: longer gaps in streams of a dead server as long as it got new requests. Cause: each request that was sent to a server counted as a sign of it. And a backup that could not connect kept its retry until its call ended. Change: only data counts, where a stream has begun; such a retry is given back while another attempt is under way. Both tests failed before.

--- a/tests/test_backups.py
+++ b/tests/test_backups.py
@@ -116,6 +116,27 @@
         self.assertEqual(ALL_EVENTS, reply.event_ids)
         self.assertEqual(2, self._sent_retries(scene))
 
+    @clocked.on_test_clock
+    async def test_a_backup_without_a_connection_uses_no_retry(self):
+        """Guards against retries held until the end of calls whose backups found no server."""
+        scene = gateways.GatewayFixture(gateways.new_servers(3))
+        scene.gateway.retry_budget.bound = retry_budget.RetryBound(0.0, 2.0, 10.0)
+        for name in ("b0", "b2"):
+            scene.server_client.behaviours[name].is_down = True
+            scene.loads.add(name)
+        held = []
+
+        async def count_retries():
+            await trio.sleep(0.9)
+            held.append(scene.gateway.retry_budget.use("desk").retries)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(count_retries)
+            _, error, first = await self._send_during_pause(scene)
+        self.assertEqual(("b1", None), (first, error))
+        self.assertEqual([0], held)
+        self.assertEqual(0, self._sent_retries(scene))
+
     @clocked.on_test_clock
     async def test_a_call_has_no_more_attempts_than_its_route_allows(self):
         """Guards against one backup after the other while all servers stand still."""
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -109,6 +109,19 @@
             self.assertTrue(self.found)
             nursery.cancel_scope.cancel()
 
+    @clocked.on_test_clock
+    async def test_new_requests_do_not_hide_a_silent_head(self):
+        """Guards against callers that wait for a dead head as long as it gets new requests."""
+        async with trio.open_nursery() as nursery:
+            detector, stream = await self._start_detector(nursery)
+            stream.record_event()
+            for _ in range(4):
+                await trio.sleep(0.1)
+                detector.add(silence.WatchedStream("s1", self.found.append))
+            self.assertTrue(self.found)
+            self.assertLess(self.found[0].silent_s, 0.3)
+            nursery.cancel_scope.cancel()
+
     @clocked.on_test_clock
     async def test_two_entries_do_not_confirm_each_others_false_positive(self):
         """Guards against a false positive that another entry accepts as confirmation."""
--- a/toucanhold/gateway/call_state.py
+++ b/toucanhold/gateway/call_state.py
@@ -198,9 +198,7 @@
             self.record_arrival()
         else:
             self._log_retry(is_sent=False)
-            # The next attempt may use the retry.
-            self.call_state.cancel_retry()
-            self.call_state.retry, self.retry = self.retry, None
+            self._pass_on_retry()
 
     def record_arrival(self) -> None:
         """Record that the server has received the call, or may have."""
@@ -211,6 +209,14 @@
         self.retry = None
         self.call_state.has_arrived = True
 
+    def _pass_on_retry(self) -> None:
+        """Leave the retry to the next attempt, or give it back while others are under way."""
+        retry, self.retry = self.retry, None
+        if retry is not None and self.race.has_others(self):
+            retry.cancel()
+        elif retry is not None:
+            self.call_state.retry = retry
+
     def record_unused_response(self) -> None:
         """Record that the response was lost, or another one is used instead."""
         if self.call_state.has_response_started and not self.progress.event_count:
--- a/toucanhold/gateway/silence.py
+++ b/toucanhold/gateway/silence.py
@@ -310,8 +310,10 @@
         return any(stream.last_activity_s > since_s and stream.has_started for stream in streams)
 
 
-def _last_activity_s(streams: collections.abc.Iterable[WatchedStream]) -> float:
-    return max(stream.last_activity_s for stream in streams)
+def _last_activity_s(streams: list[WatchedStream]) -> float:
+    """Return when the server last sent anything, or got a request if it has sent nothing."""
+    started = [stream for stream in streams if stream.has_started]
+    return max(stream.last_activity_s for stream in started or streams)
 
 
 def _longest_pause_s(streams: collections.abc.Iterable[WatchedStream]) -> float:
