Send backups to servers that were heard from, where there is a choice

Cause: a server without streams here may be as silent as the one that a backup replaces, and attempts are few.

--- a/toucanhold/gateway/admission.py
+++ b/toucanhold/gateway/admission.py
@@ -99,14 +99,20 @@
             server = await self._wait_in_queue(request)
         return Placement(self, request, server)
 
-    def try_acquire(self, request: queueing.PlacementRequest) -> Placement | None:
+    def try_acquire(
+        self, request: queueing.PlacementRequest, preferred: collections.abc.Set[str]
+    ) -> Placement | None:
         """Reserve a slot for one more attempt of a running call, or return None if none is free.
 
         Servers that are excluded, avoided or suspended are not used.
+
+        :param preferred: IDs of servers that are better than all others
         """
         if not self._may_start(request, trio.current_time()):
             return None
-        server = self.server_selector.choose_sound(request.service, request.model, request.excluded)
+        server = self.server_selector.choose_sound(
+            request.service, request.model, request.excluded, preferred
+        )
         if server is None:
             return None
         self._record_started(request, server)
@@ -114,10 +120,10 @@
 
     def has_sound_server(self, request: queueing.PlacementRequest) -> bool:
         """Return whether :meth:`try_acquire` would find a server now."""
-        return (
-            self.server_selector.choose_sound(request.service, request.model, request.excluded)
-            is not None
+        server = self.server_selector.choose_sound(
+            request.service, request.model, request.excluded, frozenset()
         )
+        return server is not None
 
     def release(self, request: queueing.PlacementRequest, server: servers.Server) -> None:
         """Release a slot and give it to a queued request."""
--- a/toucanhold/gateway/call_attempts.py
+++ b/toucanhold/gateway/call_attempts.py
@@ -223,7 +223,9 @@
             # The server may have gone on, or failed, while other entries were asked for a retry.
             placement = None
             if race.attempts and race.is_silent():
-                placement = self.gateway.admission.try_acquire(self._backup_request(race, found))
+                placement = self.gateway.admission.try_acquire(
+                    self._backup_request(race, found), found.heard_servers
+                )
             if placement is None:
                 retry.cancel()
                 return
--- a/toucanhold/gateway/silence.py
+++ b/toucanhold/gateway/silence.py
@@ -73,14 +73,19 @@
     """What is known when a server is found silent.
 
     :ivar silent_s: time since the server sent anything
-    :ivar quiet_servers: IDs of other servers whose streams have sent nothing for much of that time
-    :ivar may_be_general: whether those are all other servers that have streams here, so that it may
-        be this entry's links, or a pause of all servers
+    :ivar heard_servers: IDs of other servers whose streams have sent something in the last part of
+        that time
+    :ivar quiet_servers: IDs of other servers whose streams have not
     """
 
     silent_s: float
+    heard_servers: frozenset[str] = frozenset()
     quiet_servers: frozenset[str] = frozenset()
-    may_be_general: bool = False
+
+    @property
+    def may_be_general(self) -> bool:
+        """Whether it may be this entry's links, or a pause of all servers."""
+        return bool(self.quiet_servers) and not self.heard_servers
 
 
 @attrs.define(eq=False)
@@ -265,8 +270,7 @@
             stream.on_silent(silence)
 
     def _describe_silence(self, server_id: str, silent_s: float, now_s: float) -> Silence:
-        quiet_servers = set()
-        heard_count = 0
+        heard_servers, quiet_servers = set(), set()
         for name, streams in self._streams.items():
             started = [stream for stream in streams if stream.has_started]
             if name == server_id or not started:
@@ -274,9 +278,8 @@
             if now_s - _last_activity_s(started) > QUIET_FRACTION * silent_s:
                 quiet_servers.add(name)
             else:
-                heard_count += 1
-        may_be_general = bool(quiet_servers) and not heard_count
-        return Silence(silent_s, frozenset(quiet_servers), may_be_general)
+                heard_servers.add(name)
+        return Silence(silent_s, frozenset(heard_servers), frozenset(quiet_servers))
 
     def _record_event(self, server_id: str) -> None:
         since_s = self._silent_since_s.pop(server_id, None)
--- a/toucanhold/gateway/targets.py
+++ b/toucanhold/gateway/targets.py
@@ -137,15 +137,25 @@
         return self._choose_serving(service, serving, frozenset()) is not None
 
     def choose_sound(
-        self, service: table.Service, model: str, excluded: collections.abc.Set[str]
+        self,
+        service: table.Service,
+        model: str,
+        excluded: collections.abc.Set[str],
+        preferred: collections.abc.Set[str],
     ) -> servers.Server | None:
-        """Return the best server that is neither avoided nor suspended nor excluded, or None."""
+        """Return the best server that is neither avoided nor suspended nor excluded, or None.
+
+        :param preferred: IDs of servers that are better than all others
+        """
         sound = [
             server
             for server in self.find_usable(service, model)
             if server.server_id not in excluded and not self.is_suspended(server)
         ]
-        return self._choose_serving(service, sound, frozenset())
+        best = [server for server in sound if server.server_id in preferred]
+        return self._choose_serving(service, best, frozenset()) or self._choose_serving(
+            service, sound, frozenset()
+        )
 
     def _due_trial(
         self,
