Take only unanswered probes for a pause, and each pause for itself

Cause: a server that had answered a probe with 421, or reset it, counted as paused; one that died or restarted after a pause was probed without end; the start of a pause was kept while nobody probed, so the next pause ended the group at once.

--- a/standins/replicas.py
+++ b/standins/replicas.py
@@ -238,7 +238,10 @@
         """See :class:`orders.EngineClient`."""
         await trio.sleep(0.002)
         target = self.servers[server.server_id]
-        if target.is_reachable or target.mode == "paused":
+        if target.mode == "paused":
+            on_connected()
+            await trio.sleep_forever()
+        if target.is_reachable:
             on_connected()
         if not target.is_reachable:
             await trio.sleep(0.3)
--- a/toucanhold/replicas/ordering.py
+++ b/toucanhold/replicas/ordering.py
@@ -41,6 +41,19 @@
     """This entry is not, or no longer, the planner."""
 
 
+@attrs.define
+class _Pause:
+    """A server that accepted connections and left its last probes unanswered.
+
+    :ivar since_s: trio clock time of the first of these probes
+    :ivar last_s: trio clock time at which the last one timed out
+    """
+
+    server: servers.Server
+    since_s: float
+    last_s: float
+
+
 @attrs.define(eq=False)
 class OrderSender:
     """Sends orders to servers, one at a time per server, while this entry is the planner.
@@ -60,9 +73,7 @@
     )
     _order_counts: dict[tuple[str, int], int] = attrs.field(factory=dict, init=False)
     _unreachable_until_s: dict[tuple[str, int], float] = attrs.field(factory=dict, init=False)
-    _paused: dict[tuple[str, int], tuple[servers.Server, float]] = attrs.field(
-        factory=dict, init=False
-    )
+    _paused: dict[tuple[str, int], _Pause] = attrs.field(factory=dict, init=False)
     _locks: dict[str, trio.Lock] = attrs.field(
         factory=lambda: collections.defaultdict(trio.Lock), init=False
     )
@@ -121,59 +132,60 @@
         """
         if self.backoff_table.remaining_s(server):
             return server
-        was_connected = trio.Event()
-        report = await self._probe_twice(server, was_connected)
-        self.reachability.record_probe(server, report is not None or was_connected.is_set())
+        report, is_unanswered = await self._probe_twice(server)
+        self.reachability.record_probe(server, report is not None or is_unanswered)
         if report is None:
             # Wait until all servers that were probed together have their results recorded.
             await trio.sleep(PROBE_SETTLE_S)
-            if was_connected.is_set() and self._may_be_paused(server):
-                return None
+        if is_unanswered and self._may_be_paused(server):
+            return None
+        pause = self._paused.pop(server.incarnation, None)
         if report is None or report.incarnation != server.incarnation:
             self._mark_unreachable(server.incarnation)
             return None
+        if pause is not None:
+            paused_s = round(trio.current_time() - pause.since_s, 3)
+            events.log(
+                LOGGER, events.Event.SERVER_RESUMED, server=server.server_id, paused_s=paused_s
+            )
         self._unreachable_until_s.pop(server.incarnation, None)
-        self._record_resumed(server.incarnation)
         self._order_counts[server.incarnation] = report.order_count or 0
         return report
 
     def paused(self) -> list[servers.Server]:
-        """Return the servers that accepted connections but answered none of their last probes."""
-        return [server for server, _ in self._paused.values()]
+        """Return the servers that may be paused."""
+        return [pause.server for pause in self._paused.values()]
 
     def _may_be_paused(self, server: servers.Server) -> bool:
         now_s = trio.current_time()
-        _, since_s = self._paused.setdefault(server.incarnation, (server, now_s - PROBE_TIMEOUT_S))
-        if now_s - since_s < MAX_PAUSE_S:
-            return True
-        del self._paused[server.incarnation]
-        return False
-
-    def _record_resumed(self, incarnation: tuple[str, int]) -> None:
-        if incarnation in self._paused:
-            _, since_s = self._paused.pop(incarnation)
-            paused_s = round(trio.current_time() - since_s, 3)
-            events.log(
-                LOGGER, events.Event.SERVER_RESUMED, server=incarnation[0], paused_s=paused_s
-            )
-
-    async def _probe_twice(
-        self, server: servers.Server, was_connected: trio.Event
-    ) -> servers.Server | None:
+        pause = self._paused.get(server.incarnation)
+        if pause is None or now_s - pause.last_s > MAX_PAUSE_S:
+            # A server that was not probed meanwhile may have gone on and paused again.
+            pause = _Pause(server, now_s - PROBE_TIMEOUT_S, now_s)
+            self._paused[server.incarnation] = pause
+        pause.last_s = now_s
+        return now_s - pause.since_s < MAX_PAUSE_S
+
+    async def _probe_twice(self, server: servers.Server) -> tuple[servers.Server | None, bool]:
+        """Return the server's state, if it has answered, and whether it may still answer."""
         reports: list[servers.Server] = []
-        with trio.move_on_after(PROBE_TIMEOUT_S - PROBE_SETTLE_S):
+        unanswered: set[float] = set()
+        with trio.move_on_after(PROBE_TIMEOUT_S - PROBE_SETTLE_S) as scope:
             async with trio.open_nursery() as nursery:
 
                 async def probe_once(delay_s: float) -> None:
                     await trio.sleep(delay_s)
-                    answer = await self.engine_client.probe(server, was_connected.set)
+                    answer = await self.engine_client.probe(server, lambda: unanswered.add(delay_s))
+                    unanswered.discard(delay_s)
                     if answer is not None:
                         reports.append(answer)
                         nursery.cancel_scope.cancel()
 
                 for delay_s in (0.0, SECOND_PROBE_DELAY_S):
                     nursery.start_soon(probe_once, delay_s)
-        return reports[0] if reports else None
+        if reports:
+            return reports[0], False
+        return None, scope.cancelled_caught and bool(unanswered)
 
     async def _send_once(self, server: servers.Server, order: orders.Order) -> orders.OrderOutcome:
         # The process may have been paused since the decision, and another planner elected.
--- a/toucanhold/replicas/probing.py
+++ b/toucanhold/replicas/probing.py
@@ -32,6 +32,7 @@
     on_dead: collections.abc.Callable[[], None]
     _suspects: set[str] = attrs.field(factory=set, init=False)
     _last_probe_s: dict[str, float] = attrs.field(factory=dict, init=False)
+    _last_paused_probe_s: dict[str, float] = attrs.field(factory=dict, init=False)
 
     def suspect(self, server_id: str) -> None:
         """Add a head that stopped responding to the servers to probe."""
@@ -64,9 +65,9 @@
     def _probe_paused(self, nursery: trio.Nursery) -> None:
         now_s = trio.current_time()
         for server in self.order_sender.paused():
-            last_s = self._last_probe_s.get(server.server_id, 0.0)
+            last_s = self._last_paused_probe_s.get(server.server_id, 0.0)
             if now_s - last_s >= PAUSED_PROBE_INTERVAL_S:
-                self._last_probe_s[server.server_id] = now_s
+                self._last_paused_probe_s[server.server_id] = now_s
                 nursery.start_soon(self.order_sender.probe, server)
 
     def _probe_lapsed(self, nursery: trio.Nursery) -> None:
