Keep backups within attempts, retries and processor time

Cause and change: an unused backup let a further backup start (now only a failure may use that attempt); a backup settled the retry of the attempt that it stood beside; each silent stream compared all servers every 0.02 s even without a retry; refused backups went on without a limit (three a call); two attempts whose last data arrived together both ended the answer; the log named the server that was tried last, not the one that failed; two silent servers that alone had streams here were taken for a pause of all; a server that another replaced was not counted as failing.

--- a/toucanhold/gateway/attempt.py
+++ b/toucanhold/gateway/attempt.py
@@ -106,6 +106,7 @@
     current.progress.is_end_certain = not response.ends_with_connection
     async for chunk in response.chunks:
         if current.scope.cancel_called:
+            # Another attempt's answer is used since this chunk arrived.
             await trio.lowlevel.checkpoint()
         stream.record_event()
         current.is_silent = False
@@ -133,7 +134,7 @@
 
 async def _start_response(current: call_state.AttemptState, response: calls.Response) -> None:
     state = current.call_state
-    current.race.claim(current)
+    await current.race.claim(current)
     if not state.has_response_started:
         state.has_response_started = True
         await state.reply.start(response.status, response.headers, None)
@@ -172,8 +173,6 @@
         body += chunk
         if len(body) > MAX_RESPONSE_BYTES:
             raise calls.ResponseLostError(f"response body exceeds {MAX_RESPONSE_BYTES} bytes")
-    if current.scope.cancel_called:
-        await trio.lowlevel.checkpoint()
     answer = call_state.BufferedAnswer(response.status, response.headers, bytes(body))
     is_failure = response.status >= FIRST_SERVER_ERROR_STATUS
     if is_failure and (
@@ -190,7 +189,7 @@
         raise calls.ResponseLostError(
             f"the stream was not resumed: expected status 200, got {response.status}"
         )
-    current.race.claim(current)
+    await current.race.claim(current)
     await forward_answer(state, answer)
     return response.status
 
--- a/toucanhold/gateway/call_attempts.py
+++ b/toucanhold/gateway/call_attempts.py
@@ -38,6 +38,10 @@
 # Times that a request queues again for a retry that it has been granted.
 MAX_UNPLACED = 3
 RETRY_AFTER_S = 1.0
+# Backups of one call that may fail. Each that is refused uses a retry.
+MAX_FAILED_BACKUPS = 3
+# Time between two looks for a free slot. Comparing all servers takes most of the time of a look.
+BACKUP_INTERVAL_S = 0.06
 # Silence after which a call is sent to another server although no server is heard from. Before
 # that, retries would be spent on servers that pause as well.
 MAX_GENERAL_SILENCE_S = 1.0
@@ -159,12 +163,11 @@
         finally:
             race.attempts.remove(current)
         if current.scope.cancel_called:
-            current.record_unused_response()
-            self._log_superseded(current)
+            self._record_superseded(current)
 
     def _record_failure(self, current: call_state.AttemptState, error: calls.ExchangeError) -> None:
         server_id = current.server.server_id
-        self.state.excluded.add(server_id)
+        current.record_failure()
         if isinstance(error, calls.NotRunError):
             self._avoid_if_gone(server_id, error)
         elif isinstance(error, calls.ResponseLostError):
@@ -173,6 +176,14 @@
             self.gateway.health.record_outcome(server_id, is_failure=True)
             self.guard.record_lost(server_id, error, current.progress)
 
+    def _record_superseded(self, current: call_state.AttemptState) -> None:
+        current.record_unused_response()
+        self._log_superseded(current)
+        if current.is_silent:
+            server_id = current.server.server_id
+            self.state.excluded.add(server_id)
+            self.gateway.health.record_outcome(server_id, is_failure=True)
+
     def _avoid_if_gone(self, server_id: str, error: calls.NotRunError) -> None:
         if error.is_gone:
             self.gateway.health.avoid(server_id, str(error))
@@ -191,15 +202,27 @@
         """Start a backup if a retry and a sound server's slot are free."""
         current.is_silent = True
         race = current.race
-        if race.is_backup_starting or not race.is_silent() or not self._may_back_up(race, found):
+        if (
+            race.status is not None
+            or race.is_backup_starting
+            or not race.is_silent()
+            or not self._may_back_up(race, found)
+        ):
             return
         race.is_backup_starting = True
         nursery.start_soon(self._run_backup, current, nursery, found)
 
     def _may_back_up(self, race: call_state.AttemptRace, found: silence.Silence) -> bool:
-        state = self.state
-        if state.attempts_left <= 0 or state.remaining_s < MIN_REMAINING_S or self.guard.is_blocked:
+        state, now_s = self.state, trio.current_time()
+        if (
+            state.attempt_count >= state.route.max_attempts
+            or race.failed_backups >= MAX_FAILED_BACKUPS
+            or now_s < race.next_backup_s
+            or state.remaining_s < MIN_REMAINING_S
+            or self.guard.is_blocked
+        ):
             return False
+        race.next_backup_s = now_s + BACKUP_INTERVAL_S
         if found.may_be_general and found.silent_s < MAX_GENERAL_SILENCE_S:
             return False
         if not self.gateway.retry_budget.has_remaining(state.service.name):
@@ -226,14 +249,16 @@
                 retry.cancel()
                 return
             with placement:
-                for other in race.attempts:
-                    other.record_arrival()
+                # The silent servers may have received the call, so this one's retry counts.
+                self.state.has_arrived = True
                 current = self._new_attempt(race, placement, retry)
                 self._log_backup(current, silent, found)
                 race.is_backup_starting = False
                 await self._run_in_race(current, nursery)
             if race.status is not None:
                 nursery.cancel_scope.cancel()
+            elif not current.scope.cancel_called:
+                race.failed_backups += 1
         finally:
             race.is_backup_starting = False
 
--- a/toucanhold/gateway/call_state.py
+++ b/toucanhold/gateway/call_state.py
@@ -55,11 +55,12 @@
     :ivar deadline_s: trio clock time at which the caller's or the route's timeout expires
     :ivar reply: receives the response
     :ivar excluded: IDs of the servers that failed it
-    :ivar last_server_id: server of the attempt that started last
+    :ivar last_server_id: server of the attempt that started or failed last
     :ivar was_trial: whether that attempt was a trial at a suspended server
     :ivar attempt_count: number of attempts in which a server may have started to run the call
     :ivar extra_attempts: attempts allowed beyond the route's limit, at most one; granted to a
-        started stream if an attempt ended before its server sent any event of it
+        started stream if an attempt ended before its server sent any event of it, for use after a
+        failure
     :ivar min_initial_fraction: least fraction of the route's timeout that callers start with
     :ivar failed_connects: number of servers to which no connection could be opened
     :ivar queue_fraction: fraction of the route's objective that it may spend in the queue
@@ -185,7 +186,7 @@
         """Record that the call is sent to the server."""
         state = self.call_state
         state.attempt_count += 1
-        state.last_server_id, state.was_trial = self.server.server_id, self.is_trial
+        self._record_as_last()
         self._log_retry(is_sent=True)
 
     def record_not_run(self, was_sent: bool) -> None:
@@ -222,6 +223,15 @@
         if self.call_state.has_response_started and not self.progress.event_count:
             self.call_state.extra_attempts = 1
 
+    def record_failure(self) -> None:
+        """Record that the attempt has failed."""
+        self.call_state.excluded.add(self.server.server_id)
+        self._record_as_last()
+
+    def _record_as_last(self) -> None:
+        state = self.call_state
+        state.last_server_id, state.was_trial = self.server.server_id, self.is_trial
+
     def _log_retry(self, is_sent: bool) -> None:
         if self.retry is not None and self.call_state.has_arrived:
             self.retry.log(self.call_state.call.call_id, self.server.server_id, is_sent)
@@ -236,17 +246,26 @@
 
     :ivar attempts: the attempts under way; more than one while a server is silent
     :ivar is_backup_starting: whether a further attempt is about to start
+    :ivar failed_backups: number of further attempts that failed
+    :ivar next_backup_s: trio clock time before which no further attempt is considered
     :ivar status: HTTP status of the complete response; None without one
     :ivar error: why the attempt that failed last did so; None if none failed
     """
 
     attempts: list[AttemptState] = attrs.field(factory=list)
     is_backup_starting: bool = False
+    failed_backups: int = 0
+    next_backup_s: float = 0.0
     status: int | None = None
     error: calls.ExchangeError | None = None
 
-    def claim(self, attempt: AttemptState) -> None:
-        """Use the answer of one attempt from here on, and cancel the others."""
+    async def claim(self, attempt: AttemptState) -> None:
+        """Use the answer of one attempt from here on, and cancel the others.
+
+        :raises trio.Cancelled: if the answer of another one is used already
+        """
+        if attempt.scope.cancel_called:
+            await trio.lowlevel.checkpoint()
         for other in self.attempts:
             if other is not attempt:
                 other.scope.cancel()
--- a/toucanhold/gateway/silence.py
+++ b/toucanhold/gateway/silence.py
@@ -48,6 +48,8 @@
 # Time for any other server to send something, which shows that this entry's own links work.
 MAX_UNCONFIRMED_S = 0.5
 
+# Other quiet servers from which on a pause of all is likelier than as many failures.
+MIN_QUIET_SERVERS = 3
 # Part of a server's silence for which others must have been silent too, to be as doubtful.
 QUIET_FRACTION = 0.5
 
@@ -85,7 +87,7 @@
     @property
     def may_be_general(self) -> bool:
         """Whether it may be this entry's links, or a pause of all servers."""
-        return bool(self.quiet_servers) and not self.heard_servers
+        return len(self.quiet_servers) >= MIN_QUIET_SERVERS and not self.heard_servers
 
 
 @attrs.define(eq=False)
@@ -235,10 +237,20 @@
         return max(next_check_s, now_s + MIN_CHECK_INTERVAL_S)
 
     def _check_streams(self, now_s: float) -> None:
-        for server_id, streams in list(self._streams.items()):
+        silent_servers = {}
+        for server_id, streams in self._streams.items():
             silent_s = now_s - _last_activity_s(streams)
             if silent_s > self._silence_limit_s(server_id, streams, now_s):
-                self._handle_silent_server(server_id, streams, silent_s)
+                silent_servers[server_id] = silent_s
+        if not silent_servers:
+            return
+        last_heard_s = {
+            server_id: _last_activity_s(streams)
+            for server_id, streams in self._streams.items()
+            if any(stream.has_started for stream in streams)
+        }
+        for server_id, silent_s in silent_servers.items():
+            self._handle_silent_server(server_id, silent_s, last_heard_s)
 
     def _silence_limit_s(self, server_id: str, streams: list[WatchedStream], now_s: float) -> float:
         if self._confirmed_until_s.get(server_id, 0.0) > now_s:
@@ -250,8 +262,9 @@
         return FIRST_EVENT_SILENCE_S
 
     def _handle_silent_server(
-        self, server_id: str, streams: list[WatchedStream], silent_s: float
+        self, server_id: str, silent_s: float, last_heard_s: dict[str, float]
     ) -> None:
+        streams = self._streams[server_id]
         now_s = trio.current_time()
         self._silent_since_s.setdefault(server_id, now_s - silent_s)
         is_known = self.health.is_avoided(server_id) or server_id in self._unconfirmed_since_s
@@ -265,22 +278,13 @@
                 usual_s=round(self._pause_estimates[server_id].mean_s, 3),
             )
             self._unconfirmed_since_s[server_id] = now_s
-        silence = self._describe_silence(server_id, silent_s, now_s)
+        heard_since_s = now_s - QUIET_FRACTION * silent_s
+        others = {name: heard_s for name, heard_s in last_heard_s.items() if name != server_id}
+        heard = frozenset(name for name, heard_s in others.items() if heard_s >= heard_since_s)
+        silence = Silence(silent_s, heard, frozenset(others) - heard)
         for stream in list(streams):
             stream.on_silent(silence)
 
-    def _describe_silence(self, server_id: str, silent_s: float, now_s: float) -> Silence:
-        heard_servers, quiet_servers = set(), set()
-        for name, streams in self._streams.items():
-            started = [stream for stream in streams if stream.has_started]
-            if name == server_id or not started:
-                continue
-            if now_s - _last_activity_s(started) > QUIET_FRACTION * silent_s:
-                quiet_servers.add(name)
-            else:
-                heard_servers.add(name)
-        return Silence(silent_s, frozenset(heard_servers), frozenset(quiet_servers))
-
     def _record_event(self, server_id: str) -> None:
         since_s = self._silent_since_s.pop(server_id, None)
         if since_s is None:
