--- a/toucanhold/gateway/call_attempts.py
+++ b/toucanhold/gateway/call_attempts.py
@@ -242,8 +242,10 @@
             # The server may have gone on, or failed, while other entries were asked for a retry.
             placement = None
             if race.attempts and race.is_silent():
+                # Otherwise, all streams of a server would go on at the few that have others here.
+                preferred = found.heard_servers if found.is_widespread else frozenset()
                 placement = self.gateway.admission.try_acquire(
-                    self._backup_request(race, found), found.heard_servers
+                    self._backup_request(race, found), preferred
                 )
             if placement is None:
                 retry.cancel()
--- a/toucanhold/gateway/silence.py
+++ b/toucanhold/gateway/silence.py
@@ -84,10 +84,15 @@
     heard_servers: frozenset[str] = frozenset()
     quiet_servers: frozenset[str] = frozenset()
 
+    @property
+    def is_widespread(self) -> bool:
+        """Whether servers without streams here may well be silent too."""
+        return len(self.quiet_servers) >= MIN_QUIET_SERVERS
+
     @property
     def may_be_general(self) -> bool:
         """Whether it may be this entry's links, or a pause of all servers."""
-        return len(self.quiet_servers) >= MIN_QUIET_SERVERS and not self.heard_servers
+        return self.is_widespread and not self.heard_servers
 
 
 @attrs.define(eq=False)
