Let a group that ends by plan finish its requests

What callers saw: streams that ran for more than 5 s were cut off when their group ended by plan: a member drained, the head's registration lapsed, or the servers were needed for another model. A stream that may not be resumed, or that got no retry, was lost.

Cause: 5 s after it began to end a group, the planner closed its head with "abort", though all members were there and no other server had the requests. Each request ends at its own deadline, which the server is told.

Evidence: a group of the stand-in whose head is busy for 8 s while a member drains. The stand-in now keeps running requests and says whose were cut off. Before: "AssertionError: Lists differ: [] != ['s09']".

Change: the head is closed with "wait" as long as no member is lost; the timeout is gone. Groups that lack a member are closed with "abort" as before.

Servers of a group that ends by plan are free later where requests run for more than 5 s.

--- a/standins/replicas.py
+++ b/standins/replicas.py
@@ -81,6 +81,7 @@
     :ivar members: names of the members of its present group by rank
     :ivar former_membership: membership and members of the group that it left last
     :ivar stalled_at_s: time on trio's clock since which it waits, as a head, for a missing member
+    :ivar busy_until_s: time on trio's clock until which it has running requests, as a head
     :ivar order_count_history: values of ``order_count`` as (time on trio's clock, count)
     :ivar ready_epochs: groups and epochs in which it has become ready, also before a restart
     """
@@ -98,6 +99,7 @@
     members: tuple[str, ...] = ()
     former_membership: tuple[servers.Membership | None, tuple[str, ...]] = (None, ())
     stalled_at_s: float = float("inf")
+    busy_until_s: float = float("-inf")
     order_count_history: list[tuple[float, int]] = attrs.field(factory=list)
     ready_epochs: set[tuple[str, int]] = attrs.field(factory=set)
 
@@ -134,6 +136,8 @@
     :ivar violations: descriptions of violated invariants
     :ivar load_starts_s: times on trio's clock at which loads from the weight store started
     :ivar sent_orders: orders sent as (time on trio's clock, server name, order)
+    :ivar cut_off_heads: names of the heads whose running requests were ended by an order or a
+        stall
     """
 
     store: keyvalue.KeyValueClient
@@ -145,6 +149,7 @@
     violations: list[str] = attrs.field(factory=list)
     load_starts_s: list[float] = attrs.field(factory=list)
     sent_orders: list[tuple[float, str, orders.Order]] = attrs.field(factory=list)
+    cut_off_heads: list[str] = attrs.field(factory=list)
 
     async def add(self, name: str, domain: str, zone: str = "zone-a", **state) -> MemoryServer:
         """Start and register a server.
@@ -390,10 +395,29 @@
             return orders.OrderOutcome.BEGUN
         if state not in (servers.GroupState.OPEN, servers.GroupState.CLOSING):
             return orders.OrderOutcome.HOLDS
+        return await self._close(target, order)
+
+    async def _close(self, target: MemoryServer, order: orders.Order) -> orders.OrderOutcome:
+        assert isinstance(order, orders.Close) and target.membership is not None
+        is_busy = trio.current_time() < target.busy_until_s
+        if order.finishes_work and is_busy:
+            if target.membership.state is servers.GroupState.CLOSING:
+                return orders.OrderOutcome.HOLDS
+            target.order_count += 1
+            await self._set_state(target, servers.GroupState.CLOSING)
+            self.nursery.start_soon(self._finish_closing, target, target.membership)
+            return orders.OrderOutcome.BEGUN
+        if is_busy:
+            self.cut_off_heads.append(target.name)
         target.order_count += 1
         await self._set_state(target, servers.GroupState.READY)
         return orders.OrderOutcome.BEGUN
 
+    async def _finish_closing(self, target: MemoryServer, membership: servers.Membership) -> None:
+        await trio.sleep_until(target.busy_until_s)
+        if target.membership == membership and target.is_reachable:
+            await self._set_state(target, servers.GroupState.READY)
+
     async def _finish_open(self, target: MemoryServer, membership: servers.Membership) -> None:
         await trio.sleep(FORM_S)
         if target.membership == membership and target.mode != "dark":
@@ -429,7 +453,7 @@
         for head in self.servers.values():
             is_serving = (
                 head.membership is not None
-                and head.membership.state is servers.GroupState.OPEN
+                and head.membership.state in (servers.GroupState.OPEN, servers.GroupState.CLOSING)
                 and name in head.members[1:]
             )
             if is_serving and head.stalled_at_s == float("inf"):
@@ -439,6 +463,8 @@
     async def _break_after_stall(self, head: MemoryServer, membership: servers.Membership) -> None:
         await trio.sleep(STALL_S)
         if head.membership == membership and head.is_reachable:
+            if trio.current_time() < head.busy_until_s:
+                self.cut_off_heads.append(head.name)
             await self._set_state(head, servers.GroupState.BROKEN)
 
     async def _expire_registration(self, server: MemoryServer) -> None:
--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -316,6 +316,23 @@
             self.assertEqual([], cluster.fleet.violations)
             nursery.cancel_scope.cancel()
 
+    @clocked.on_test_clock
+    async def test_requests_of_a_group_that_ends_by_plan_are_finished(self):
+        """Guards against streams that are cut off because they run longer than a group may end."""
+        async with trio.open_nursery() as nursery:
+            cluster, node = await start_formed_cluster(nursery)
+            group = node.serving_groups("small")[0]
+            head, leaving = (
+                cluster.fleet.servers[member.server_id] for member in group.record.members[:2]
+            )
+            head.busy_until_s = trio.current_time() + 8
+            leaving.is_leaving = True
+            await cluster.fleet.register(leaving)
+            await cluster.wait_for(lambda: group.name not in node.group_table.groups, 10)
+            self.assertEqual([], cluster.fleet.cut_off_heads)
+            self.assertEqual([], cluster.fleet.violations)
+            nursery.cancel_scope.cancel()
+
 
 class PlannerChangeTest(unittest.TestCase):
     @clocked.on_test_clock
--- a/toucanhold/replicas/driver.py
+++ b/toucanhold/replicas/driver.py
@@ -15,8 +15,6 @@
 ORDER_RETRY_S = 1.0
 # Must exceed the longest model load (16 s) while several loads run concurrently.
 FORMING_TIMEOUT_S = 45.0
-# Running requests of a group that ends by plan may finish for this long; most take under 3 s.
-DRAIN_TIMEOUT_S = 5.0
 # Added to the stall timeout after which a head without all its members breaks by itself.
 STALL_MARGIN_S = 0.5
 # Servers of an ending group that stay unreachable for this long are considered dead. Network
@@ -220,12 +218,10 @@
             and not self.order_sender.is_unreachable(member.incarnation)
             for member in group.record.members
         )
-        is_within_timeout = trio.current_time() - self._ending_since_s < DRAIN_TIMEOUT_S
-        # Without all its members the head cannot finish any request, and waiting would only keep
-        # the other members idle.
-        finishes_work = is_complete and is_within_timeout
-        if self._is_order_due(f"close {finishes_work}"):
-            order = orders.Close(group.name, group.epoch, finishes_work)
+        # Requests end at their deadlines. Without all its members the head cannot finish any, and
+        # waiting would only keep the other members idle.
+        if self._is_order_due(f"close {is_complete}"):
+            order = orders.Close(group.name, group.epoch, finishes_work=is_complete)
             await self.order_sender.send(head, order)
 
     async def _detach_head(self, group: records.Group, head: servers.Server) -> bool:
