Keep the groups of servers whose registrations cannot be read

What callers saw: streams broke off when another writer overwrote the registration of one member of their group.

Cause: an unreadable registration removed the server from the registry altogether. The planner then knew no address to probe, took the member for lost, ended its group and closed the head with "abort".

Evidence: in a test, a member's record reads "{" for 1.2 s, then a head's. Before: "AssertionError: Lists differ: [] != ['s00']".

Change: such a server counts as lapsed, like one whose record has expired: it gets no requests, the planner probes it, and its group goes on while it answers. A head's group still ends, by plan, and finishes its requests.

Measured: the test passes, with tests.test_replicas and test_registry (29 tests).

--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -6,8 +6,9 @@
 
 import trio
 
-from standins import memory
+from standins import memory, replicas
 from tests import clocked, replica_cluster
+from toucanhold.coordination import keyvalue
 from toucanhold.registry import servers
 from toucanhold.replicas import driver, orders
 
@@ -333,6 +334,26 @@
             self.assertEqual([], cluster.fleet.violations)
             nursery.cancel_scope.cancel()
 
+    @clocked.on_test_clock
+    async def test_a_registration_that_cannot_be_read_does_not_cut_off_a_group(self):
+        """Guards against streams that are cut off because a member's record was overwritten."""
+        async with trio.open_nursery() as nursery:
+            cluster, node = await start_formed_cluster(nursery)
+            for model, rank in (("large", 2), ("small", 0)):
+                group = node.serving_groups(model)[0]
+                head = cluster.fleet.servers[group.head.server_id]
+                head.busy_until_s = trio.current_time() + 4
+                key = replicas.REGISTRATIONS_PREFIX + group.record.members[rank].server_id
+                await cluster.fleet.store.commit([], [keyvalue.Write(key, b"{")])
+                await trio.sleep(1.2)
+                await cluster.fleet.register(
+                    cluster.fleet.servers[group.record.members[rank].server_id]
+                )
+                await trio.sleep(4)
+            self.assertEqual([], cluster.fleet.cut_off_heads)
+            self.assertEqual([], cluster.fleet.violations)
+            nursery.cancel_scope.cancel()
+
 
 class PlannerChangeTest(unittest.TestCase):
     @clocked.on_test_clock
--- a/toucanhold/registry/registry.py
+++ b/toucanhold/registry/registry.py
@@ -34,8 +34,8 @@
     :ivar prefix: key prefix of the registrations in the key-value service
     :ivar decode: decodes one registration; returns None if it describes no usable server
     :ivar servers: servers that are registered
-    :ivar lapsed: last known state of servers whose registrations lapsed; they get no requests, but
-        may still work for a group
+    :ivar lapsed: last known state of servers whose registrations lapsed or cannot be read; they get
+        no requests, but may still work for a group
     :ivar version: grows with each change
     """
 
@@ -124,9 +124,9 @@
         server = self.decode(item)
         if server is None:
             # A key overwritten with other data no longer describes the server, so the server must
-            # not stay in use.
+            # not stay in use. Its process may still work for a group.
             events.log(LOGGER, events.Event.REGISTRATION_UNREADABLE, server=name)
-            self.servers.pop(name, None)
+            self._mark_lapsed(name)
             return
         previous = self.servers.get(name)
         if previous is None or previous.incarnation != server.incarnation:
@@ -151,14 +151,20 @@
             return
         for name, since_s in list(self._missing_since_s.items()):
             del self._missing_since_s[name]
-            server = self.servers.pop(name, None)
-            if server is not None:
-                self.lapsed[name] = server
-                self._lapsed_at_s[name] = trio.current_time()
+            if self._mark_lapsed(name):
                 missing_s = round(trio.current_time() - since_s, 3)
                 events.log(LOGGER, events.Event.SERVER_GONE, server=name, missing_s=missing_s)
         self._notify()
 
+    def _mark_lapsed(self, name: str) -> bool:
+        """Move a server to the lapsed ones; return whether it was registered."""
+        server = self.servers.pop(name, None)
+        if server is None:
+            return False
+        self.lapsed[name] = server
+        self._lapsed_at_s[name] = trio.current_time()
+        return True
+
     def _may_drop(self) -> bool:
         # All leases may lapse during an outage of the key-value service. Applying that at once
         # would take every server out of service; the grace period lets live servers re-register.
