Keep lapsed servers in the registry while they answer probes

What callers saw: streams of a group broke off 30 s after the link from one of its members to the store was cut, though the member worked on.

Cause: the registry drops a server 30 s after its registration lapsed. The planner asked this member twice a second and had its answers, but dropped it all the same, ended its group as "no longer registered", and closed the head with "abort".

Evidence: a member without registration for 60 s in a test. Before: "AssertionError: 'ga4b405c29993' not found in ['g2ef2a188ab05', 'gb1864a4097d2']".

Change: the 30 s run from the last answer to a probe. A member that then dies is found as before, within 2.5 s in the same test.

Measured: the test passes, with tests.test_replicas and test_registry (30 tests).

--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -354,6 +354,21 @@
             self.assertEqual([], cluster.fleet.violations)
             nursery.cancel_scope.cancel()
 
+    @clocked.on_test_clock
+    async def test_a_member_that_answers_is_kept_however_long_it_is_unregistered(self):
+        """Guards against a sound group that ends when a member has been unlisted for a time."""
+        async with trio.open_nursery() as nursery:
+            cluster, node = await start_formed_cluster(nursery)
+            group = node.serving_groups("large")[0]
+            member = group.record.members[2].server_id
+            await cluster.fleet.make_unreachable(member, "unlisted")
+            await trio.sleep(60)
+            self.assertIn(group.name, [each.name for each in node.serving_groups("large")])
+            await cluster.fleet.make_unreachable(member, "dark")
+            await cluster.wait_for(lambda: group.name not in node.group_table.groups, 2.5)
+            self.assertEqual([], cluster.fleet.violations)
+            nursery.cancel_scope.cancel()
+
 
 class PlannerChangeTest(unittest.TestCase):
     @clocked.on_test_clock
--- a/toucanhold/registry/registry.py
+++ b/toucanhold/registry/registry.py
@@ -16,8 +16,8 @@
 # seconds of its end, as servers renew them every 1.2 s. Those still missing after that are dropped.
 LAPSE_GRACE_S = 2.2
 CHECK_INTERVAL_S = 0.25
-# A server that is partitioned from the key-value service keeps working for its group. Partitions
-# rarely last longer than this, and the server's last known state is too old to be useful by then.
+# A server that is partitioned from the key-value service keeps working for its group, and answers
+# probes. Without an answer for this long, its last known state is too old to be useful.
 LAPSED_RETENTION_S = 30.0
 # Processes that were marked as leaving, also before their registrations are known here.
 MAX_LEAVING = 4096
@@ -45,7 +45,7 @@
     servers: dict[str, servers.Server] = attrs.field(factory=dict, init=False)
     lapsed: dict[str, servers.Server] = attrs.field(factory=dict, init=False)
     version: int = attrs.field(default=0, init=False)
-    _lapsed_at_s: dict[str, float] = attrs.field(factory=dict, init=False)
+    _last_sign_s: dict[str, float] = attrs.field(factory=dict, init=False)
     _leaving: set[tuple[str, int]] = attrs.field(factory=set, init=False)
     _missing_since_s: dict[str, float] = attrs.field(factory=dict, init=False)
     _listeners: list[collections.abc.Callable[[], None]] = attrs.field(factory=list, init=False)
@@ -93,11 +93,12 @@
         """Update a lapsed server with the state that it reported to a probe."""
         if server.server_id in self.lapsed:
             self.lapsed[server.server_id] = self._with_draining(server)
+            self._last_sign_s[server.server_id] = trio.current_time()
 
     def remove(self, name: str) -> None:
         """Drop a lapsed server, as it is dead or registered again."""
         self.lapsed.pop(name, None)
-        self._lapsed_at_s.pop(name, None)
+        self._last_sign_s.pop(name, None)
 
     async def run(self) -> None:
         """Periodically drop lapsed registrations, until cancelled."""
@@ -105,7 +106,7 @@
             await trio.sleep(CHECK_INTERVAL_S)
             self._drop_missing()
             oldest_s = trio.current_time() - LAPSED_RETENTION_S
-            for name in [name for name, since_s in self._lapsed_at_s.items() if since_s < oldest_s]:
+            for name in [name for name, since_s in self._last_sign_s.items() if since_s < oldest_s]:
                 self.remove(name)
 
     def _apply_changes(self, keys: frozenset[str]) -> None:
@@ -162,7 +163,7 @@
         if server is None:
             return False
         self.lapsed[name] = server
-        self._lapsed_at_s[name] = trio.current_time()
+        self._last_sign_s[name] = trio.current_time()
         return True
 
     def _may_drop(self) -> bool:
