Leave its members to an unregistered head that only pauses

What callers saw: streams of a group that was ending broke off when its head, cut off from the store, paused for a second.

Cause: the planner asks such a head for its state at each step. A pause gave no answer, which was taken for a head that is gone, and the members were ordered to leave. The head then lacked them when it went on, and broke after the stall timeout.

Evidence: a head without registration that pauses for 1.3 s while it finishes requests, in a test.

Change: members are told to leave only once the head is unreachable, which a paused server is after 2 s.

Dead and dark heads count as unreachable at the first probe, as before.

--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -369,6 +369,25 @@
             self.assertEqual([], cluster.fleet.violations)
             nursery.cancel_scope.cancel()
 
+    @clocked.on_test_clock
+    async def test_members_stay_with_an_unregistered_head_that_pauses(self):
+        """Guards against members taken from a head that finishes its requests after a pause."""
+        async with trio.open_nursery() as nursery:
+            cluster, node = await start_formed_cluster(nursery)
+            group = node.serving_groups("large")[0]
+            head = cluster.fleet.servers[group.head.server_id]
+            head.busy_until_s = trio.current_time() + 16
+            await cluster.fleet.make_unreachable(head.name, "unlisted")
+            await cluster.wait_for(lambda: node.group_table.groups[group.name].is_ending, 8)
+            await trio.sleep(0.5)
+            head.mode = "paused"
+            await trio.sleep(1.3)
+            head.mode = "unlisted"
+            await cluster.wait_for(lambda: group.name not in node.group_table.groups, 14)
+            self.assertEqual([], cluster.fleet.cut_off_heads)
+            self.assertEqual([], cluster.fleet.violations)
+            nursery.cancel_scope.cancel()
+
 
 class PlannerChangeTest(unittest.TestCase):
     @clocked.on_test_clock
--- a/toucanhold/replicas/driver.py
+++ b/toucanhold/replicas/driver.py
@@ -190,7 +190,13 @@
         self._ending_since_s = self._ending_since_s or trio.current_time()
         if self._has_head_restarted(group):
             return True
-        head = await self._probe_if_lapsed(self.server_registry.find(group.head.incarnation))
+        head = self.server_registry.find(group.head.incarnation)
+        if head is not None and not self.server_registry.is_registered(head.incarnation):
+            # A lapsed registration no longer shows whether the head has closed its group.
+            head = await self.order_sender.probe(head)
+            if head is None and not self.order_sender.is_unreachable(group.head.incarnation):
+                # It may be paused, and finishes its requests afterwards if its members stay.
+                return False
         if head is None or self.order_sender.is_unreachable(head.incarnation):
             return await self._detach_and_await_stall(group)
         state = head.state_in(group.name, group.epoch)
@@ -201,12 +207,6 @@
             return True
         return await self._detach_head(group, head)
 
-    async def _probe_if_lapsed(self, head: servers.Server | None) -> servers.Server | None:
-        # A lapsed registration no longer shows whether the head has closed its group.
-        if head is None or self.server_registry.is_registered(head.incarnation):
-            return head
-        return await self.order_sender.probe(head)
-
     def _has_head_restarted(self, group: records.Group) -> bool:
         """Return whether the head has restarted since, so that its former process has ended."""
         head = self.server_registry.servers.get(group.head.server_id)
