--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -406,6 +406,28 @@
             self.assertEqual(orders_before, len(cluster.fleet.sent_orders))
             nursery.cancel_scope.cancel()
 
+    @clocked.on_test_clock
+    async def test_next_planner_keeps_groups_with_a_member_that_it_never_saw(self):
+        """Guards against streams cut off because an entry that started late becomes planner."""
+        async with trio.open_nursery() as nursery:
+            cluster, node = await start_formed_cluster(nursery)
+            group = node.serving_groups("large")[0]
+            head = cluster.fleet.servers[group.head.server_id]
+            await cluster.fleet.make_unreachable(group.record.members[2].server_id, "unlisted")
+            await trio.sleep(8)
+            next_node = cluster.start("entry-2")
+            await trio.sleep(1)
+            head.busy_until_s = trio.current_time() + 12
+            node.kill()
+            await cluster.wait_for(next_node.planner.may_act, 5)
+            await trio.sleep(60)
+            self.assertIn(group.name, [each.name for each in next_node.serving_groups("large")])
+            self.assertEqual([], cluster.fleet.cut_off_heads)
+            await cluster.fleet.make_unreachable(group.record.members[2].server_id, "dark")
+            await cluster.wait_for(lambda: group.name not in next_node.group_table.groups, 6)
+            self.assertEqual([], cluster.fleet.violations)
+            nursery.cancel_scope.cancel()
+
     @clocked.on_test_clock
     async def test_paused_planner_sends_no_orders_after_its_lease_expired(self):
         """Guards against conflicting orders from two planners."""
