Forget the pause of a server that this planner no longer probes

What callers saw: nothing yet; found by reading. A group of sound servers would be dissolved, and its streams cut off, at the first silent probe of a member that had paused once before.

Cause: a pause is only forgotten when the server answers a probe of this entry or has been silent for 2 s. An entry that lost the planner's lease in between, or whose probe then failed to connect, kept the time of the first pause and took the next pause for its continuation. A server that died in its pause was also probed four times a second for ever.

Evidence: two new tests of test_ordering.py.

Change: a pause counts from the first of probes that are at most 2 s apart, and ends when the server is found unreachable.

--- a/tests/test_ordering.py
+++ b/tests/test_ordering.py
@@ -64,3 +64,41 @@
             self.assertTrue(is_unreachable)
             self.assertAlmostEqual(ordering.PROBE_TIMEOUT_S, took_s, delta=0.01)
             nursery.cancel_scope.cancel()
+
+
+class PauseTest(unittest.TestCase):
+    async def _new_sender(self, nursery):
+        platform = memory.MemoryPlatform()
+        fleet = replicas.MemoryServers(platform.client("servers"), replicas.new_engine(), nursery)
+        server = (await fleet.add("s1", "d0")).registration()
+        server_registry = registry.Registry(
+            mirror.Mirror(), replicas.REGISTRATIONS_PREFIX, replicas.decode_registration
+        )
+        return fleet, server, ordering.OrderSender(fleet, server_registry, lambda: 1)
+
+    @clocked.on_test_clock
+    async def test_pauses_far_apart_are_not_added_up(self):
+        """Guards against sound groups dissolved by an entry that is the planner once more."""
+        async with trio.open_nursery() as nursery:
+            fleet, server, sender = await self._new_sender(nursery)
+            for _ in range(2):
+                nursery.start_soon(fleet.pause, "s1", 1.2)
+                await trio.sleep(0.1)
+                self.assertIsNone(await sender.probe(server))
+                self.assertFalse(sender.is_unreachable(server.incarnation))
+                await trio.sleep(60)
+            nursery.cancel_scope.cancel()
+
+    @clocked.on_test_clock
+    async def test_a_server_that_dies_in_a_pause_is_no_longer_probed_as_paused(self):
+        """Guards against probes of a dead server for ever."""
+        async with trio.open_nursery() as nursery:
+            fleet, server, sender = await self._new_sender(nursery)
+            fleet.servers["s1"].mode = "paused"
+            await sender.probe(server)
+            self.assertEqual([server], sender.paused())
+            fleet.servers["s1"].mode = "dark"
+            await sender.probe(server)
+            self.assertTrue(sender.is_unreachable(server.incarnation))
+            self.assertEqual([], sender.paused())
+            nursery.cancel_scope.cancel()
--- a/toucanhold/replicas/ordering.py
+++ b/toucanhold/replicas/ordering.py
@@ -37,6 +37,19 @@
 LOGGER = logging.getLogger(__name__)
 
 
+@attrs.define
+class _Pause:
+    """A time in which a server accepts connections but answers no probe.
+
+    :ivar since_s: trio clock time of the first of these probes
+    :ivar last_probe_s: trio clock time at which the last of these probes ended
+    """
+
+    server: servers.Server
+    since_s: float
+    last_probe_s: float
+
+
 class NotPlannerError(Exception):
     """This entry is not, or no longer, the planner."""
 
@@ -60,9 +73,7 @@
     )
     _order_counts: dict[tuple[str, int], int] = attrs.field(factory=dict, init=False)
     _unreachable_until_s: dict[tuple[str, int], float] = attrs.field(factory=dict, init=False)
-    _paused: dict[tuple[str, int], tuple[servers.Server, float]] = attrs.field(
-        factory=dict, init=False
-    )
+    _paused: dict[tuple[str, int], _Pause] = attrs.field(factory=dict, init=False)
     _locks: dict[str, trio.Lock] = attrs.field(
         factory=lambda: collections.defaultdict(trio.Lock), init=False
     )
@@ -139,20 +150,22 @@
 
     def paused(self) -> list[servers.Server]:
         """Return the servers that accepted connections but answered none of their last probes."""
-        return [server for server, _ in self._paused.values()]
+        return [pause.server for pause in self._paused.values()]
 
     def _may_be_paused(self, server: servers.Server) -> bool:
         now_s = trio.current_time()
-        _, since_s = self._paused.setdefault(server.incarnation, (server, now_s - PROBE_TIMEOUT_S))
-        if now_s - since_s < MAX_PAUSE_S:
-            return True
-        del self._paused[server.incarnation]
-        return False
+        pause = self._paused.get(server.incarnation)
+        # This entry was not the planner in between, and the server may have answered others.
+        if pause is None or now_s - pause.last_probe_s > MAX_PAUSE_S:
+            pause = _Pause(server, now_s - PROBE_TIMEOUT_S, now_s)
+            self._paused[server.incarnation] = pause
+        pause.last_probe_s = now_s
+        return now_s - pause.since_s < MAX_PAUSE_S
 
     def _record_resumed(self, incarnation: tuple[str, int]) -> None:
-        if incarnation in self._paused:
-            _, since_s = self._paused.pop(incarnation)
-            paused_s = round(trio.current_time() - since_s, 3)
+        pause = self._paused.pop(incarnation, None)
+        if pause is not None:
+            paused_s = round(trio.current_time() - pause.since_s, 3)
             events.log(
                 LOGGER, events.Event.SERVER_RESUMED, server=incarnation[0], paused_s=paused_s
             )
@@ -191,6 +204,7 @@
         return outcome
 
     def _mark_unreachable(self, incarnation: tuple[str, int]) -> None:
+        self._paused.pop(incarnation, None)
         self._unreachable_until_s[incarnation] = trio.current_time() + UNREACHABLE_PERIOD_S
 
 
