Blame no server for an order that this entry could not deliver

What callers saw: nothing yet; found by reading. A planner whose links to all servers are cut for a moment, as are the other entries', would dissolve the groups of the servers that it had just ordered to stage a model.

Cause: an order that was not delivered made its server unreachable for 4 s, which ends its group, also where the dialer could not tell a server that is gone from a cut of this entry's own links. Callers' requests make that distinction already.

Evidence: the new test of test_platform_calls.py. Before: "AssertionError: False != True" for a connection that fails without showing that the server is gone.

Change: such an order counts as deferred, like one that waits for a backoff, and is sent again. A refused connection, one that another entry confirms, and status 421 make a server unreachable as before.

Measured: the test passes, with tests.platform.test_platform_calls, test_backoffs, test_ordering and test_replicas.

--- a/tests/platform/test_platform_calls.py
+++ b/tests/platform/test_platform_calls.py
@@ -2,17 +2,20 @@
 
 import functools
 import unittest
+import unittest.mock
 
 import attrs
 import h11
 import trio
 
 from standins import gateways
+from tests import clocked
 from tests.platform import standins
 from toucanhold import asgi, metrics
 from toucanhold.gateway import calls
 from toucanhold.platform import front, servers
 from toucanhold.replicas import orders
+from toucanhold.tunnels import dialing
 
 HEADERS = [
     ("host", gateways.HOST),
@@ -269,3 +272,14 @@
             self.assertTrue(caught.exception.is_gone)
 
         trio.run(main)
+
+    @clocked.on_test_clock
+    async def test_a_cut_of_the_planners_own_links_does_not_make_a_server_unreachable(self):
+        """Guards against sound groups dissolved because no entry reaches servers for a moment."""
+        server = gateways.new_servers(1)["b0"]
+        for is_gone in (True, False):
+            dialer = unittest.mock.create_autospec(dialing.ServerDialer, instance=True)
+            dialer.connect.side_effect = dialing.DialError("cut", is_gone)
+            client = servers.PlatformServerClient(gateways.GatewayFixture().rate_limiter, dialer)
+            outcome = await client.send(server, orders.Stage("m0"), 0, 1)
+            self.assertEqual(is_gone, outcome is orders.OrderOutcome.UNREACHABLE)
--- a/toucanhold/platform/servers.py
+++ b/toucanhold/platform/servers.py
@@ -95,8 +95,9 @@
             status, _ = await self._control_call(
                 server, b"POST", b"/order", json.dumps(body).encode()
             )
-        except calls.NotRunError:
-            return orders.OrderOutcome.UNREACHABLE
+        except calls.NotRunError as error:
+            outcomes = orders.OrderOutcome
+            return outcomes.UNREACHABLE if error.is_gone else outcomes.DEFERRED
         except calls.ResponseLostError:
             return orders.OrderOutcome.LOST
         if status == 202:
--- a/toucanhold/replicas/orders.py
+++ b/toucanhold/replicas/orders.py
@@ -17,7 +17,8 @@
     ``BEGUN``: the engine has begun to carry it out. ``HOLDS``: its effect is already in place.
     ``REFUSED``: the engine rejected it, for example for its order count. ``LOST``: the answer is
     missing, so the order may or may not take effect. ``UNREACHABLE``: the engine did not get it.
-    ``DEFERRED``: it was not sent because of the server's backoff.
+    ``DEFERRED``: it was not sent because of the server's backoff, or of what may be a cut between
+    this entry and the server.
     """
 
     BEGUN = "begun"
