Pass on what has begun for longer when an entry stops

What callers saw: callers of an entry without links to the servers lost answers of requests that had run for some seconds when the entry in between got SIGTERM.

Cause: a stopping entry cut its tunnels 2 s before the end of its grace period, to have time for its clean-up, which takes 1 s at most. Its own callers' requests have no such limit.

Evidence: a request of 6.5 s through an entry that stops after its start, in a test. Before: "AssertionError: 0 != 1" (a tunnel was open when the stop was over, 6 s after the signal).

Change: 1.25 s are kept for the clean-up. A limit stays, since tunnels of entries that are gone end by themselves only later.

--- a/tests/platform/entry_links.py
+++ b/tests/platform/entry_links.py
@@ -20,6 +20,9 @@
 INTERNAL_PORT = 7340
 EVENTS = 8
 EVENT_INTERVAL_S = 0.05
+# Duration of a request that ends just before the last sixth of the grace period of a planned stop.
+SLOW_S = 6.5
+SLOW_TIMEOUT_MS = 8000
 # How a cut shows: nothing arrives; or connections are reset and refused; or open ones go on.
 CUTS = ("silent", "reset", "refuse")
 
@@ -172,7 +175,12 @@
 
     async def send(self, name, kind, attempt):
         """Send a request to an entry; return its status, its duration in s and its body."""
-        headers = [("host", HOST), ("x-attempt-id", attempt), ("x-deadline-remaining-ms", "3000")]
+        deadline_ms = SLOW_TIMEOUT_MS if kind == "slow" else 3000
+        headers = [
+            ("host", HOST),
+            ("x-attempt-id", attempt),
+            ("x-deadline-remaining-ms", str(deadline_ms)),
+        ]
         method = "GET" if kind == "lookup" else "POST"
         address = self.address(name, "front")
         started_s = trio.current_time()
@@ -196,6 +204,8 @@
 def _respond(app):
     async def respond(headers, receive, send):
         scope = app.requests[-1][0]
+        if scope["path"].startswith("/slow/"):
+            await trio.sleep(SLOW_S)
         if not scope["path"].startswith("/stream/"):
             await standins.asgi.respond(send, 200, app.seal(headers), b"answer")
             return
@@ -234,6 +244,7 @@
     routes = [
         route("/stream/", "streaming", resumable=True),
         route("/order/", "non_idempotent", attempts=1),
+        route("/slow/", "non_idempotent", attempts=1, timeout_ms=SLOW_TIMEOUT_MS),
         route("/lookup/", "idempotent"),
     ]
     return {"version": 1, "routes": routes, "services": [{"name": "desk"}]}
--- a/tests/platform/test_entry_links.py
+++ b/tests/platform/test_entry_links.py
@@ -101,6 +101,26 @@
                 await self._send_all(site, NAMES, "order", results)
                 self.assertEqual({200}, {result[2] for result in results})
 
+    def test_a_stopping_entry_passes_on_what_has_begun(self):
+        """Guards against answers that are cut because the entry that passes them on stops."""
+        clock = trio.testing.MockClock(autojump_threshold=AUTOJUMP_S)
+        trio.run(self._stop_relay, "94.0", clock=clock)
+
+    async def _stop_relay(self, subnet):
+        with trio.fail_after(TIMEOUT_S):
+            async with entry_links.running(subnet, NAMES[:2]) as site:
+                site.links.cut(NAMES[0], "refuse")
+                results = []
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._send, site, NAMES[0], "slow", 0, results)
+                    while not site.runs(f"slow-{NAMES[0]}-0"):
+                        await trio.sleep(0.01)
+                    relay = site.entries[NAMES[1]]
+                    self.assertEqual(1, relay.tunnel_server.open_count)
+                    await relay.stop()
+                    self.assertEqual(0, relay.tunnel_server.open_count)
+                self.assertEqual([200], [result[2] for result in results])
+
     async def _probe_servers(self, site, names):
         # A planner without links must neither lose its groups nor stop planning.
         for name in names:
@@ -110,14 +130,14 @@
                 self.assertIsNotNone(report, (name, server))
 
     async def _send_all(self, site, names, prefix, results):
-        async def send(name, number):
-            kind = prefix if prefix != "first" else "lookup"
-            attempt = f"{prefix}-{name}-{number}"
-            status, took_s, body = await site.send(name, kind, attempt)
-            results.append((attempt, name, status, round(took_s, 3), body))
-
         async with trio.open_nursery() as nursery:
             for number in range(REQUESTS):
                 for name in names:
-                    nursery.start_soon(send, name, number)
+                    nursery.start_soon(self._send, site, name, prefix, number, results)
                 await trio.sleep(INTERVAL_S)
+
+    async def _send(self, site, name, prefix, number, results):
+        kind = prefix if prefix != "first" else "lookup"
+        attempt = f"{prefix}-{name}-{number}"
+        status, took_s, body = await site.send(name, kind, attempt)
+        results.append((attempt, name, status, round(took_s, 3), body))
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -63,8 +63,9 @@
 # Callers cache an address for up to three times its TTL; the rest is a margin.
 CALLER_DRAIN_S = 3.2 * directory.ADDRESS_TTL_S
 IDLE_TIMEOUT_S = 75.0
+CLEAN_UP_TIMEOUT_S = 1.0
 # Part of the grace period of a planned stop that is kept for the clean-up.
-STOP_MARGIN_S = 2.0
+STOP_MARGIN_S = CLEAN_UP_TIMEOUT_S + 0.25
 
 LOGGER = logging.getLogger(__name__)
 
@@ -173,7 +174,7 @@
 
     async def clean_up(self) -> None:
         """See :class:`application.Application`."""
-        with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
+        with trio.CancelScope(shield=True, deadline=trio.current_time() + CLEAN_UP_TIMEOUT_S):
             await self.store.close()
         events.log(LOGGER, events.Event.ENTRY_STOPPED, entry=self.settings.entry)
 
