Record where members are, so that a new planner can ask them

What callers saw: streams of a group that was ending broke off when an entry that had started lately became the planner and the head was cut off from the store.

Cause: that planner knew no address of the head, ordered the members to leave at once, and the head broke.

Evidence: an unregistered head that is busy for 25 s, whose group a late planner takes over while it ends, in a test. Before: "AssertionError: Lists differ: [] != ['s00']".

Change: the group's record names the address and zone of each member. A planner that is elected adds those that it never saw registered to the lapsed servers, so they are probed and found alive or dead like all others. This takes the place of the rule for open groups in the driver, so a dead member is found by a probe again, not only by its head's stall.

--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -428,6 +428,26 @@
             self.assertEqual([], cluster.fleet.violations)
             nursery.cancel_scope.cancel()
 
+    @clocked.on_test_clock
+    async def test_next_planner_lets_a_head_that_it_never_saw_finish(self):
+        """Guards against streams cut off as a late entry takes over a group that is ending."""
+        async with trio.open_nursery() as nursery:
+            cluster, node = await start_formed_cluster(nursery)
+            group = node.serving_groups("large")[0]
+            head = cluster.fleet.servers[group.head.server_id]
+            head.busy_until_s = trio.current_time() + 25
+            await cluster.fleet.make_unreachable(head.name, "unlisted")
+            await cluster.wait_for(lambda: node.group_table.groups[group.name].is_ending, 8)
+            await trio.sleep(2)
+            next_node = cluster.start("entry-2")
+            await trio.sleep(1)
+            node.kill()
+            await cluster.wait_for(next_node.planner.may_act, 5)
+            await cluster.wait_for(lambda: group.name not in next_node.group_table.groups, 25)
+            self.assertEqual([], cluster.fleet.cut_off_heads)
+            self.assertEqual([], cluster.fleet.violations)
+            nursery.cancel_scope.cancel()
+
     @clocked.on_test_clock
     async def test_paused_planner_sends_no_orders_after_its_lease_expired(self):
         """Guards against conflicting orders from two planners."""
--- a/toucanhold/registry/registry.py
+++ b/toucanhold/registry/registry.py
@@ -89,6 +89,12 @@
                 known[name] = self._with_draining(known[name])
         self._notify()
 
+    def add_lapsed(self, server: servers.Server) -> None:
+        """Add a server whose registration lapsed earlier, unless it is registered or restarted."""
+        if server.server_id not in self.servers:
+            self.lapsed[server.server_id] = self._with_draining(server)
+            self._last_sign_s[server.server_id] = trio.current_time()
+
     def update_lapsed(self, server: servers.Server) -> None:
         """Update a lapsed server with the state that it reported to a probe."""
         if server.server_id in self.lapsed:
--- a/toucanhold/replicas/driver.py
+++ b/toucanhold/replicas/driver.py
@@ -99,18 +99,12 @@
             return f"the head {group.head.server_id} is no longer registered"
         for member in group.record.members:
             server = self.server_registry.find(member.incarnation)
-            if not self.server_registry.may_be_alive(member.incarnation):
-                return f"{member.server_id} has restarted"
-            if self.order_sender.is_unreachable(member.incarnation):
-                return f"{member.server_id} does not respond"
             if server is None:
-                # This planner cannot probe a member that lapsed before it first saw the store. The
-                # head of an open group breaks by itself if the member is dead.
-                if self._state(group.head, group) not in ACTIVE_STATES:
-                    return f"{member.server_id} is no longer registered"
-                continue
+                return f"{member.server_id} is no longer registered"
             if server.is_leaving:
                 return f"{member.server_id} is leaving"
+            if self.order_sender.is_unreachable(member.incarnation):
+                return f"{member.server_id} does not respond"
             membership = server.membership
             if membership is not None and membership.epoch > group.epoch:
                 return f"{member.server_id} has joined a later group"
@@ -147,8 +141,6 @@
 
     async def _advance(self, group: records.Group) -> None:
         states = {member: self._state(member, group) for member in group.record.members}
-        if states[group.head] is servers.GroupState.OPEN:
-            self._record_served(group)
         missing = [member for member, state in states.items() if state is None]
         if missing:
             await self._join(group, missing)
@@ -168,25 +160,24 @@
         # Only the planner checks the other members: each has reported that it is ready under this
         # group name, epoch and member list.
         state = self._state(group.head, group)
+        if state is servers.GroupState.OPEN:
+            if not self._has_served:
+                self._has_served = True
+                events.log(
+                    LOGGER,
+                    events.Event.GROUP_SERVES,
+                    group=self.name,
+                    epoch=group.epoch,
+                    model=group.record.model,
+                    head=group.head.server_id,
+                    formed_in_s=round(trio.current_time() - self._started_at_s, 3),
+                )
+            return
         # A head whose registration has lapsed gets no requests; it is probed before the group ends.
         head = self.server_registry.servers.get(group.head.server_id)
         if state is servers.GroupState.READY and head is not None and self._is_order_due("open"):
             await self.order_sender.send(head, orders.Open(group.name, group.epoch))
 
-    def _record_served(self, group: records.Group) -> None:
-        if self._has_served:
-            return
-        self._has_served = True
-        events.log(
-            LOGGER,
-            events.Event.GROUP_SERVES,
-            group=self.name,
-            epoch=group.epoch,
-            model=group.record.model,
-            head=group.head.server_id,
-            formed_in_s=round(trio.current_time() - self._started_at_s, 3),
-        )
-
     def _is_order_due(self, order_key: str) -> bool:
         now_s = trio.current_time()
         if now_s - self._last_order_s.get(order_key, float("-inf")) < ORDER_RETRY_S:
@@ -223,7 +214,7 @@
 
     async def _close(self, group: records.Group, head: servers.Server) -> None:
         is_complete = all(
-            self.server_registry.may_be_alive(member.incarnation)
+            self.server_registry.find(member.incarnation) is not None
             and not self.order_sender.is_unreachable(member.incarnation)
             for member in group.record.members
         )
--- a/toucanhold/replicas/planner.py
+++ b/toucanhold/replicas/planner.py
@@ -116,6 +116,8 @@
         self._demand_estimates.clear()
         # The previous planner may just have converted a group.
         self._last_conversion_s = trio.current_time()
+        for group in self.group_table.groups.values():
+            records.add_lapsed_members(group, self.server_registry)
         async with trio.open_nursery() as nursery:
             while self.may_act():
                 self.prober.probe(nursery)
@@ -329,7 +331,8 @@
         self, service: table.Service, placement: composition.Placement
     ) -> records.GroupRecord:
         members = tuple(
-            records.Member(server.server_id, server.born_ms) for server in placement.members
+            records.Member(server.server_id, server.born_ms, server.address, server.zone)
+            for server in placement.members
         )
         return records.GroupRecord(plan.new_group_name(), service.name, placement.model, members)
 
--- a/toucanhold/replicas/records.py
+++ b/toucanhold/replicas/records.py
@@ -29,10 +29,14 @@
 
     :ivar server_id: name of the server, which may stay the same after a restart
     :ivar born_ms: start of the process, in Unix milliseconds
+    :ivar address: ``IP:port``; empty in records of earlier versions
+    :ivar zone: availability zone
     """
 
     server_id: str
     born_ms: int
+    address: str = ""
+    zone: str = ""
 
     @property
     def incarnation(self) -> tuple[str, int]:
@@ -160,6 +164,21 @@
     return [server for server in members if server is not None]
 
 
+def add_lapsed_members(group: Group, server_registry: registry.Registry) -> None:
+    """Add the members that the registry never saw, so that the planner can probe them."""
+    for member in group.record.members:
+        if member.address and server_registry.find(member.incarnation) is None:
+            server_registry.add_lapsed(
+                servers.Server(
+                    member.server_id,
+                    member.born_ms,
+                    group.record.service,
+                    member.address,
+                    member.zone,
+                )
+            )
+
+
 def decode(item: keyvalue.Item) -> Group:
     """Decode a stored group record.
 
