Let groups finish their requests with members that leave

Cause: a server that leaves accepts no connections after a while, but works on for the running requests of its group. The planner took the refused probe for a dead member and closed the head with "abort".

The new test, with a member that announces that it leaves and one that does not, failed for both: "AssertionError: Lists differ: [] != ['s09']".

Change: a member that was leaving, or that answered probes without being registered, does not count as missing when the head is closed. If it has died instead, the head breaks after the stall timeout, and the group's servers are free up to that much later than before; the group's end is decided as fast as before.

Measured: the test passes, with tests.test_replicas, test_registry and test_replica_sequences (38 tests).

--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -334,6 +334,32 @@
             self.assertEqual([], cluster.fleet.violations)
             nursery.cancel_scope.cancel()
 
+    @clocked.on_test_clock
+    async def test_a_member_that_leaves_works_on_for_the_requests_of_its_group(self):
+        """Guards against streams cut off because a member that drains accepts no connections."""
+        for is_announced in (True, False):
+            await self._let_member_leave(is_announced)
+
+    async def _let_member_leave(self, is_announced):
+        async with trio.open_nursery() as nursery:
+            cluster, node = await start_formed_cluster(nursery)
+            group = node.serving_groups("small")[0]
+            head, leaving = (
+                cluster.fleet.servers[member.server_id] for member in group.record.members[:2]
+            )
+            head.busy_until_s = trio.current_time() + 10
+            if is_announced:
+                leaving.is_leaving = True
+                await cluster.fleet.register(leaving)
+            else:
+                await cluster.fleet.make_unreachable(leaving.name, "unlisted")
+            await trio.sleep(5)
+            await cluster.fleet.partition_together([leaving.name])
+            await cluster.wait_for(lambda: group.name not in node.group_table.groups, 10)
+            self.assertEqual([], cluster.fleet.cut_off_heads)
+            self.assertEqual([], cluster.fleet.violations)
+            nursery.cancel_scope.cancel()
+
     @clocked.on_test_clock
     async def test_a_registration_that_cannot_be_read_does_not_cut_off_a_group(self):
         """Guards against streams that are cut off because a member's record was overwritten."""
--- a/toucanhold/registry/registry.py
+++ b/toucanhold/registry/registry.py
@@ -45,6 +45,7 @@
     servers: dict[str, servers.Server] = attrs.field(factory=dict, init=False)
     lapsed: dict[str, servers.Server] = attrs.field(factory=dict, init=False)
     version: int = attrs.field(default=0, init=False)
+    _answering: set[str] = attrs.field(factory=set, init=False)
     _last_sign_s: dict[str, float] = attrs.field(factory=dict, init=False)
     _leaving: set[tuple[str, int]] = attrs.field(factory=set, init=False)
     _missing_since_s: dict[str, float] = attrs.field(factory=dict, init=False)
@@ -78,6 +79,10 @@
         server = self.servers.get(name) or self.lapsed.get(name)
         return server if server is not None and server.incarnation == incarnation else None
 
+    def works_unregistered(self, incarnation: tuple[str, int]) -> bool:
+        """Return whether a server has answered a probe since its registration lapsed."""
+        return incarnation[0] in self._answering and self.find(incarnation) is not None
+
     def mark_leaving(self, incarnation: tuple[str, int]) -> None:
         """Consider a process of a server to be leaving, whatever its registration says."""
         if len(self._leaving) >= MAX_LEAVING:
@@ -100,11 +105,13 @@
         if server.server_id in self.lapsed:
             self.lapsed[server.server_id] = self._with_draining(server)
             self._last_sign_s[server.server_id] = trio.current_time()
+            self._answering.add(server.server_id)
 
     def remove(self, name: str) -> None:
         """Drop a lapsed server, as it is dead or registered again."""
         self.lapsed.pop(name, None)
         self._last_sign_s.pop(name, None)
+        self._answering.discard(name)
 
     async def run(self) -> None:
         """Periodically drop lapsed registrations, until cancelled."""
--- a/toucanhold/replicas/driver.py
+++ b/toucanhold/replicas/driver.py
@@ -34,9 +34,8 @@
 class GroupDriver:
     """Drives one group while this entry is the planner.
 
-    Each step is decided from the group's record and the states that its servers report, without
-    history. A new planner can therefore take over at any point, and leaves complete groups as they
-    are.
+    Each step is decided from the group's record and the states that its servers report. A new
+    planner can therefore take over at any point, and leaves complete groups as they are.
 
     :ivar name: name of the group
     :ivar changed: wakes the driver when a record or a registration has changed
@@ -56,6 +55,7 @@
     _members_left_at_s: float = attrs.field(default=0.0, init=False)
     _head_missing_since_s: float | None = attrs.field(default=None, init=False)
     _has_served: bool = attrs.field(default=False, init=False)
+    _departing: set[records.Member] = attrs.field(factory=set, init=False)
 
     async def run(self) -> None:
         """Run until the group is removed or this entry is no longer the planner."""
@@ -68,6 +68,7 @@
             LOGGER.debug("%s: no longer the planner", self.name)
 
     async def _step(self, group: records.Group) -> None:
+        self._record_departing(group)
         try:
             if group.is_ending:
                 if await self._tear_down(group):
@@ -92,6 +93,14 @@
             await trio.sleep(CHECK_INTERVAL_S)
         await self.changed.wait(CHECK_INTERVAL_S)
 
+    def _record_departing(self, group: records.Group) -> None:
+        for member in group.record.members:
+            server = self.server_registry.find(member.incarnation)
+            is_leaving = server is not None and server.is_leaving
+            # Some servers do not announce that they leave: only their registrations are removed.
+            if is_leaving or self.server_registry.works_unregistered(member.incarnation):
+                self._departing.add(member)
+
     def _reason_to_end(self, group: records.Group) -> str:
         if self._may_be_partitioned(group):
             return ""
@@ -213,9 +222,14 @@
         return head is not None and head.incarnation != group.head.incarnation
 
     async def _close(self, group: records.Group, head: servers.Server) -> None:
+        # A server that leaves accepts no more connections, but works for the running requests of
+        # its group. If it has died instead, the head breaks by itself.
         is_complete = all(
-            self.server_registry.find(member.incarnation) is not None
-            and not self.order_sender.is_unreachable(member.incarnation)
+            member in self._departing
+            or (
+                self.server_registry.find(member.incarnation) is not None
+                and not self.order_sender.is_unreachable(member.incarnation)
+            )
             for member in group.record.members
         )
         # Requests end at their deadlines. Without all its members the head cannot finish any, and
