Apply a reloaded stall timeout to the groups that are being driven

What callers saw: nothing yet; found by reading. After a SIGHUP with a longer stall timeout, members of a head that the planner cannot reach would join another group while the head still works.

Cause: each group's driver kept the timeout with which it was started.

Evidence: a test raises the timeout to 9 s once the groups serve, and cuts a head off. Before: "AssertionError: 'gc98a13c18f10' not found in ..." 8 s later.

Change: the driver asks the planner for the timeout.

Measured: the test passes, with tests.test_replicas (30 tests).

--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -161,6 +161,20 @@
             self.assertGreaterEqual(len(node.serving_groups("large")), 1)
             nursery.cancel_scope.cancel()
 
+    @clocked.on_test_clock
+    async def test_a_longer_stall_timeout_holds_for_running_groups(self):
+        """Guards against members reused while their head works, after a reload of the settings."""
+        async with trio.open_nursery() as nursery:
+            cluster, node = await start_formed_cluster(nursery)
+            group = node.serving_groups("large")[0]
+            node.planner.stall_s = 9.0
+            await cluster.fleet.make_unreachable(group.head.server_id, "apart")
+            node.planner.suspect(group.head.server_id)
+            await trio.sleep(8)
+            self.assertIn(group.name, node.group_table.groups)
+            await cluster.wait_for(lambda: group.name not in node.group_table.groups, 10)
+            nursery.cancel_scope.cancel()
+
     @clocked.on_test_clock
     async def test_group_that_is_partitioned_as_a_whole_is_not_torn_down_meanwhile(self):
         """Guards against members in two groups after the partition of their zone has ended."""
--- a/toucanhold/replicas/driver.py
+++ b/toucanhold/replicas/driver.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import logging
 
 import attrs
@@ -39,7 +40,7 @@
 
     :ivar name: name of the group
     :ivar changed: wakes the driver when a record or a registration has changed
-    :ivar stall_s: time after which a head that lacks a member breaks by itself
+    :ivar stall_s: returns the time after which a head that lacks a member breaks by itself
     """
 
     name: str
@@ -48,7 +49,7 @@
     server_registry: registry.Registry
     order_sender: ordering.OrderSender
     changed: notifier.Notifier
-    stall_s: float
+    stall_s: collections.abc.Callable[[], float]
     _started_at_s: float = attrs.field(factory=trio.current_time, init=False)
     _last_order_s: dict[str, float] = attrs.field(factory=dict, init=False)
     _ending_since_s: float = attrs.field(default=0.0, init=False)
@@ -248,7 +249,7 @@
         """Detach the other members from an unreachable head and wait until it breaks by itself.
 
         The planner cannot distinguish a dead head from a partitioned one with an open group. A head
-        that lacks a member breaks after ``stall_s``; its members may not be reused before that.
+        that lacks a member breaks after ``stall_s()``; its members may not be reused before that.
 
         :returns: whether the head has certainly broken or is considered dead
         """
@@ -260,7 +261,7 @@
             self._members_left_at_s = trio.current_time()
         now_s = trio.current_time()
         if self._members_left_at_s:
-            return now_s - self._members_left_at_s > self.stall_s + STALL_MARGIN_S
+            return now_s - self._members_left_at_s > self.stall_s() + STALL_MARGIN_S
         # If a whole zone is partitioned, the head and its members keep working as a group. If its
         # record were removed meanwhile, they would join other groups while it is still open.
         return now_s - self._ending_since_s > PARTITION_TIMEOUT_S
--- a/toucanhold/replicas/planner.py
+++ b/toucanhold/replicas/planner.py
@@ -178,7 +178,7 @@
             self.server_registry,
             self.order_sender,
             self._changed,
-            self.stall_s,
+            lambda: self.stall_s,
         )
         try:
             await group_driver.run()
