Keep in the record which members were leaving when a group ended

What callers saw: streams broke off as the planner changed while a group finished its requests with a member that left.

Cause: only the planner that had seen the member leave knew that it may still work. The next one took it for lost and closed the head with "abort".

The new test failed before: "AssertionError: Lists differ: [] != ['s09']".

Change: the record of an ending group names these members. A member that has registered again is not one of them.

Measured: the test passes, with tests.test_replicas, test_replica_sequences, test_targets and test_backoffs (44 tests).

--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -488,6 +488,29 @@
             self.assertEqual([], cluster.fleet.violations)
             nursery.cancel_scope.cancel()
 
+    @clocked.on_test_clock
+    async def test_next_planner_lets_requests_finish_with_a_member_that_left(self):
+        """Guards against streams cut off by a planner that did not see a member leave."""
+        async with trio.open_nursery() as nursery:
+            cluster, node = await start_formed_cluster(nursery)
+            next_node = cluster.start("entry-2")
+            group = node.serving_groups("small")[0]
+            head, leaving = (
+                cluster.fleet.servers[member.server_id] for member in group.record.members[:2]
+            )
+            head.busy_until_s = trio.current_time() + 14
+            await cluster.fleet.make_unreachable(leaving.name, "unlisted")
+            await trio.sleep(5)
+            await cluster.fleet.partition_together([leaving.name])
+            await cluster.wait_for(lambda: node.group_table.groups[group.name].is_ending, 2)
+            await trio.sleep(0.5)
+            node.kill()
+            await cluster.wait_for(next_node.planner.may_act, 5)
+            await cluster.wait_for(lambda: group.name not in next_node.group_table.groups, 14)
+            self.assertEqual([], cluster.fleet.cut_off_heads)
+            self.assertEqual([], cluster.fleet.violations)
+            nursery.cancel_scope.cancel()
+
     @clocked.on_test_clock
     async def test_paused_planner_sends_no_orders_after_its_lease_expired(self):
         """Guards against conflicting orders from two planners."""
--- a/toucanhold/replicas/driver.py
+++ b/toucanhold/replicas/driver.py
@@ -56,7 +56,7 @@
     _members_left_at_s: float = attrs.field(default=0.0, init=False)
     _head_missing_since_s: float | None = attrs.field(default=None, init=False)
     _has_served: bool = attrs.field(default=False, init=False)
-    _departing: set[records.Member] = attrs.field(factory=set, init=False)
+    _departing: set[str] = attrs.field(factory=set, init=False)
 
     async def run(self) -> None:
         """Run until the group is removed or this entry is no longer the planner."""
@@ -85,7 +85,7 @@
                     model=group.record.model,
                     reason=reason,
                 )
-                await self.plan_writer.mark_ending(group)
+                await self.plan_writer.mark_ending(group, tuple(sorted(self._departing)))
                 return
             else:
                 await self._advance(group)
@@ -100,7 +100,10 @@
             is_leaving = server is not None and server.is_leaving
             # Some servers do not announce that they leave: only their registrations are removed.
             if is_leaving or self.server_registry.works_unregistered(member.incarnation):
-                self._departing.add(member)
+                self._departing.add(member.server_id)
+            elif self.server_registry.is_registered(member.incarnation):
+                self._departing.discard(member.server_id)
+        self._departing.update(group.record.departing)
 
     def _reason_to_end(self, group: records.Group) -> str:
         if self._may_be_partitioned(group):
@@ -226,7 +229,7 @@
         # A server that leaves accepts no more connections, but works for the running requests of
         # its group. If it has died instead, the head breaks by itself.
         is_complete = all(
-            member in self._departing
+            member.server_id in self._departing
             or (
                 self.server_registry.find(member.incarnation) is not None
                 and not self.order_sender.is_unreachable(member.incarnation)
--- a/toucanhold/replicas/plan.py
+++ b/toucanhold/replicas/plan.py
@@ -61,12 +61,13 @@
             self.group_table.put(group)
         return groups
 
-    async def mark_ending(self, group: records.Group) -> None:
+    async def mark_ending(self, group: records.Group, departing: tuple[str, ...] = ()) -> None:
         """Mark a group as ending, so that no entry sends it new requests.
 
+        :param departing: names of the members that are about to stop
         :raises PlanWriteError: if the commit failed
         """
-        record = attrs.evolve(group.record, phase=records.Phase.ENDING)
+        record = attrs.evolve(group.record, phase=records.Phase.ENDING, departing=departing)
         async with self._lock:
             revision = await self._write([self._put_write(record)])
         self.group_table.put(records.Group(record, group.epoch, revision))
--- a/toucanhold/replicas/records.py
+++ b/toucanhold/replicas/records.py
@@ -52,6 +52,7 @@
     :ivar service: name of the model service
     :ivar model: name of the model
     :ivar members: members by rank; the first is the head, which receives the requests
+    :ivar departing: names of the members that were about to stop when the group began to end
     """
 
     group: str
@@ -59,6 +60,7 @@
     model: str
     members: tuple[Member, ...]
     phase: Phase = Phase.SERVING
+    departing: tuple[str, ...] = ()
 
 
 @attrs.frozen
