--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -6,8 +6,9 @@
 
 import trio
 
-from standins import memory
+from standins import memory, replicas
 from tests import clocked, replica_cluster
+from toucanhold.coordination import keyvalue
 from toucanhold.registry import servers
 from toucanhold.replicas import driver, orders
 
@@ -160,6 +161,20 @@
             self.assertGreaterEqual(len(node.serving_groups("large")), 1)
             nursery.cancel_scope.cancel()
 
+    @clocked.on_test_clock
+    async def test_a_longer_stall_timeout_holds_for_running_groups(self):
+        """Guards against members reused while their head works, after a reload of the settings."""
+        async with trio.open_nursery() as nursery:
+            cluster, node = await start_formed_cluster(nursery)
+            group = node.serving_groups("large")[0]
+            node.planner.stall_s = 9.0
+            await cluster.fleet.make_unreachable(group.head.server_id, "apart")
+            node.planner.suspect(group.head.server_id)
+            await trio.sleep(8)
+            self.assertIn(group.name, node.group_table.groups)
+            await cluster.wait_for(lambda: group.name not in node.group_table.groups, 10)
+            nursery.cancel_scope.cancel()
+
     @clocked.on_test_clock
     async def test_group_that_is_partitioned_as_a_whole_is_not_torn_down_meanwhile(self):
         """Guards against members in two groups after the partition of their zone has ended."""
@@ -316,6 +331,103 @@
             self.assertEqual([], cluster.fleet.violations)
             nursery.cancel_scope.cancel()
 
+    @clocked.on_test_clock
+    async def test_requests_of_a_group_that_ends_by_plan_are_finished(self):
+        """Guards against streams that are cut off because they run longer than a group may end."""
+        async with trio.open_nursery() as nursery:
+            cluster, node = await start_formed_cluster(nursery)
+            group = node.serving_groups("small")[0]
+            head, leaving = (
+                cluster.fleet.servers[member.server_id] for member in group.record.members[:2]
+            )
+            head.busy_until_s = trio.current_time() + 8
+            leaving.is_leaving = True
+            await cluster.fleet.register(leaving)
+            await cluster.wait_for(lambda: group.name not in node.group_table.groups, 10)
+            self.assertEqual([], cluster.fleet.cut_off_heads)
+            self.assertEqual([], cluster.fleet.violations)
+            nursery.cancel_scope.cancel()
+
+    @clocked.on_test_clock
+    async def test_a_member_that_leaves_works_on_for_the_requests_of_its_group(self):
+        """Guards against streams cut off because a member that drains accepts no connections."""
+        for is_announced in (True, False):
+            await self._let_member_leave(is_announced)
+
+    async def _let_member_leave(self, is_announced):
+        async with trio.open_nursery() as nursery:
+            cluster, node = await start_formed_cluster(nursery)
+            group = node.serving_groups("small")[0]
+            head, leaving = (
+                cluster.fleet.servers[member.server_id] for member in group.record.members[:2]
+            )
+            head.busy_until_s = trio.current_time() + 10
+            if is_announced:
+                leaving.is_leaving = True
+                await cluster.fleet.register(leaving)
+            else:
+                await cluster.fleet.make_unreachable(leaving.name, "unlisted")
+            await trio.sleep(5)
+            await cluster.fleet.partition_together([leaving.name])
+            await cluster.wait_for(lambda: group.name not in node.group_table.groups, 10)
+            self.assertEqual([], cluster.fleet.cut_off_heads)
+            self.assertEqual([], cluster.fleet.violations)
+            nursery.cancel_scope.cancel()
+
+    @clocked.on_test_clock
+    async def test_a_registration_that_cannot_be_read_does_not_cut_off_a_group(self):
+        """Guards against streams that are cut off because a member's record was overwritten."""
+        async with trio.open_nursery() as nursery:
+            cluster, node = await start_formed_cluster(nursery)
+            for model, rank in (("large", 2), ("small", 0)):
+                group = node.serving_groups(model)[0]
+                head = cluster.fleet.servers[group.head.server_id]
+                head.busy_until_s = trio.current_time() + 4
+                key = replicas.REGISTRATIONS_PREFIX + group.record.members[rank].server_id
+                await cluster.fleet.store.commit([], [keyvalue.Write(key, b"{")])
+                await trio.sleep(1.2)
+                await cluster.fleet.register(
+                    cluster.fleet.servers[group.record.members[rank].server_id]
+                )
+                await trio.sleep(4)
+            self.assertEqual([], cluster.fleet.cut_off_heads)
+            self.assertEqual([], cluster.fleet.violations)
+            nursery.cancel_scope.cancel()
+
+    @clocked.on_test_clock
+    async def test_a_member_that_answers_is_kept_however_long_it_is_unregistered(self):
+        """Guards against a sound group that ends when a member has been unlisted for a time."""
+        async with trio.open_nursery() as nursery:
+            cluster, node = await start_formed_cluster(nursery)
+            group = node.serving_groups("large")[0]
+            member = group.record.members[2].server_id
+            await cluster.fleet.make_unreachable(member, "unlisted")
+            await trio.sleep(60)
+            self.assertIn(group.name, [each.name for each in node.serving_groups("large")])
+            await cluster.fleet.make_unreachable(member, "dark")
+            await cluster.wait_for(lambda: group.name not in node.group_table.groups, 2.5)
+            self.assertEqual([], cluster.fleet.violations)
+            nursery.cancel_scope.cancel()
+
+    @clocked.on_test_clock
+    async def test_members_stay_with_an_unregistered_head_that_pauses(self):
+        """Guards against members taken from a head that finishes its requests after a pause."""
+        async with trio.open_nursery() as nursery:
+            cluster, node = await start_formed_cluster(nursery)
+            group = node.serving_groups("large")[0]
+            head = cluster.fleet.servers[group.head.server_id]
+            head.busy_until_s = trio.current_time() + 16
+            await cluster.fleet.make_unreachable(head.name, "unlisted")
+            await cluster.wait_for(lambda: node.group_table.groups[group.name].is_ending, 8)
+            await trio.sleep(0.5)
+            head.mode = "paused"
+            await trio.sleep(1.3)
+            head.mode = "unlisted"
+            await cluster.wait_for(lambda: group.name not in node.group_table.groups, 14)
+            self.assertEqual([], cluster.fleet.cut_off_heads)
+            self.assertEqual([], cluster.fleet.violations)
+            nursery.cancel_scope.cancel()
+
 
 class PlannerChangeTest(unittest.TestCase):
     @clocked.on_test_clock
@@ -334,6 +446,71 @@
             self.assertEqual(orders_before, len(cluster.fleet.sent_orders))
             nursery.cancel_scope.cancel()
 
+    @clocked.on_test_clock
+    async def test_next_planner_keeps_groups_with_a_member_that_it_never_saw(self):
+        """Guards against streams cut off because an entry that started late becomes planner."""
+        async with trio.open_nursery() as nursery:
+            cluster, node = await start_formed_cluster(nursery)
+            group = node.serving_groups("large")[0]
+            head = cluster.fleet.servers[group.head.server_id]
+            await cluster.fleet.make_unreachable(group.record.members[2].server_id, "unlisted")
+            await trio.sleep(8)
+            next_node = cluster.start("entry-2")
+            await trio.sleep(1)
+            head.busy_until_s = trio.current_time() + 12
+            node.kill()
+            await cluster.wait_for(next_node.planner.may_act, 5)
+            await trio.sleep(60)
+            self.assertIn(group.name, [each.name for each in next_node.serving_groups("large")])
+            self.assertEqual([], cluster.fleet.cut_off_heads)
+            await cluster.fleet.make_unreachable(group.record.members[2].server_id, "dark")
+            await cluster.wait_for(lambda: group.name not in next_node.group_table.groups, 6)
+            self.assertEqual([], cluster.fleet.violations)
+            nursery.cancel_scope.cancel()
+
+    @clocked.on_test_clock
+    async def test_next_planner_lets_a_head_that_it_never_saw_finish(self):
+        """Guards against streams cut off as a late entry takes over a group that is ending."""
+        async with trio.open_nursery() as nursery:
+            cluster, node = await start_formed_cluster(nursery)
+            group = node.serving_groups("large")[0]
+            head = cluster.fleet.servers[group.head.server_id]
+            head.busy_until_s = trio.current_time() + 25
+            await cluster.fleet.make_unreachable(head.name, "unlisted")
+            await cluster.wait_for(lambda: node.group_table.groups[group.name].is_ending, 8)
+            await trio.sleep(2)
+            next_node = cluster.start("entry-2")
+            await trio.sleep(1)
+            node.kill()
+            await cluster.wait_for(next_node.planner.may_act, 5)
+            await cluster.wait_for(lambda: group.name not in next_node.group_table.groups, 25)
+            self.assertEqual([], cluster.fleet.cut_off_heads)
+            self.assertEqual([], cluster.fleet.violations)
+            nursery.cancel_scope.cancel()
+
+    @clocked.on_test_clock
+    async def test_next_planner_lets_requests_finish_with_a_member_that_left(self):
+        """Guards against streams cut off by a planner that did not see a member leave."""
+        async with trio.open_nursery() as nursery:
+            cluster, node = await start_formed_cluster(nursery)
+            next_node = cluster.start("entry-2")
+            group = node.serving_groups("small")[0]
+            head, leaving = (
+                cluster.fleet.servers[member.server_id] for member in group.record.members[:2]
+            )
+            head.busy_until_s = trio.current_time() + 14
+            await cluster.fleet.make_unreachable(leaving.name, "unlisted")
+            await trio.sleep(5)
+            await cluster.fleet.partition_together([leaving.name])
+            await cluster.wait_for(lambda: node.group_table.groups[group.name].is_ending, 2)
+            await trio.sleep(0.5)
+            node.kill()
+            await cluster.wait_for(next_node.planner.may_act, 5)
+            await cluster.wait_for(lambda: group.name not in next_node.group_table.groups, 14)
+            self.assertEqual([], cluster.fleet.cut_off_heads)
+            self.assertEqual([], cluster.fleet.violations)
+            nursery.cancel_scope.cancel()
+
     @clocked.on_test_clock
     async def test_paused_planner_sends_no_orders_after_its_lease_expired(self):
         """Guards against conflicting orders from two planners."""
--- a/toucanhold/registry/registry.py
+++ b/toucanhold/registry/registry.py
@@ -16,8 +16,8 @@
 # seconds of its end, as servers renew them every 1.2 s. Those still missing after that are dropped.
 LAPSE_GRACE_S = 2.2
 CHECK_INTERVAL_S = 0.25
-# A server that is partitioned from the key-value service keeps working for its group. Partitions
-# rarely last longer than this, and the server's last known state is too old to be useful by then.
+# A server that is partitioned from the key-value service keeps working for its group, and answers
+# probes. Without an answer for this long, its last known state is too old to be useful.
 LAPSED_RETENTION_S = 30.0
 # Processes that were marked as leaving, also before their registrations are known here.
 MAX_LEAVING = 4096
@@ -34,8 +34,8 @@
     :ivar prefix: key prefix of the registrations in the key-value service
     :ivar decode: decodes one registration; returns None if it describes no usable server
     :ivar servers: servers that are registered
-    :ivar lapsed: last known state of servers whose registrations lapsed; they get no requests, but
-        may still work for a group
+    :ivar lapsed: last known state of servers whose registrations lapsed or cannot be read; they get
+        no requests, but may still work for a group
     :ivar version: grows with each change
     """
 
@@ -45,7 +45,8 @@
     servers: dict[str, servers.Server] = attrs.field(factory=dict, init=False)
     lapsed: dict[str, servers.Server] = attrs.field(factory=dict, init=False)
     version: int = attrs.field(default=0, init=False)
-    _lapsed_at_s: dict[str, float] = attrs.field(factory=dict, init=False)
+    _answering: set[str] = attrs.field(factory=set, init=False)
+    _last_sign_s: dict[str, float] = attrs.field(factory=dict, init=False)
     _leaving: set[tuple[str, int]] = attrs.field(factory=set, init=False)
     _missing_since_s: dict[str, float] = attrs.field(factory=dict, init=False)
     _listeners: list[collections.abc.Callable[[], None]] = attrs.field(factory=list, init=False)
@@ -78,6 +79,10 @@
         server = self.servers.get(name) or self.lapsed.get(name)
         return server if server is not None and server.incarnation == incarnation else None
 
+    def works_unregistered(self, incarnation: tuple[str, int]) -> bool:
+        """Return whether a server has answered a probe since its registration lapsed."""
+        return incarnation[0] in self._answering and self.find(incarnation) is not None
+
     def mark_leaving(self, incarnation: tuple[str, int]) -> None:
         """Consider a process of a server to be leaving, whatever its registration says."""
         if len(self._leaving) >= MAX_LEAVING:
@@ -89,15 +94,24 @@
                 known[name] = self._with_draining(known[name])
         self._notify()
 
+    def add_lapsed(self, server: servers.Server) -> None:
+        """Add a server whose registration lapsed earlier, unless it is registered or restarted."""
+        if server.server_id not in self.servers:
+            self.lapsed[server.server_id] = self._with_draining(server)
+            self._last_sign_s[server.server_id] = trio.current_time()
+
     def update_lapsed(self, server: servers.Server) -> None:
         """Update a lapsed server with the state that it reported to a probe."""
         if server.server_id in self.lapsed:
             self.lapsed[server.server_id] = self._with_draining(server)
+            self._last_sign_s[server.server_id] = trio.current_time()
+            self._answering.add(server.server_id)
 
     def remove(self, name: str) -> None:
         """Drop a lapsed server, as it is dead or registered again."""
         self.lapsed.pop(name, None)
-        self._lapsed_at_s.pop(name, None)
+        self._last_sign_s.pop(name, None)
+        self._answering.discard(name)
 
     async def run(self) -> None:
         """Periodically drop lapsed registrations, until cancelled."""
@@ -105,7 +119,7 @@
             await trio.sleep(CHECK_INTERVAL_S)
             self._drop_missing()
             oldest_s = trio.current_time() - LAPSED_RETENTION_S
-            for name in [name for name, since_s in self._lapsed_at_s.items() if since_s < oldest_s]:
+            for name in [name for name, since_s in self._last_sign_s.items() if since_s < oldest_s]:
                 self.remove(name)
 
     def _apply_changes(self, keys: frozenset[str]) -> None:
@@ -124,9 +138,9 @@
         server = self.decode(item)
         if server is None:
             # A key overwritten with other data no longer describes the server, so the server must
-            # not stay in use.
+            # not stay in use. Its process may still work for a group.
             events.log(LOGGER, events.Event.REGISTRATION_UNREADABLE, server=name)
-            self.servers.pop(name, None)
+            self._mark_lapsed(name)
             return
         previous = self.servers.get(name)
         if previous is None or previous.incarnation != server.incarnation:
@@ -151,14 +165,20 @@
             return
         for name, since_s in list(self._missing_since_s.items()):
             del self._missing_since_s[name]
-            server = self.servers.pop(name, None)
-            if server is not None:
-                self.lapsed[name] = server
-                self._lapsed_at_s[name] = trio.current_time()
+            if self._mark_lapsed(name):
                 missing_s = round(trio.current_time() - since_s, 3)
                 events.log(LOGGER, events.Event.SERVER_GONE, server=name, missing_s=missing_s)
         self._notify()
 
+    def _mark_lapsed(self, name: str) -> bool:
+        """Move a server to the lapsed ones; return whether it was registered."""
+        server = self.servers.pop(name, None)
+        if server is None:
+            return False
+        self.lapsed[name] = server
+        self._last_sign_s[name] = trio.current_time()
+        return True
+
     def _may_drop(self) -> bool:
         # All leases may lapse during an outage of the key-value service. Applying that at once
         # would take every server out of service; the grace period lets live servers re-register.
--- a/toucanhold/replicas/driver.py
+++ b/toucanhold/replicas/driver.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import logging
 
 import attrs
@@ -15,8 +16,6 @@
 ORDER_RETRY_S = 1.0
 # Must exceed the longest model load (16 s) while several loads run concurrently.
 FORMING_TIMEOUT_S = 45.0
-# Running requests of a group that ends by plan may finish for this long; most take under 3 s.
-DRAIN_TIMEOUT_S = 5.0
 # Added to the stall timeout after which a head without all its members breaks by itself.
 STALL_MARGIN_S = 0.5
 # Servers of an ending group that stay unreachable for this long are considered dead. Network
@@ -36,13 +35,12 @@
 class GroupDriver:
     """Drives one group while this entry is the planner.
 
-    Each step is decided from the group's record and the states that its servers report, without
-    history. A new planner can therefore take over at any point, and leaves complete groups as they
-    are.
+    Each step is decided from the group's record and the states that its servers report. A new
+    planner can therefore take over at any point, and leaves complete groups as they are.
 
     :ivar name: name of the group
     :ivar changed: wakes the driver when a record or a registration has changed
-    :ivar stall_s: time after which a head that lacks a member breaks by itself
+    :ivar stall_s: returns the time after which a head that lacks a member breaks by itself
     """
 
     name: str
@@ -51,13 +49,14 @@
     server_registry: registry.Registry
     order_sender: ordering.OrderSender
     changed: notifier.Notifier
-    stall_s: float
+    stall_s: collections.abc.Callable[[], float]
     _started_at_s: float = attrs.field(factory=trio.current_time, init=False)
     _last_order_s: dict[str, float] = attrs.field(factory=dict, init=False)
     _ending_since_s: float = attrs.field(default=0.0, init=False)
     _members_left_at_s: float = attrs.field(default=0.0, init=False)
     _head_missing_since_s: float | None = attrs.field(default=None, init=False)
     _has_served: bool = attrs.field(default=False, init=False)
+    _departing: set[str] = attrs.field(factory=set, init=False)
 
     async def run(self) -> None:
         """Run until the group is removed or this entry is no longer the planner."""
@@ -70,6 +69,7 @@
             LOGGER.debug("%s: no longer the planner", self.name)
 
     async def _step(self, group: records.Group) -> None:
+        self._record_departing(group)
         try:
             if group.is_ending:
                 if await self._tear_down(group):
@@ -85,7 +85,7 @@
                     model=group.record.model,
                     reason=reason,
                 )
-                await self.plan_writer.mark_ending(group)
+                await self.plan_writer.mark_ending(group, tuple(sorted(self._departing)))
                 return
             else:
                 await self._advance(group)
@@ -94,6 +94,17 @@
             await trio.sleep(CHECK_INTERVAL_S)
         await self.changed.wait(CHECK_INTERVAL_S)
 
+    def _record_departing(self, group: records.Group) -> None:
+        for member in group.record.members:
+            server = self.server_registry.find(member.incarnation)
+            is_leaving = server is not None and server.is_leaving
+            # Some servers do not announce that they leave: only their registrations are removed.
+            if is_leaving or self.server_registry.works_unregistered(member.incarnation):
+                self._departing.add(member.server_id)
+            elif self.server_registry.is_registered(member.incarnation):
+                self._departing.discard(member.server_id)
+        self._departing.update(group.record.departing)
+
     def _reason_to_end(self, group: records.Group) -> str:
         if self._may_be_partitioned(group):
             return ""
@@ -192,7 +203,13 @@
         self._ending_since_s = self._ending_since_s or trio.current_time()
         if self._has_head_restarted(group):
             return True
-        head = await self._probe_if_lapsed(self.server_registry.find(group.head.incarnation))
+        head = self.server_registry.find(group.head.incarnation)
+        if head is not None and not self.server_registry.is_registered(head.incarnation):
+            # A lapsed registration no longer shows whether the head has closed its group.
+            head = await self.order_sender.probe(head)
+            if head is None and not self.order_sender.is_unreachable(group.head.incarnation):
+                # It may be paused, and finishes its requests afterwards if its members stay.
+                return False
         if head is None or self.order_sender.is_unreachable(head.incarnation):
             return await self._detach_and_await_stall(group)
         state = head.state_in(group.name, group.epoch)
@@ -203,29 +220,26 @@
             return True
         return await self._detach_head(group, head)
 
-    async def _probe_if_lapsed(self, head: servers.Server | None) -> servers.Server | None:
-        # A lapsed registration no longer shows whether the head has closed its group.
-        if head is None or self.server_registry.is_registered(head.incarnation):
-            return head
-        return await self.order_sender.probe(head)
-
     def _has_head_restarted(self, group: records.Group) -> bool:
         """Return whether the head has restarted since, so that its former process has ended."""
         head = self.server_registry.servers.get(group.head.server_id)
         return head is not None and head.incarnation != group.head.incarnation
 
     async def _close(self, group: records.Group, head: servers.Server) -> None:
+        # A server that leaves accepts no more connections, but works for the running requests of
+        # its group. If it has died instead, the head breaks by itself.
         is_complete = all(
-            self.server_registry.find(member.incarnation) is not None
-            and not self.order_sender.is_unreachable(member.incarnation)
+            member.server_id in self._departing
+            or (
+                self.server_registry.find(member.incarnation) is not None
+                and not self.order_sender.is_unreachable(member.incarnation)
+            )
             for member in group.record.members
         )
-        is_within_timeout = trio.current_time() - self._ending_since_s < DRAIN_TIMEOUT_S
-        # Without all its members the head cannot finish any request, and waiting would only keep
-        # the other members idle.
-        finishes_work = is_complete and is_within_timeout
-        if self._is_order_due(f"close {finishes_work}"):
-            order = orders.Close(group.name, group.epoch, finishes_work)
+        # Requests end at their deadlines. Without all its members the head cannot finish any, and
+        # waiting would only keep the other members idle.
+        if self._is_order_due(f"close {is_complete}"):
+            order = orders.Close(group.name, group.epoch, finishes_work=is_complete)
             await self.order_sender.send(head, order)
 
     async def _detach_head(self, group: records.Group, head: servers.Server) -> bool:
@@ -238,7 +252,7 @@
         """Detach the other members from an unreachable head and wait until it breaks by itself.
 
         The planner cannot distinguish a dead head from a partitioned one with an open group. A head
-        that lacks a member breaks after ``stall_s``; its members may not be reused before that.
+        that lacks a member breaks after ``stall_s()``; its members may not be reused before that.
 
         :returns: whether the head has certainly broken or is considered dead
         """
@@ -250,7 +264,7 @@
             self._members_left_at_s = trio.current_time()
         now_s = trio.current_time()
         if self._members_left_at_s:
-            return now_s - self._members_left_at_s > self.stall_s + STALL_MARGIN_S
+            return now_s - self._members_left_at_s > self.stall_s() + STALL_MARGIN_S
         # If a whole zone is partitioned, the head and its members keep working as a group. If its
         # record were removed meanwhile, they would join other groups while it is still open.
         return now_s - self._ending_since_s > PARTITION_TIMEOUT_S
