Forward an engine's failure if no other server answers

What callers saw: 502 "backend-failed", 503 or 504 of the entry in place of the whole answer (429, 500, 502, 503, 504) that an engine had given. Cause: routing discarded the answer for a retry before one was certain; the retry was then denied, refused, lost or late. Change: the answer is kept with the request's attempts and forwarded if the request fails before anything was sent to the caller. Error types that engines document as refusals before the start are no answers and still yield "did not run". Tests changed: test_streams.py asked for an error of the entry after four answers with an undocumented 503; it now asks for that answer, byte for byte, and as before for "did not run" after documented refusals.

--- a/toucanhold/routing/attempts.py
+++ b/toucanhold/routing/attempts.py
@@ -41,11 +41,26 @@
         self.has_begun = has_begun
 
 
+@attrs.frozen
+class BufferedAnswer:
+    """A whole answer of a server that is not a stream."""
+
+    status: int
+    headers: client.Headers
+    body: bytes
+
+    def forward(self, response_relay: relay.Relay) -> None:
+        """Send it to the caller, who has received nothing yet."""
+        response_relay.start(self.status, self.headers)
+        response_relay.put(self.body)
+
+
 @attrs.define(eq=False)
 class AttemptRunner:
     """Runs the attempts of one request, one after another.
 
     :ivar may_have_been_sent: whether any byte of the request may have left this entry
+    :ivar failure_answer: answer with an engine's failure, for the caller if no other server answers
     """
 
     dispatcher: dispatch.Dispatcher
@@ -53,6 +68,7 @@
     response_relay: relay.Relay
     stream_position: resuming.StreamPosition
     may_have_been_sent: bool = False
+    failure_answer: BufferedAnswer | None = None
     _failed_vms: frozenset[str] = frozenset()
     _model_version: tuple[str | None, str] | None = None
 
@@ -128,29 +144,28 @@
         else:
             body = await _read_body(response)
             placement.is_finished = True
+            answer = BufferedAnswer(response.status, _forwarded_headers(response.headers), body)
             if placement.candidate.group is not None:
-                self._check_engine_status(response.status, body, placement)
+                self._check_engine_status(answer, placement)
             if self.stream_position.has_begun:
                 raise self._record_failure(
                     placement, _lost_error(self.request, "the engine did not resume the stream")
                 )
-            self.response_relay.start(response.status, _forwarded_headers(response.headers))
-            self.response_relay.put(body)
+            answer.forward(self.response_relay)
         _log_finished(self.request, placement, response.status)
 
-    def _check_engine_status(
-        self, status: int, body: bytes, placement: admission.Placement
-    ) -> None:
-        error_type = http.error_type(body) if status >= 400 else ""
+    def _check_engine_status(self, answer: BufferedAnswer, placement: admission.Placement) -> None:
+        error_type = http.error_type(answer.body) if answer.status >= 400 else ""
         if error_type in NOT_STARTED_ERROR_TYPES:
             raise self._record_failure(
                 placement, _not_run_error(f"the engine refused the request: {error_type}")
             )
-        if status in RETRYABLE_STATUSES:
+        if answer.status in RETRYABLE_STATUSES:
             # Such a status does not prove that the engine had not started the request.
+            self.failure_answer = answer
             raise self._record_failure(
                 placement,
-                _lost_error(self.request, f"the engine responded with HTTP status {status}"),
+                _lost_error(self.request, f"the engine responded with HTTP status {answer.status}"),
             )
 
     async def _forward_stream(
--- a/toucanhold/routing/dispatch.py
+++ b/toucanhold/routing/dispatch.py
@@ -73,17 +73,15 @@
 
     async def _run(self, request: requests.CallerRequest, response_relay: relay.Relay) -> None:
         """Serve until the answer is complete, has finally failed or the deadline has passed."""
-        position = resuming.StreamPosition()
         error: requests.RequestError | None = None
-        may_have_been_sent = False
+        attempt = attempts.AttemptRunner(self, request, response_relay, resuming.StreamPosition())
         with trio.move_on_at(request.deadline_s) as scope:
-            attempt = attempts.AttemptRunner(self, request, response_relay, position)
-            try:
-                error = await self._run_attempts(attempt)
-            finally:
-                may_have_been_sent = attempt.may_have_been_sent
+            error = await self._run_attempts(attempt)
         if scope.cancelled_caught:
-            error = _deadline_error(request, may_have_been_sent)
+            error = _deadline_error(request, attempt.may_have_been_sent)
+        if error is not None and attempt.failure_answer is not None and not response_relay.status:
+            attempt.failure_answer.forward(response_relay)
+            error = None
         response_relay.end(error)
 
     async def _run_attempts(self, attempt: attempts.AttemptRunner) -> requests.RequestError | None:
