Give up an attempt in routing only for an event that another server has sent

What callers saw: streams of sound model servers ended with "the backend server no longer responds" or "sent no event for 10 s" while their servers paused, most when few retries were left, all when every server paused. Cause: the watchdog cancelled each attempt whose server answered no polls for 2 s or sent nothing for 10 s. A retry and a place were asked for afterwards; what got none had lost its server. A backup's failure was the request's. Change: the watchdog ends only attempts whose server has certainly ended (two refused connections, another boot, a generation that lost a member). Silence is reported to the request, as in gateway/: with a token of the retry budget and a place in hand a backup is sent, the attempt that first sends a new event or a whole answer is used, the others are cancelled. A token without a place is given back; a silent attempt that goes on cancels a backup that still waits for one. Each attempt has its own position in the stream. Silence still makes a request a suspect, as its cancelled attempt did, so attempts of a request are tracked one by one.

--- a/standins/backends.py
+++ b/standins/backends.py
@@ -56,6 +56,7 @@
     :ivar max_running_cold: highest number of concurrent requests while cold
     :ivar completed_requests: number of requests completed since the last restart
     :ivar request_scopes: cancel scopes of the requests in progress
+    :ivar paused_until_s: time on trio's clock until which it accepts connections and sends nothing
     """
 
     vm: str
@@ -83,6 +84,7 @@
     is_up: bool = attrs.field(default=True, init=False)
     boot_id: str = attrs.field(default="", init=False)
     request_scopes: set[trio.CancelScope] = attrs.field(factory=set, init=False)
+    paused_until_s: float = attrs.field(default=0.0, init=False)
     _boots: itertools.count = attrs.field(factory=itertools.count, init=False)
     _slot_limiter: trio.CapacityLimiter = attrs.field(default=None, init=False)
     _load_history: list[tuple[float, int, int]] = attrs.field(factory=list, init=False)
@@ -92,6 +94,11 @@
         self.boot_id = f"{self.vm}-boot-{next(self._boots)}"
         self._slot_limiter = trio.CapacityLimiter(self.slots)
 
+    async def wait_while_paused(self) -> None:
+        """Wait until the server is not paused."""
+        while trio.current_time() < self.paused_until_s:
+            await trio.sleep_until(self.paused_until_s)
+
     def restart(self) -> None:
         """Restart at once: break all requests and become cold."""
         self.restarts += 1
@@ -181,6 +188,10 @@
         server = self.servers[address]
         if not server.is_up:
             raise client.NotSentError(f"{address}: the server is down")
+        with trio.move_on_after(timeout_s) as scope:
+            await server.wait_while_paused()
+        if scope.cancelled_caught:
+            raise client.AnswerLostError(f"{address}: no answer within {timeout_s} s")
         report = server.report()
         await trio.sleep(NETWORK_DELAY_S)
         return report
@@ -263,6 +274,7 @@
             self._send.close()
 
     async def _send_events(self) -> None:
+        await self.server.wait_while_paused()
         if self.faults.status != 200:
             body = json.dumps({"error": {"type": self.faults.error_type}})
             self._send.send_nowait(body.encode())
@@ -270,6 +282,7 @@
         for index in range(self.first_index, self.token_count):
             is_first = index == self.first_index
             await trio.sleep(self.server.first_token_s if is_first else self.server.token_s)
+            await self.server.wait_while_paused()
             if index == self.faults.cut_after:
                 raise ConnectionError
             if index == self.faults.stall_after:
--- a/toucanhold/routing/admission.py
+++ b/toucanhold/routing/admission.py
@@ -1,6 +1,7 @@
 """Admission control: requests wait here for a backend server with free capacity."""
 
 import abc
+import collections.abc
 import contextlib
 
 import attrs
@@ -18,12 +19,14 @@
     """Capacity for one request, reserved on a backend server.
 
     :ivar is_finished: whether the backend server has certainly stopped working on the request
+    :ivar on_silent: called when the backend server is silent, possibly more than once
     """
 
     candidate: candidates.Candidate
     _request: requests.CallerRequest
     _capacity: capacity.CapacityPolicy
     is_finished: bool = False
+    on_silent: collections.abc.Callable[[], None] = lambda: None
 
     def may_send(self) -> bool:
         """Tell whether the request may still be sent there."""
--- a/toucanhold/routing/attempts.py
+++ b/toucanhold/routing/attempts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import functools
 import logging
 import typing
 
@@ -10,7 +12,7 @@
 
 from toucanhold import events
 from toucanhold.backends import client, http
-from toucanhold.routing import admission, relay, requests, resuming, sse, watchdog
+from toucanhold.routing import admission, races, relay, requests, resuming, sse, watchdog
 
 if typing.TYPE_CHECKING:
     from toucanhold.routing import dispatch
@@ -31,14 +33,12 @@
 
     :ivar vm: the VM that the attempt ran on
     :ivar error: the answer to the caller if there is no further attempt
-    :ivar has_begun: whether a part of the answer was forwarded to the caller
     """
 
-    def __init__(self, vm: str, error: requests.RequestError, has_begun: bool) -> None:
+    def __init__(self, vm: str, error: requests.RequestError) -> None:
         super().__init__(vm)
         self.vm = vm
         self.error = error
-        self.has_begun = has_begun
 
 
 @attrs.frozen
@@ -57,9 +57,10 @@
 
 @attrs.define(eq=False)
 class AttemptRunner:
-    """Runs the attempts of one request, one after another.
+    """Runs the attempts of one request: one after another, and backups of a silent one beside it.
 
-    :ivar may_have_been_sent: whether any byte of the request may have left this entry
+    :ivar attempt_count: number of attempts that have started
+    :ivar sent_count: number of attempts in which any byte of the request may have left this entry
     :ivar failure_answer: answer with an engine's failure, for the caller if no other server answers
     """
 
@@ -67,53 +68,136 @@
     request: requests.CallerRequest
     response_relay: relay.Relay
     stream_position: resuming.StreamPosition
-    may_have_been_sent: bool = False
+    attempt_count: int = 0
+    sent_count: int = 0
     failure_answer: BufferedAnswer | None = None
     _failed_vms: frozenset[str] = frozenset()
     _model_version: tuple[str | None, str] | None = None
+    _race: races.AttemptRace = attrs.field(factory=races.AttemptRace)
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether a part of the answer was forwarded to the caller."""
+        return self.stream_position.has_begun
+
+    @property
+    def can_resume(self) -> bool:
+        """Whether another server can go on with the answer."""
+        # Without event ids, events that a second stream repeats cannot be recognised.
+        return not self.has_begun or self.stream_position.last_event_id is not None
 
     async def run(self) -> None:
-        """Run one attempt.
+        """Run one attempt, and backups while its server is silent.
 
         :raises RetryableError: when another attempt is safe
         :raises requests.RequestError: when the request must not be tried again
         """
-        async with self.dispatcher.admission.place(self.request, self._failed_vms) as placement:
-            self._check_version(placement)
-            _log_routed(self.request, placement)
-            watched_attempt = watchdog.WatchedAttempt(placement.candidate)
-            if self.request.may_repeat:
-                self.dispatcher.watchdog.add(watched_attempt)
+        race = self._race = races.AttemptRace()
+        self.attempt_count += 1
+        async with trio.open_nursery() as nursery:
             try:
-                with watched_attempt.scope:
-                    await self._send_and_forward(placement, watched_attempt)
-            finally:
-                self.dispatcher.watchdog.remove(watched_attempt)
-            if watched_attempt.scope.cancelled_caught:
-                raise self._record_failure(
-                    placement, _lost_error(self.request, watched_attempt.reason)
-                )
+                async with self.dispatcher.admission.place(
+                    self.request, self._failed_vms
+                ) as placement:
+                    self._check_version(placement)
+                    await self._run_in_race(placement, nursery)
+            except (RetryableError, requests.RequestError) as error:
+                # Raised inside the nursery, it would be wrapped in an exception group.
+                self._record_race_error(error)
+        if not race.is_answered and race.error is not None:
+            raise race.error
 
     def _check_version(self, placement: admission.Placement) -> None:
         # A stream resumed on another model or version would continue with a different text.
-        report = placement.candidate.report
-        version = (report.model, report.version)
-        if self.stream_position.has_begun and version != self._model_version:
+        if self.has_begun and _model_version(placement) != self._model_version:
             placement.is_finished = True
             raise _lost_error(self.request, "no backend server of the same model version is left")
-        self._model_version = version
+
+    async def _run_in_race(self, placement: admission.Placement, nursery: trio.Nursery) -> None:
+        race = self._race
+        _log_routed(self.request, placement)
+        attempt = watchdog.WatchedAttempt(
+            placement.candidate, functools.partial(self._handle_silence, placement, nursery)
+        )
+        race.attempts.append(attempt)
+        if self.request.may_repeat:
+            self.dispatcher.watchdog.add(attempt)
+        try:
+            with attempt.scope:
+                await self._send_and_forward(placement, attempt)
+                race.is_answered = True
+        finally:
+            self.dispatcher.watchdog.remove(attempt)
+            race.attempts.remove(attempt)
+        if attempt.reason and attempt.scope.cancelled_caught:
+            raise self._record_failure(placement, _lost_error(self.request, attempt.reason))
+        if attempt.scope.cancelled_caught:
+            self._log_superseded(attempt)
+
+    def _handle_silence(
+        self, placement: admission.Placement, nursery: trio.Nursery, reason: str
+    ) -> None:
+        """Start a backup if a retry is free."""
+        race = self._race
+        placement.on_silent()
+        if race.backup_scope is not None or not race.is_silent():
+            return
+        if self.stream_position.is_complete or not self.can_resume:
+            return
+        if self.dispatcher.retry_denied_reason(self):
+            return
+        race.backup_scope = trio.CancelScope()
+        nursery.start_soon(self._run_backup, placement.candidate.vm.vm, nursery, reason)
+
+    async def _run_backup(self, silent_vm: str, nursery: trio.Nursery, reason: str) -> None:
+        try:
+            async with contextlib.AsyncExitStack() as stack:
+                placement = await self._place_backup(stack)
+                if placement is None:
+                    return
+                self.attempt_count += 1
+                self._log_backup(placement, silent_vm, reason)
+                await self._run_in_race(placement, nursery)
+        except (RetryableError, requests.RequestError) as error:
+            self._record_race_error(error)
+
+    def _record_race_error(self, error: RetryableError | requests.RequestError) -> None:
+        # That one attempt did not run does not prove that the others did not either.
+        outcome = error.error.outcome if isinstance(error, RetryableError) else error.outcome
+        if self._race.error is None or outcome is not requests.Outcome.DID_NOT_RUN:
+            self._race.error = error
+
+    async def _place_backup(self, stack: contextlib.AsyncExitStack) -> admission.Placement | None:
+        """Reserve a server; return None if there is none, or another attempt goes on before."""
+        race, placement = self._race, None
+        in_use = {attempt.candidate.vm.vm for attempt in race.attempts}
+        placing = self.dispatcher.admission.place(self.request, self._failed_vms | in_use)
+        try:
+            with race.backup_scope as scope:
+                reserved = await stack.enter_async_context(placing)
+                self._check_version(reserved)
+                reserved.is_finished = scope.cancel_called
+                placement = None if scope.cancel_called else reserved
+        except requests.RequestError:
+            pass
+        finally:
+            race.backup_scope = None
+            if placement is None:
+                self.dispatcher.retry_budget.release()
+        return placement
 
     async def _send_and_forward(
-        self, placement: admission.Placement, watched_attempt: watchdog.WatchedAttempt
+        self, placement: admission.Placement, attempt: watchdog.WatchedAttempt
     ) -> None:
         vm = placement.candidate.vm
         forwarded = self._build_forwarded_request(placement)
-        was_sent_before, self.may_have_been_sent = self.may_have_been_sent, True
+        self.sent_count += 1
         try:
             async with self.dispatcher.backends.forward(vm.address, forwarded) as response:
-                await self._forward_response(response, placement, watched_attempt)
+                await self._forward_response(response, placement, attempt)
         except client.NotSentError as error:
-            placement.is_finished, self.may_have_been_sent = True, was_sent_before
+            placement.is_finished = True
+            self.sent_count -= 1
             raise self._record_failure(placement, _not_run_error(str(error))) from error
         except (client.BackendError, sse.FramingError) as error:
             lost_error = _lost_error(self.request, str(error))
@@ -128,67 +212,74 @@
         vm = placement.candidate.vm.vm
         self.dispatcher.finder.require_new_report(vm, trio.current_time())
         self._failed_vms |= {vm}
-        if self.stream_position.has_begun and self.stream_position.last_event_id is None:
-            # Without event ids, events that a second stream repeats cannot be recognised.
-            return error
-        return RetryableError(vm, error, self.stream_position.has_begun)
+        return RetryableError(vm, error) if self.can_resume else error
 
     async def _forward_response(
         self,
         response: client.ForwardedResponse,
         placement: admission.Placement,
-        watched_attempt: watchdog.WatchedAttempt,
+        attempt: watchdog.WatchedAttempt,
     ) -> None:
         if self.request.stream and response.status == 200:
-            await self._forward_stream(response, placement, watched_attempt)
+            await self._forward_stream(response, placement, attempt)
         else:
             body = await _read_body(response)
+            await trio.lowlevel.checkpoint_if_cancelled()
             placement.is_finished = True
             answer = BufferedAnswer(response.status, _forwarded_headers(response.headers), body)
             if placement.candidate.group is not None:
-                self._check_engine_status(answer, placement)
-            if self.stream_position.has_begun:
+                self._check_not_refused(answer, placement)
+            if placement.candidate.group is not None or self._race.has_others(attempt):
+                self._check_status(answer, placement)
+            if self.has_begun:
                 raise self._record_failure(
                     placement, _lost_error(self.request, "the engine did not resume the stream")
                 )
+            self._race.claim(attempt)
             answer.forward(self.response_relay)
         _log_finished(self.request, placement, response.status)
 
-    def _check_engine_status(self, answer: BufferedAnswer, placement: admission.Placement) -> None:
+    def _check_not_refused(self, answer: BufferedAnswer, placement: admission.Placement) -> None:
         error_type = http.error_type(answer.body) if answer.status >= 400 else ""
         if error_type in NOT_STARTED_ERROR_TYPES:
             raise self._record_failure(
                 placement, _not_run_error(f"the engine refused the request: {error_type}")
             )
+
+    def _check_status(self, answer: BufferedAnswer, placement: admission.Placement) -> None:
         if answer.status in RETRYABLE_STATUSES:
-            # Such a status does not prove that the engine had not started the request.
+            # Such a status does not prove that the server had not started the request.
             self.failure_answer = answer
             raise self._record_failure(
                 placement,
-                _lost_error(self.request, f"the engine responded with HTTP status {answer.status}"),
+                _lost_error(self.request, f"the server responded with HTTP status {answer.status}"),
             )
 
     async def _forward_stream(
         self,
         response: client.ForwardedResponse,
         placement: admission.Placement,
-        watched_attempt: watchdog.WatchedAttempt,
+        attempt: watchdog.WatchedAttempt,
     ) -> None:
         splitter = sse.EventSplitter()
-        self.stream_position.begin_attempt()
+        position = self.stream_position.of_new_attempt()
         headers = _forwarded_headers(response.headers)
         async for chunk in response.chunks:
-            watched_attempt.last_event_s = trio.current_time()
+            await trio.lowlevel.checkpoint_if_cancelled()
+            attempt.record_event()
             for event in splitter.feed(chunk):
-                if self.stream_position.accept(event):
+                if position.accept(event):
+                    self._race.claim(attempt)
+                    self.stream_position = position
+                    self._model_version = _model_version(placement)
                     self.response_relay.start(200, headers)
                     self.response_relay.put(event.raw)
-                if self.stream_position.is_complete:
+                if position.is_complete:
                     placement.is_finished = True
                     await _drain(response)
                     return
             if self.response_relay.is_full():
-                watched_attempt.last_event_s = float("inf")
+                attempt.last_event_s = float("inf")
                 await self.response_relay.wait_for_space()
         # By its framing alone, a stream that closes cleanly without its end marker looks complete.
         raise client.AnswerLostError("the stream ended before its end marker")
@@ -219,6 +310,28 @@
             guard=None if is_warm else placement.may_send,
         )
 
+    def _log_backup(self, placement: admission.Placement, silent_vm: str, reason: str) -> None:
+        events.log(
+            LOGGER,
+            events.Event.BACKUP_SENT,
+            request_id=self.request.request_id,
+            vm=placement.candidate.vm.vm,
+            silent_vm=silent_vm,
+            attempt=self.attempt_count,
+            after_event=self.stream_position.last_event_id,
+            reason=reason,
+        )
+
+    def _log_superseded(self, attempt: watchdog.WatchedAttempt) -> None:
+        events.log(
+            LOGGER,
+            events.Event.ATTEMPT_SUPERSEDED,
+            request_id=self.request.request_id,
+            vm=attempt.candidate.vm.vm,
+            was_silent=attempt.is_silent,
+            after_event=self.stream_position.last_event_id,
+        )
+
 
 async def _read_body(response: client.ForwardedResponse) -> bytes:
     body = bytearray()
@@ -245,6 +358,10 @@
     )
 
 
+def _model_version(placement: admission.Placement) -> tuple[str | None, str]:
+    return placement.candidate.report.model, placement.candidate.report.version
+
+
 def _not_run_error(detail: str) -> requests.RequestError:
     return requests.RequestError(
         requests.Problem.NO_CAPACITY, requests.Outcome.DID_NOT_RUN, detail, RETRY_AFTER_S
--- a/toucanhold/routing/budget.py
+++ b/toucanhold/routing/budget.py
@@ -23,3 +23,7 @@
             return False
         self._tokens -= 1
         return True
+
+    def release(self) -> None:
+        """Give back the token of a retry that was not made."""
+        self._tokens = min(MAX_RETRY_TOKENS, self._tokens + 1)
--- a/toucanhold/routing/dispatch.py
+++ b/toucanhold/routing/dispatch.py
@@ -78,7 +78,7 @@
         with trio.move_on_at(request.deadline_s) as scope:
             error = await self._run_attempts(attempt)
         if scope.cancelled_caught:
-            error = _deadline_error(request, attempt.may_have_been_sent)
+            error = _deadline_error(request, attempt.sent_count > 0)
         if error is not None and attempt.failure_answer is not None and not response_relay.status:
             attempt.failure_answer.forward(response_relay)
             error = None
@@ -87,35 +87,34 @@
     async def _run_attempts(self, attempt: attempts.AttemptRunner) -> requests.RequestError | None:
         self.retry_budget.record_request()
         earlier_error: requests.RequestError | None = None
-        for attempt_number in range(1, MAX_ATTEMPTS + 1):
+        while True:
             try:
                 await attempt.run()
                 return None
             except requests.RequestError as error:
                 return _error_for_all_attempts(error, earlier_error)
             except attempts.RetryableError as failure:
-                reason = self._retry_denied_reason(attempt.request, failure, attempt_number)
+                reason = self.retry_denied_reason(attempt)
                 events.log(
                     LOGGER,
                     events.Event.REQUEST_RETRIED if not reason else events.Event.RETRY_DENIED,
                     request_id=attempt.request.request_id,
                     vm=failure.vm,
-                    attempt=attempt_number,
+                    attempt=attempt.attempt_count,
                     reason=reason or failure.error.detail,
                 )
                 if reason:
                     return _error_for_all_attempts(failure.error, earlier_error)
                 if failure.error.outcome is not requests.Outcome.DID_NOT_RUN:
                     earlier_error = failure.error
-        raise AssertionError("unreachable")
 
-    def _retry_denied_reason(
-        self, request: requests.CallerRequest, failure: attempts.RetryableError, attempt_number: int
-    ) -> str:
-        if attempt_number == MAX_ATTEMPTS:
+    def retry_denied_reason(self, attempt: attempts.AttemptRunner) -> str:
+        """Return why there may be no further attempt; if there may, consume a retry, return ""."""
+        if attempt.attempt_count >= MAX_ATTEMPTS:
             return f"the limit of {MAX_ATTEMPTS} attempts is reached"
+        request = attempt.request
         min_duration_s = self.admission.expected_duration_s(request) / 2
-        if not failure.has_begun and trio.current_time() + min_duration_s >= request.deadline_s:
+        if not attempt.has_begun and trio.current_time() + min_duration_s >= request.deadline_s:
             return "another attempt cannot meet the deadline"
         if not self.retry_budget.try_acquire():
             return "the retry budget is used up"
--- a/toucanhold/routing/incidents.py
+++ b/toucanhold/routing/incidents.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import functools
 
 import attrs
 import trio
@@ -15,19 +16,13 @@
 class TrackedRequest:
     """A request over all its attempts.
 
-    :ivar boot: the backend server of the current attempt; None before the first
-    :ivar is_isolated: whether the current attempt runs alone on its backend server
+    :ivar is_isolated: whether the attempt that started last runs alone on its backend server
     :ivar loss_count: number of attempts whose connection was lost
-    :ivar status: HTTP status of the current attempt; None before its response starts
-    :ivar is_loss_recorded: whether the loss of the current attempt is recorded
     """
 
     request: requests.CallerRequest
-    boot: failures.Boot | None = None
     is_isolated: bool = False
     loss_count: int = 0
-    status: int | None = None
-    is_loss_recorded: bool = False
     _fingerprint: bytes = b""
 
     @property
@@ -37,6 +32,26 @@
         return self._fingerprint
 
 
+@attrs.define(eq=False)
+class TrackedAttempt:
+    """One attempt of a request.
+
+    :ivar status: HTTP status; None before the response starts
+    :ivar is_loss_recorded: whether its loss is recorded
+    """
+
+    tracked: TrackedRequest
+    boot: failures.Boot
+    is_isolated: bool
+    status: int | None = None
+    is_loss_recorded: bool = False
+
+    @property
+    def key(self) -> tuple[str, str]:
+        """Request id and boot id."""
+        return self.tracked.request.request_id, self.boot.boot_id
+
+
 @attrs.define(eq=False)
 class IncidentTracker:
     """Tracks which request runs where and turns lost connections into incidents."""
@@ -45,7 +60,7 @@
     failure_detector: failures.FailureDetector
     view: view.BackendView
     in_flight: capacity.InFlightCounts
-    _placed_requests: dict[str, TrackedRequest] = attrs.field(factory=dict, init=False)
+    _placed: dict[tuple[str, str], TrackedAttempt] = attrs.field(factory=dict, init=False)
     _lost_requests: dict[str, TrackedRequest] = attrs.field(factory=dict, init=False)
     _concurrency_by_boot: dict[tuple[str, str], int] = attrs.field(factory=dict, init=False)
     _nursery: trio.Nursery | None = attrs.field(default=None, init=False)
@@ -60,45 +75,49 @@
         """Return the state of a request from its earlier attempts, or a new one."""
         return self._lost_requests.get(request.request_id) or TrackedRequest(request)
 
-    def find_tracked(self, request_id: str) -> TrackedRequest | None:
-        """Return the state of a request that is placed now; None if it is not."""
-        return self._placed_requests.get(request_id)
+    def find_attempt(self, request: client.ForwardedRequest) -> TrackedAttempt | None:
+        """Return the attempt in which a request is sent now; None if it is not tracked."""
+        return self._placed.get((request.request_id, request.boot_id))
 
     @contextlib.contextmanager
     def track(self, tracked: TrackedRequest, placement: admission.Placement, is_isolated: bool):
         """Track a request on the placement's backend server while the context is open."""
         candidate = placement.candidate
-        tracked.boot = failures.Boot(candidate.vm.vm, candidate.report.boot_id, candidate.group)
-        tracked.is_isolated, tracked.status, tracked.is_loss_recorded = is_isolated, None, False
-        self._placed_requests[tracked.request.request_id] = tracked
+        boot = failures.Boot(candidate.vm.vm, candidate.report.boot_id, candidate.group)
+        tracked.is_isolated = is_isolated
+        attempt = TrackedAttempt(tracked, boot, is_isolated)
+        # An unreachable server resets no connection.
+        placement.on_silent = functools.partial(self.record_loss, attempt)
+        self._placed[attempt.key] = attempt
         try:
-            yield
+            yield attempt
         except (attempts.RetryableError, requests.RequestError):
-            # Includes attempts that the watchdog ended: an unreachable server resets no connection.
+            # Includes attempts that the watchdog ended.
             if not placement.is_finished:
-                self.record_loss(tracked)
+                self.record_loss(attempt)
             raise
         finally:
-            self._placed_requests.pop(tracked.request.request_id, None)
+            if self._placed.get(attempt.key) is attempt:
+                del self._placed[attempt.key]
 
-    def record_loss(self, tracked: TrackedRequest) -> None:
-        """Record that a connection was lost with a request in flight."""
-        now_s = trio.current_time()
-        if tracked.is_loss_recorded:
+    def record_loss(self, attempt: TrackedAttempt) -> None:
+        """Record that a connection was lost, or a server fell silent, with a request in flight."""
+        now_s, tracked = trio.current_time(), attempt.tracked
+        if attempt.is_loss_recorded:
             return
-        tracked.is_loss_recorded = True
+        attempt.is_loss_recorded = True
         if now_s >= tracked.request.deadline_s or self._nursery is None:
             # The deadline ended it: the backend server may be slow or paused, but not failed.
             return
         tracked.loss_count += 1
         self._retain(tracked)
-        boot = (tracked.boot.vm, tracked.boot.boot_id)
+        boot = (attempt.boot.vm, attempt.boot.boot_id)
         incident = self.suspect_table.add(
-            tracked.fingerprint, boot, self._concurrent_requests(boot), tracked.is_isolated
+            tracked.fingerprint, boot, self._concurrent_requests(boot), attempt.is_isolated
         )
         if incident.verdict is suspects.Verdict.PENDING:
             self._nursery.start_soon(
-                self._determine_verdict, tracked.fingerprint, tracked.boot, incident, now_s
+                self._determine_verdict, tracked.fingerprint, attempt.boot, incident, now_s
             )
 
     def _retain(self, tracked: TrackedRequest) -> None:
@@ -167,29 +186,29 @@
         self, address: str, request: client.ForwardedRequest
     ) -> collections.abc.AsyncIterator[client.ForwardedResponse]:
         """See :class:`client.BackendClient`."""
-        tracked = self.tracker.find_tracked(request.request_id)
+        attempt = self.tracker.find_attempt(request)
         try:
             async with self.inner.forward(address, request) as response:
-                if tracked is not None:
-                    tracked.status = response.status
-                    chunks = self._tracked_chunks(response.chunks, tracked)
+                if attempt is not None:
+                    attempt.status = response.status
+                    chunks = self._tracked_chunks(response.chunks, attempt)
                     response = attrs.evolve(response, chunks=chunks)
                 yield response
         except client.AnswerLostError as error:
-            if tracked is not None and tracked.status is None:
-                self._record_loss(tracked, error)
+            if attempt is not None and attempt.status is None:
+                self._record_loss(attempt, error)
             raise
 
     async def _tracked_chunks(
-        self, chunks: collections.abc.AsyncIterator[bytes], tracked: TrackedRequest
+        self, chunks: collections.abc.AsyncIterator[bytes], attempt: TrackedAttempt
     ) -> collections.abc.AsyncIterator[bytes]:
         try:
             async for chunk in chunks:
                 yield chunk
         except client.AnswerLostError as error:
-            self._record_loss(tracked, error)
+            self._record_loss(attempt, error)
             raise
 
-    def _record_loss(self, tracked: TrackedRequest, error: client.AnswerLostError) -> None:
+    def _record_loss(self, attempt: TrackedAttempt, error: client.AnswerLostError) -> None:
         if not isinstance(error, client.MismatchedAnswerError):
-            self.tracker.record_loss(tracked)
+            self.tracker.record_loss(attempt)
--- a/toucanhold/routing/isolation.py
+++ b/toucanhold/routing/isolation.py
@@ -77,9 +77,9 @@
             is_isolated = placement is not None
             if not is_isolated:
                 placement = await stack.enter_async_context(self.inner.place(request, avoid))
-            with self.tracker.track(tracked, placement, is_isolated):
+            with self.tracker.track(tracked, placement, is_isolated) as attempt:
                 yield placement
-            if placement.is_finished and _is_completed(tracked.status):
+            if placement.is_finished and _is_completed(attempt.status):
                 self.tracker.suspect_table.clear(tracked.fingerprint)
 
     async def _must_isolate(self, tracked: incidents.TrackedRequest) -> bool:
--- a/toucanhold/routing/resuming.py
+++ b/toucanhold/routing/resuming.py
@@ -1,5 +1,9 @@
 """Joins the streams of several attempts without losing or repeating a token."""
 
+from __future__ import annotations
+
+import copy
+
 import attrs
 
 from toucanhold.backends import client
@@ -25,6 +29,12 @@
     _unnumbered_after_last: int = 0
     _duplicates_to_skip: int = 0
 
+    def of_new_attempt(self) -> StreamPosition:
+        """Return a copy for an attempt that starts over or continues after the last event."""
+        position = copy.copy(self)
+        position.begin_attempt()
+        return position
+
     def begin_attempt(self) -> None:
         """Prepare for a stream that starts over or continues after the last event."""
         # Events without an id, such as the one with the finish reason, may be repeated after the
