Let requests wait for servers that missed a poll

What callers saw: 503 "no backend server serves this now" for new and queued requests, and lost streams whose connection had broken, while the servers of a service paused for a second or two. Cause: a server is no candidate from its first missed poll on, and the queue was emptied and new requests refused as soon as there was none left, as if the servers were gone. Change: a server that missed a poll is taken to come back until it counts as silent (no answers for 2 s) or refuses connections twice; requests wait for it as they do after a broken connection. The view also notifies when a server turns silent, so that waiting requests are refused then. Evidence: tests/test_pauses_in_routing.py. A refusal for silent servers comes within 4 s in the test of that name. Stand-in changed: a server that is down refuses connections, as the address of an ended process does; before, it was only unreachable.

--- a/standins/backends.py
+++ b/standins/backends.py
@@ -187,7 +187,7 @@
         await trio.sleep(NETWORK_DELAY_S)
         server = self.servers[address]
         if not server.is_up:
-            raise client.NotSentError(f"{address}: the server is down")
+            raise client.ConnectRefusedError(f"{address}: connection refused")
         with trio.move_on_after(timeout_s) as scope:
             await server.wait_while_paused()
         if scope.cancelled_caught:
@@ -206,8 +206,10 @@
         """See :class:`client.BackendClient`."""
         server = self.servers[address]
         await self._wait_while_paused()
-        if not server.is_up or request.boot_id not in ("", server.boot_id):
-            raise client.NotSentError(f"{address}: the server is down or has restarted")
+        if not server.is_up:
+            raise client.ConnectRefusedError(f"{address}: connection refused")
+        if request.boot_id not in ("", server.boot_id):
+            raise client.NotSentError(f"{address}: the server has restarted")
         if request.guard is not None and not request.guard():
             raise client.NotSentError(f"{address}: the guard no longer permits the request")
         run = _RequestRun(server, self.token_count(request), request)
--- a/tests/test_pauses_in_routing.py
+++ b/tests/test_pauses_in_routing.py
@@ -8,6 +8,7 @@
 
 from standins import backends, routers
 from tests.clocked import on_test_clock
+from toucanhold.observing import view
 from toucanhold.routing import requests, sse, watchdog
 
 TOKENS = 200
@@ -165,6 +166,49 @@
                     self.assertEqual((1, []), (scene.whole, scene.failures))
                     self.assertGreater(scene.started_requests, 1)
 
+    @on_test_clock
+    async def test_new_requests_wait_for_servers_that_pause(self):
+        """Guards against requests that are refused because each server missed one poll."""
+        async with running(1, slots=64) as (scene, servers):
+            async with trio.open_nursery() as nursery:
+                for pause_s in (1.1, 1.2, 1.3):
+                    scene.pause(*servers, duration_s=pause_s)
+                    for _ in range(40):
+                        nursery.start_soon(scene.read)
+                        await trio.sleep(0.1)
+            self.assertEqual((120, []), (scene.whole, scene.failures))
+
+    @on_test_clock
+    async def test_queued_requests_wait_for_servers_that_pause(self):
+        """Guards against a queue that is emptied because each server missed one poll."""
+        async with running(2, slots=2) as (scene, servers):
+            await self._read_through_pause(scene, 8, *servers, duration_s=2.0)
+
+    @on_test_clock
+    async def test_broken_stream_waits_for_servers_that_pause(self):
+        """Guards against streams that are lost as their next server has missed one poll."""
+        async with running(2) as (scene, servers):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(scene.read)
+                await trio.sleep(1)
+                (broken,) = [server for server in servers if server.running]
+                scene.pause(*servers, duration_s=2.0)
+                await trio.sleep(1.8)
+                for scope in broken.request_scopes:
+                    scope.cancel()
+            self.assertEqual((1, []), (scene.whole, scene.failures))
+
+    @on_test_clock
+    async def test_requests_do_not_wait_for_silent_servers(self):
+        """Guards against callers that wait until their deadline for servers that are gone."""
+        async with running() as (scene, servers):
+            scene.pause(*servers, duration_s=600)
+            await trio.sleep(1.6)
+            began_s = trio.current_time()
+            await scene.read(timeout_s=30)
+            self.assertEqual([requests.Outcome.DID_NOT_RUN], scene.outcomes)
+            self.assertLess(trio.current_time() - began_s, view.SILENT_AFTER_S + 2)
+
     @on_test_clock
     async def test_refused_backup_does_not_tell_that_a_lost_attempt_did_not_run(self):
         """Guards against callers that send an order of work twice, told that it did not run."""
--- a/toucanhold/observing/view.py
+++ b/toucanhold/observing/view.py
@@ -38,6 +38,7 @@
     _observations: dict[str, Observation] = attrs.field(factory=dict)
     _failing_since_s: dict[str, float] = attrs.field(factory=dict)
     _refusals: dict[str, int] = attrs.field(factory=dict)
+    _silent: set[str] = attrs.field(factory=set)
     _restarted_at_s: dict[str, float] = attrs.field(factory=dict)
     _ended_generations: set[tuple[str, int]] = attrs.field(factory=set)
     _ended_listeners: list[collections.abc.Callable[[str, int], None]] = attrs.field(factory=list)
@@ -50,8 +51,8 @@
     def subscribe(self, listener: collections.abc.Callable[[str], None]) -> None:
         """Call ``listener`` with the VM's name after each change of what is known of the VM.
 
-        That is each report, the first of consecutive failures, the end of the VM's generation and
-        its removal from the inventory.
+        That is each report, the first of consecutive failures and the one after which it counts
+        as silent, the end of the VM's generation and its removal from the inventory.
         """
         self._report_listeners.append(listener)
 
@@ -65,6 +66,7 @@
             return
         self._failing_since_s.pop(vm, None)
         self._refusals.pop(vm, None)
+        self._silent.discard(vm)
         self._observations[vm] = Observation(report, asked_at_s)
         if previous is not None:
             self._detect_departure(previous.report, report)
@@ -88,9 +90,14 @@
 
         :param reason: for the log
         """
-        if vm not in self._failing_since_s:
+        is_first = vm not in self._failing_since_s
+        if is_first:
             self._failing_since_s[vm] = now_s
             events.log(LOGGER, events.Event.BACKEND_LOST, vm=vm, reason=reason)
+        turns_silent = vm not in self._silent and self.is_silent(vm, now_s)
+        if turns_silent:
+            self._silent.add(vm)
+        if is_first or turns_silent:
             self._notify(vm)
 
     def record_refusal(self, vm: str, now_s: float, reason: str) -> None:
@@ -106,6 +113,7 @@
         self._observations.pop(vm, None)
         self._failing_since_s.pop(vm, None)
         self._refusals.pop(vm, None)
+        self._silent.discard(vm)
         self._restarted_at_s.pop(vm, None)
         self._notify(vm)
 
--- a/toucanhold/routing/candidates.py
+++ b/toucanhold/routing/candidates.py
@@ -161,11 +161,18 @@
         """Tell whether a VM of the service is excluded only until its next report."""
         state = self._services.get(service.name)
         return state is not None and any(
-            self._needs_new_report(member) and self.view.fresh_report(member.vm, now_s) is not None
+            self._is_awaiting_report(member, now_s)
             for unit in state.units.values()
             for member in unit.members
         )
 
+    def _is_awaiting_report(self, vm: inventory.Vm, now_s: float) -> bool:
+        if self.view.fresh_report(vm.vm, now_s) is not None:
+            return self._needs_new_report(vm)
+        # A server that missed a poll may only pause.
+        is_known = self.view.observation(vm.vm) is not None
+        return is_known and not self._is_leaving(vm) and not self.view.is_silent(vm.vm, now_s)
+
     def _needs_new_report(self, vm: inventory.Vm) -> bool:
         observation = self.view.observation(vm.vm)
         required_after_s = self._report_required_after_s.get(vm.vm, -math.inf)
@@ -240,7 +247,10 @@
         return True
 
     def _is_usable(self, vm: inventory.Vm, now_s: float) -> bool:
-        zones_out = self.configuration.current.zones_out
-        if vm.availability_zone in zones_out or self.view.is_leaving(vm.vm):
+        if self._is_leaving(vm):
             return False
         return self.view.fresh_report(vm.vm, now_s) is not None and not self._needs_new_report(vm)
+
+    def _is_leaving(self, vm: inventory.Vm) -> bool:
+        zones_out = self.configuration.current.zones_out
+        return vm.availability_zone in zones_out or self.view.is_leaving(vm.vm)
