--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -131,12 +131,15 @@
         self.revision += 1
         for put in request_data["puts"]:
             self._store_item(put["key"], base64.b64decode(put["value"]), put["lease"])
-        for key in request_data["remove"]:
+        self._remove_items(request_data["remove"])
+        self._notify_watchers()
+        return 200, {"revision": self.revision}
+
+    def _remove_items(self, keys):
+        for key in keys:
             if self.items.pop(key, None) is not None:
                 event = {"key": key, "revision": self.revision, "tombstone": True}
                 self.history.append(event)
-        self._notify_watchers()
-        return 200, {"revision": self.revision}
 
     def _store_item(self, key, value, lease):
         create_revision = self.items.get(key, {"create_rev": self.revision})["create_rev"]
@@ -151,7 +154,8 @@
 
     def _lease(self, method, path, request_data):
         if path == "/kv-lease":
-            lease_id = 100 + len(self.leases)
+            self.revision += 1
+            lease_id = 100 + self.revision
             self.leases[lease_id] = request_data["ttl_ms"]
             return 200, {"lease": lease_id, "ttl_ms": request_data["ttl_ms"]}
         lease_id = int(path.rpartition("/")[2])
@@ -159,6 +163,11 @@
             return 404, {}
         if method == "DELETE":
             del self.leases[lease_id]
+            self.revision += 1
+            self._remove_items(
+                [key for key, item in self.items.items() if item["lease"] == lease_id]
+            )
+            self._notify_watchers()
         return 200, {"ttl_ms": 1000}
 
     def _notify_watchers(self):
--- a/tests/platform/test_entry_links.py
+++ b/tests/platform/test_entry_links.py
@@ -75,7 +75,7 @@
                     for attempt, name, _, _, body in results:
                         self.assertEqual(1, site.runs(attempt), (name, attempt))
                         if kind == "stream":
-                            self.assertEqual(entry_links.STREAM_BODY, body)
+                            self.assertEqual(entry_links.stream_body(), body)
 
     def test_callers_are_refused_at_once_while_no_entry_reaches_servers(self):
         """Guards against callers that wait for servers which no entry reaches."""
