Don't add up the counts of entries that report to a stopping entry

Callers saw 503 ("no backend server has room in time") for many seconds around a planned stop, although most slots were free, if the others still listed the stopping entry: the store did not answer, or had just come back.

A stopping entry reports to the next aggregator of its zone. While that one still lists it as the first aggregator, it reports back. Each added what the other had got from it to its own count, so the requests in flight of both grew by themselves every 0.1 s, and with the digests at all entries.

An entry that is no aggregator now forgets the counts that others reported to it, as the digest that it gets includes them, and does not answer further reports: the senders turn to the next aggregator, as they do when the first one dies.

--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -7,6 +7,7 @@
 import attrs
 import msgpack
 import trio
+import trio.testing
 
 from standins import gateways
 from tests import clocked
@@ -31,6 +32,8 @@
 from toucanhold.registry import signals
 
 TIMEOUT_S = 5
+# The test clock advances once nothing has happened for this long.
+AUTOJUMP_S = 0.001
 
 
 @attrs.define(eq=False, slots=False)
@@ -253,6 +256,33 @@
             await wait_until(lambda: stopping.crashes.is_blocked("seen-there"))
             nursery.cancel_scope.cancel()
 
+    def test_a_stopping_entry_that_others_still_list_adds_no_load(self):
+        """Guards against requests counted again each time two entries report to each other."""
+        for zones, entries_per_zone in (("a", 2), ("a", 4), ("ab", 2)):
+            with self.subTest(zones, entries_per_zone=entries_per_zone):
+                clock = trio.testing.MockClock(autojump_threshold=AUTOJUMP_S)
+                trio.run(self._count_while_stopping, new_site(zones, entries_per_zone), clock=clock)
+
+    async def _count_while_stopping(self, nodes):
+        async with trio.open_nursery() as nursery:
+            for node in nodes:
+                node.loads.add("s1")
+                nursery.start_soon(node.run)
+            await trio.sleep(1.0)
+            stopping = nodes[0].entry_list
+            stopping.is_stopping = True
+            stopping.version += 1
+            counts = set()
+            for _ in range(20):
+                await trio.sleep(0.1)
+                counts.update(node.loads.estimate("s1") for node in nodes)
+            self.assertLessEqual(max(counts), 2 * len(nodes))
+            for _ in range(20):
+                await trio.sleep(0.1)
+                counts = {node.loads.estimate("s1") for node in nodes}
+                self.assertEqual({len(nodes)}, counts)
+            nursery.cancel_scope.cancel()
+
     def test_invalid_datagrams_are_ignored(self):
         """Guards against entries that exit or miscount because of a foreign or invalid datagram."""
         trio.run(self._send_invalid)
--- a/toucanhold/gateway/exchange.py
+++ b/toucanhold/gateway/exchange.py
@@ -156,8 +156,7 @@
     def is_active_aggregator(self) -> bool:
         """Whether this entry is an aggregator of its zone and none ranked above it answers."""
         upstream = self.upstream()
-        own = self.entry_list.own
-        return own in self._aggregators[own.zone] and not self._answering_aggregator(upstream)
+        return self._is_aggregator() and not self._answering_aggregator(upstream)
 
     def _higher_ranked_aggregators(self) -> list[entries.Entry]:
         own = self.entry_list.own
@@ -178,6 +177,18 @@
             self._aggregators = hierarchy.aggregators(
                 self.entry_list.own, self.entry_list.others(), self.entry_list.is_stopping
             )
+            if not self._is_aggregator():
+                self._forget_reports()
+
+    def _is_aggregator(self) -> bool:
+        own = self.entry_list.own
+        return own in self._aggregators.get(own.zone, ())
+
+    def _forget_reports(self) -> None:
+        # The digests of this entry's aggregator include what other entries of the zone report.
+        for name in self._last_report_s:
+            self._remove_source(name)
+        self._last_report_s.clear()
 
     async def _send(self, socket: trio.socket.SocketType) -> None:
         while True:
@@ -298,6 +309,11 @@
         """Process the counts of a notice; return the sender if it must be sent a digest."""
         match notice.kind:
             case notices.Kind.REPORT:
+                self._refresh_aggregators()
+                if not self._is_aggregator():
+                    # The sender does not know yet, and may be the one that this entry reports to:
+                    # each would add up what the other has got from it.
+                    return None
                 self._last_report_s[sender.entry] = trio.current_time()
                 self._update_source(sender.entry, notice, is_local=True)
                 return sender
