Retry requests that reached no server without the retry budget

What callers saw: 503 "no-capacity", did-not-run, while another server had room, after backend servers had restarted or ended. Cause: an attempt of which no byte was sent used a token of the retry budget and one of four attempts, like one that a server may have run. With the budget used up, the request was refused although nothing stood against another server. Change: as in gateway/, up to three attempts of a request that reached no server are repeated without a token and are not counted.

--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -179,6 +179,24 @@
             self.assertEqual(0, site.outcomes["whole"])
         self.assertLess(sum(server.started_requests for server in backend_servers), 200 * 1.1 + 12)
 
+    def test_requests_that_reached_no_server_need_no_retry(self):
+        """Guards against refusals for want of a retry while another server has room."""
+        on_test_clock(self._restart_server)
+
+    async def _restart_server(self):
+        backend_servers = servers(count=2)
+        async with routers.running(backend_servers, entries=1) as site:
+            await trio.sleep(2)
+            entry = site.entries["entry-0"]
+            while entry.router.dispatcher.retry_budget.try_acquire():
+                pass
+            for _ in range(20):
+                backend_servers[0].restart()
+                backend_servers[0].is_warm = True
+                await site.send_request(entry)
+                await trio.sleep(1)
+            self.assertEqual({"whole": 20}, dict(site.outcomes))
+
 
 class StalledCallerTest(unittest.TestCase):
     def test_caller_that_does_not_read_releases_the_engine(self):
--- a/toucanhold/routing/attempts.py
+++ b/toucanhold/routing/attempts.py
@@ -33,12 +33,14 @@
 
     :ivar vm: the VM that the attempt ran on
     :ivar error: the answer to the caller if there is no further attempt
+    :ivar was_sent: whether the backend server may have received a part of the request
     """
 
-    def __init__(self, vm: str, error: requests.RequestError) -> None:
+    def __init__(self, vm: str, error: requests.RequestError, was_sent: bool) -> None:
         super().__init__(vm)
         self.vm = vm
         self.error = error
+        self.was_sent = was_sent
 
 
 @attrs.frozen
@@ -59,7 +61,8 @@
 class AttemptRunner:
     """Runs the attempts of one request: one after another, and backups of a silent one beside it.
 
-    :ivar attempt_count: number of attempts that have started
+    :ivar attempt_count: number of attempts that have started, without the free ones
+    :ivar free_connects: number of attempts that reached no server and were repeated without a retry
     :ivar sent_count: number of attempts in which any byte of the request may have left this entry
     :ivar failure_answer: answer with an engine's failure, for the caller if no other server answers
     """
@@ -69,6 +72,7 @@
     response_relay: relay.Relay
     stream_position: resuming.StreamPosition
     attempt_count: int = 0
+    free_connects: int = 0
     sent_count: int = 0
     failure_answer: BufferedAnswer | None = None
     _failed_vms: frozenset[str] = frozenset()
@@ -198,7 +202,8 @@
         except client.NotSentError as error:
             placement.is_finished = True
             self.sent_count -= 1
-            raise self._record_failure(placement, _not_run_error(str(error))) from error
+            not_run_error = _not_run_error(str(error))
+            raise self._record_failure(placement, not_run_error, was_sent=False) from error
         except (client.BackendError, sse.FramingError) as error:
             lost_error = _lost_error(self.request, str(error))
             if not self.request.may_repeat:
@@ -207,12 +212,12 @@
             raise self._record_failure(placement, lost_error) from error
 
     def _record_failure(
-        self, placement: admission.Placement, error: requests.RequestError
+        self, placement: admission.Placement, error: requests.RequestError, was_sent: bool = True
     ) -> RetryableError | requests.RequestError:
         vm = placement.candidate.vm.vm
         self.dispatcher.finder.require_new_report(vm, trio.current_time())
         self._failed_vms |= {vm}
-        return RetryableError(vm, error) if self.can_resume else error
+        return RetryableError(vm, error, was_sent) if self.can_resume else error
 
     async def _forward_response(
         self,
--- a/toucanhold/routing/dispatch.py
+++ b/toucanhold/routing/dispatch.py
@@ -21,6 +21,9 @@
 )
 
 MAX_ATTEMPTS = 4
+# Servers per request that may be out of reach without a retry of the budget: nothing reached them.
+# A whole zone that restarts would otherwise use up the budget within a second.
+MAX_FREE_CONNECTS = 3
 
 LOGGER = logging.getLogger(__name__)
 
@@ -94,13 +97,13 @@
             except requests.RequestError as error:
                 return _error_for_all_attempts(error, earlier_error)
             except attempts.RetryableError as failure:
-                reason = self.retry_denied_reason(attempt)
+                reason = "" if _is_free(attempt, failure) else self.retry_denied_reason(attempt)
                 events.log(
                     LOGGER,
                     events.Event.REQUEST_RETRIED if not reason else events.Event.RETRY_DENIED,
                     request_id=attempt.request.request_id,
                     vm=failure.vm,
-                    attempt=attempt.attempt_count,
+                    attempt=attempt.attempt_count + attempt.free_connects,
                     reason=reason or failure.error.detail,
                 )
                 if reason:
@@ -121,6 +124,15 @@
         return ""
 
 
+def _is_free(attempt: attempts.AttemptRunner, failure: attempts.RetryableError) -> bool:
+    """Return whether another attempt needs no retry, and count it if so."""
+    if failure.was_sent or attempt.free_connects >= MAX_FREE_CONNECTS:
+        return False
+    attempt.free_connects += 1
+    attempt.attempt_count -= 1
+    return True
+
+
 def _error_for_all_attempts(
     last: requests.RequestError, earlier_error: requests.RequestError | None
 ) -> requests.RequestError:
