Let requests wait for the first reports of an entry that starts

What callers saw: 503 "no backend server serves this now" in the first tenths of a second of an entry that had just started. Cause: a server that the entry had not asked yet was taken for one that does not serve. Change: such a server is taken to report until it counts as silent, like one that missed a poll.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -164,6 +164,15 @@
             self.assertEqual(0, entry.router.admission.waiting())
             self.assertEqual(1, entry.router.in_flight.total())
 
+    def test_requests_wait_for_the_first_report_of_an_entry_that_starts(self):
+        """Guards against refusals at an entry that has started and asked no server yet."""
+        on_test_clock(self._send_at_start)
+
+    async def _send_at_start(self):
+        server = backends.Server("vm-0", is_warm=True)
+        async with routers.running([server], entries=1) as site:
+            self.assertEqual("whole", await site.send_request(site.entries["entry-0"]))
+
     def test_waiting_requests_are_refused_when_the_last_server_is_lost(self):
         # All queued requests are refused when the server is lost, not at their deadlines.
         on_test_clock(self._lose_server)
--- a/toucanhold/routing/candidates.py
+++ b/toucanhold/routing/candidates.py
@@ -169,9 +169,8 @@
     def _is_awaiting_report(self, vm: inventory.Vm, now_s: float) -> bool:
         if self.view.fresh_report(vm.vm, now_s) is not None:
             return self._needs_new_report(vm)
-        # A server that missed a poll may only pause.
-        is_known = self.view.observation(vm.vm) is not None
-        return is_known and not self._is_leaving(vm) and not self.view.is_silent(vm.vm, now_s)
+        # A server that missed a poll may only pause; an entry that starts has asked none yet.
+        return not self._is_leaving(vm) and not self.view.is_silent(vm.vm, now_s)
 
     def _needs_new_report(self, vm: inventory.Vm) -> bool:
         observation = self.view.observation(vm.vm)
