Play pauses of sound servers in the soak, and check that none costs an answer

In three of four seeds from 2000 on one, some or all servers of a service now stand still for 1.0 to 1.3 s, in series that may overlap, while configurations change, entries get SIGHUP (new) or SIGTERM, and the other faults are played; 5, 20 or 80 retries and 5, 8 or 13 slots. Lower seeds draw and play as before. Check: a request that ran on a server ends with its whole answer, each event once and in order. Excused are a failed or lost server of the last run, or one without a member; an entry killed, suspended or cut off from servers; the deadline; the last sixth of the grace time; and an aborting planner that was killed, suspended or cut off in the 3 s before. An entry that had ended by itself before it is killed is now a fault as well. Servers accept connections only while the soak's process runs: at a load of 20 to 31 it stood still for up to 4 s, so that sound servers seemed dark.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -66,6 +66,10 @@
         """Resume a suspended process."""
         self._running[name].send_signal(signal.SIGCONT)
 
+    def reload(self, name: str) -> None:
+        """Let a process read its settings again, with ``SIGHUP``."""
+        self._running[name].send_signal(signal.SIGHUP)
+
     async def kill(self, name: str) -> None:
         """Kill a process with ``SIGKILL`` and wait for its end."""
         process = self._running.pop(name)
--- a/standins/replicas.py
+++ b/standins/replicas.py
@@ -106,6 +106,11 @@
         """Whether it runs, and requests and orders reach it."""
         return self.mode in ("up", "unlisted")
 
+    @property
+    def finishes_work(self) -> bool:
+        """Whether what it has begun takes effect, at once or after a pause."""
+        return self.is_reachable or self.mode == "paused"
+
     def registration(self) -> servers.Server:
         """Return its registration."""
         return servers.Server(
@@ -322,7 +327,7 @@
         model = self.engine.model(order.model)
         assert model is not None
         await trio.sleep(model.load_s)
-        if target.born_ms == born_ms and target.is_reachable:
+        if target.born_ms == born_ms and target.finishes_work:
             target.staged = (order.model,)
             await self.register(target)
 
@@ -438,7 +443,7 @@
 
     async def _break_after_stall(self, head: MemoryServer, membership: servers.Membership) -> None:
         await trio.sleep(STALL_S)
-        if head.membership == membership and head.is_reachable:
+        if head.membership == membership and head.finishes_work:
             await self._set_state(head, servers.GroupState.BROKEN)
 
     async def _expire_registration(self, server: MemoryServer) -> None:
--- a/tests/platform/soak/callers.py
+++ b/tests/platform/soak/callers.py
@@ -31,12 +31,14 @@
     :ivar order_attempts: attempts that were orders
     :ivar invalid_responses: descriptions of responses that no caller should receive
     :ivar outcomes: time, kind, outcome and entry of each attempt
+    :ivar ends: time at which an attempt ended, and its outcome, by attempt
     """
 
     refused_attempts: list = attrs.field(factory=list)
     order_attempts: list = attrs.field(factory=list)
     invalid_responses: list = attrs.field(factory=list)
     outcomes: list = attrs.field(factory=list)
+    ends: dict = attrs.field(factory=dict)
 
     def served_since(self, since_s, kind):
         """Return the numbers of attempts made and served since a time, for one kind."""
@@ -107,6 +109,7 @@
             except CONNECTION_ERRORS:
                 pass
         self.record.outcomes.append((started_at_s, kind, outcome, entry))
+        self.record.ends[attempt] = trio.current_time(), outcome
         return retry_after_s
 
     def _record_signals(self, response, entry):
@@ -134,7 +137,7 @@
             if response.status in (400, 401, 403, 404):
                 self.record.invalid_responses.append(f"{attempt}: status {response.status}")
             return f"status {response.status}", None
-        expected = path.encode() if kind != "stream" else _stream_body()
+        expected = path.encode() if kind != "stream" else stream_body()
         if response.content != expected or "x-server-seal" not in headers:
             self.record.invalid_responses.append(
                 f"{attempt}: a wrong answer, {response.content[:80]!r}"
@@ -142,17 +145,16 @@
         return "served", None
 
 
-def request_headers(attempt, key=sites.KEY):
+def request_headers(attempt, key=sites.KEY, deadline_s=DEADLINE_S):
     """Return the headers that all requests have."""
     return [
         ("host", sites.HOST),
         ("x-attempt-id", attempt),
-        ("x-deadline-remaining-ms", str(int(DEADLINE_S * 1000))),
+        ("x-deadline-remaining-ms", str(int(deadline_s * 1000))),
         ("x-credential", key),
     ]
 
 
-def _stream_body():
-    return b"".join(
-        f"id: {n}\ndata: word-{n}\n\n".encode() for n in range(backends.EVENTS_PER_STREAM)
-    )
+def stream_body(is_long=False):
+    """Return the whole body of a stream."""
+    return b"".join(backends.event(n) for n in range(backends.event_count(is_long)))
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -70,6 +70,8 @@
     async def restart_killed(self, entry, down_s=0.1):
         """Kill the process of a reserved entry, and start another."""
         self.log(f"kill {entry}")
+        if not self.site.group.is_running(entry):
+            self.site.stop_failures.append(f"{entry} had ended by itself")
         disturbance = self.site.signal_record.begin_disturbance(entry)
         await self.site.group.kill(entry)
         await trio.sleep(down_s)
@@ -90,20 +92,31 @@
 
     async def _stop_entry(self):
         if entry := self._reserve(self.site.entries):
-            # A process that is still starting ends by the signal, without a graceful shutdown.
-            await processes.wait_listening(self.site.address(entry, "front"))
-            self.log(f"stop {entry}")
-            disturbance = self.site.signal_record.begin_disturbance(entry)
-            began_s = trio.current_time()
-            status = await self.site.group.stop(entry)
-            elapsed_s = trio.current_time() - began_s
-            if status or elapsed_s > sites.GRACE_S:
-                self.site.stop_failures.append(
-                    f"{entry} ended with {status} after {elapsed_s:.1f} s"
-                )
-            await self.site.start_entry(entry)
-            disturbance[-1] = trio.current_time()
-            self.reserved_targets.discard(entry)
+            await self.stop(entry)
+
+    async def stop(self, entry):
+        """Stop the process of a reserved entry, and start another."""
+        # A process that is still starting ends by the signal, without a graceful shutdown.
+        await processes.wait_listening(self.site.address(entry, "front"))
+        self.log(f"stop {entry}")
+        disturbance = self.site.signal_record.begin_disturbance(entry, is_outage=False)
+        began_s = trio.current_time()
+        self.site.stops.append((entry, began_s))
+        status = await self.site.group.stop(entry)
+        elapsed_s = trio.current_time() - began_s
+        if status or elapsed_s > self.site.grace_s:
+            self.site.stop_failures.append(f"{entry} ended with {status} after {elapsed_s:.1f} s")
+        await self.site.start_entry(entry)
+        disturbance[-1] = trio.current_time()
+        self.reserved_targets.discard(entry)
+
+    async def reload(self, entry):
+        """Let the process of a reserved entry read its settings again."""
+        # A process that is still starting ends by the signal.
+        await processes.wait_listening(self.site.address(entry, "front"))
+        self.log(f"reload {entry}")
+        self.site.group.reload(entry)
+        self.reserved_targets.discard(entry)
 
     async def _disturb_store_link(self):
         if entry := self._reserve([f"store of {name}" for name in self.site.entries]):
@@ -118,7 +131,9 @@
         mode = self.site.rng.choice(PROXY_MODES)
         duration_s = self.site.rng.uniform(0.3, 5)
         self.log(f"{name}: {mode} for {duration_s:.1f} s")
-        disturbance = self.site.signal_record.begin_disturbance(name.removeprefix("store of "))
+        disturbance = self.site.signal_record.begin_disturbance(
+            name.removeprefix("store of "), is_outage=name in self.site.server_proxies
+        )
         proxy.set_mode(mode)
         await trio.sleep(duration_s)
         proxy.set_mode("pass")
@@ -164,6 +179,7 @@
             server.is_leaving = True
             await self.site.fleet.register(server)
             await trio.sleep(4)
+            self.site.signal_record.begin_outage(name)[-1] = trio.current_time()
             await self.site.fleet.restart(name)
             self.reserved_targets.discard(name)
 
@@ -197,9 +213,13 @@
             self.reserved_targets.discard(name)
 
     async def _change_configuration(self):
+        self.change_configuration()
+        await trio.sleep(0)
+
+    def change_configuration(self):
+        """Store a new version of the configuration."""
         self.log("a new configuration")
         self.site.put_configuration()
-        await trio.sleep(0)
 
     async def _evacuate_zone(self):
         zone = self._reserve(sites.ZONES[:1])
--- a/tests/platform/soak/retries.py
+++ b/tests/platform/soak/retries.py
@@ -88,7 +88,7 @@
             _count(requests_s, start_s - early_s, end_s - early_s)
             for early_s in (0.0, sites.RETRY_WINDOW_S / 2, sites.RETRY_WINDOW_S)
         )
-        allowed = sites.RETRY_RATIO * requests + sites.RETRY_SLACK
+        allowed = sites.RETRY_RATIO * requests + site.retry_slack
         if retries > allowed:
             yield f"retries: {retries} from {start_s:.2f} s, {allowed} allowed"
             return
--- a/tests/platform/soak/running.py
+++ b/tests/platform/soak/running.py
@@ -8,7 +8,7 @@
 import trio
 
 from standins import processes
-from tests.platform.soak import callers, crashing, faults, links, retries, signals
+from tests.platform.soak import answers, callers, crashing, faults, links, pauses, retries, signals
 from tests.platform.soak import site as sites
 
 FAULTS_S = 20.0
@@ -54,7 +54,7 @@
         answers while entries restart in series, see :mod:`retries`
     """
     async with sites.running(seed, folder, subnet, has_signals) as site:
-        caller_record = callers.CallerRecord()
+        caller_record, long_record = callers.CallerRecord(), callers.CallerRecord()
         injector = faults.FaultInjector(site, caller_record)
         link_injector = links.LinkInjector(site, injector.log)
         async with trio.open_nursery() as nursery:
@@ -62,16 +62,26 @@
                 await _wait_until_serving(site)
             for number in range(callers.CALLERS):
                 nursery.start_soon(callers.Caller(site, caller_record, f"c{seed}-{number}").run)
+            nursery.start_soon(answers.record_stalls, site, injector.log)
             await trio.sleep(2)
             if has_signals:
                 signal_injector = signals.SignalInjector(
                     site, site.signal_record, injector.reserved_targets, injector.log
                 )
-                nursery.start_soon(signal_injector.run, faults_s)
-                nursery.start_soon(crashing.CrashingCaller(site).run, faults_s)
-                nursery.start_soon(crashing.CrashingPartCaller(site).run, faults_s)
-                nursery.start_soon(link_injector.run, faults_s)
-                nursery.start_soon(retries.LossInjector(site, injector).run, faults_s)
+                side_faults = [
+                    signal_injector.run,
+                    crashing.CrashingCaller(site).run,
+                    crashing.CrashingPartCaller(site).run,
+                    link_injector.run,
+                    retries.LossInjector(site, injector).run,
+                ]
+                for run_side_fault in pauses.choose_side_faults(site, side_faults):
+                    nursery.start_soon(run_side_fault, faults_s)
+            if site.has_pauses:
+                nursery.start_soon(
+                    answers.LongCaller(site, long_record, injector.reserved_targets).run, faults_s
+                )
+                nursery.start_soon(pauses.PauseInjector(site, injector).run, faults_s)
             await injector.run(faults_s)
             await trio.sleep(RECOVERY_S)
             since_s = trio.current_time()
@@ -80,8 +90,14 @@
             nursery.cancel_scope.cancel()
         violations += _check_history(site, caller_record)
         violations += links.check(site, caller_record, link_injector.cuts)
+        violations += [f"answer: {text}" for text in long_record.invalid_responses]
+        if site.has_pauses:
+            ends = caller_record.ends | long_record.ends
+            violations += answers.check(site, ends, link_injector.cuts)
         outcome_counts = collections.Counter(
-            f"{kind} {outcome}" for _, kind, outcome, _ in caller_record.outcomes
+            f"{kind} {outcome}"
+            for record in (caller_record, long_record)
+            for _, kind, outcome, _ in record.outcomes
         )
         return Result(seed, violations, injector.events, outcome_counts)
 
--- a/tests/platform/soak/signals.py
+++ b/tests/platform/soak/signals.py
@@ -42,6 +42,8 @@
     :ivar backoffs: time, server, attempt and seconds of each backoff asked for
     :ivar draining: server, start and end of each period in which it was draining
     :ivar disturbances: name of an entry or server, with the start and end of each disturbance
+    :ivar outages: name of an entry or server, with the start and end of each time in which it was
+        killed or stood still, or its links were disturbed, except pauses of servers
     """
 
     headers: dict = attrs.field(factory=dict)
@@ -53,6 +55,7 @@
     backoffs: list = attrs.field(factory=list)
     draining: list = attrs.field(factory=list)
     disturbances: list = attrs.field(factory=list)
+    outages: list = attrs.field(factory=list)
 
     def response_headers(self, server):
         """Return the headers that a server adds to each answer."""
@@ -71,12 +74,25 @@
         """Return the entry that an attempt was sent to; None for orders and probes of entries."""
         return self.entries.get(attempt, (None, 0.0))[0]
 
-    def begin_disturbance(self, name):
+    def begin_disturbance(self, name, is_outage=True):
         """Record that a disturbance of an entry or server begins; return a record to end it."""
-        disturbance = [name, trio.current_time(), float("inf")]
+        disturbance = self.begin_outage(name) if is_outage else _period(name)
         self.disturbances.append(disturbance)
         return disturbance
 
+    def begin_outage(self, name):
+        """Record that an outage of an entry or server begins; return a record to end it."""
+        outage = _period(name)
+        self.outages.append(outage)
+        return outage
+
+    def has_outage(self, name, start_s, end_s):
+        """Return whether an entry or server had an outage within a time."""
+        return any(
+            by_name == name and began_s <= end_s and ended_s >= start_s
+            for by_name, began_s, ended_s in self.outages
+        )
+
     def is_excused(self, name, start_s, end_s):
         """Return whether an entry or server was disturbed within a time or shortly before."""
         return any(
@@ -158,9 +174,11 @@
         period[-1] = trio.current_time()
         del self.record.headers[server]
         # Heads without a member stall, also if nobody knew that it was draining.
+        outage = self.record.begin_outage(server)
         await self.site.fleet.make_unreachable(server, "dark")
         await trio.sleep(rng.uniform(0.1, 0.5))
         await self.site.fleet.restart(server)
+        outage[-1] = trio.current_time()
         self.reserved_targets.discard(server)
 
     async def _limit(self, rng):
@@ -181,6 +199,10 @@
         del self.record.headers[server]
 
 
+def _period(name):
+    return [name, trio.current_time(), float("inf")]
+
+
 def check(record):
     """Return descriptions of all cases in which entries did not act on signals."""
     violations = [text for limit in record.limits for text in _check_limit(record, limit)]
--- a/tests/platform/soak/site.py
+++ b/tests/platform/soak/site.py
@@ -22,7 +22,13 @@
 ENTRIES = 3
 MODEL_SERVERS = 9
 PLAIN_SERVERS = 2
+# Several heads of each model, so that some go on while others pause.
+MODEL_SERVERS_WITH_PAUSES = 18
+FIRST_SEED_WITH_PAUSES = 2000
 GRACE_S = 8.0
+# Time for requests that arrive during a planned stop, and then for the route's timeout.
+LONG_GRACE_S = 12.0
+TIMEOUT_MS, LONG_TIMEOUT_MS = 3000, 7000
 MODELS = (
     table.Model("large", size=4, share=0.57, pace=1.0, load_s=0.6, warm_s=0.3),
     table.Model("small", size=3, share=0.43, pace=0.6, load_s=0.5, warm_s=0.3),
@@ -42,6 +48,10 @@
     :ivar lost_fraction: fraction of the plain servers' answers that are lost
     :ivar version: version of the current configuration
     :ivar route_prefixes: path prefixes that configurations added, in order
+    :ivar has_pauses: whether servers pause, see :mod:`pauses`
+    :ivar retry_slack: retries that a service tolerates beyond the ratio
+    :ivar stops: entries that were stopped, and when
+    :ivar stalls: start and end of times in which the process of the soak stood still
     :ivar stop_failures: descriptions of stops that were slow or failed
     """
 
@@ -54,6 +64,9 @@
     lost_fraction: float = 0.0
     version: int = 0
     route_prefixes: list = attrs.field(factory=list)
+    retry_slack: int = RETRY_SLACK
+    stops: list = attrs.field(factory=list)
+    stalls: list = attrs.field(factory=list)
     stop_failures: list = attrs.field(factory=list)
     store_proxies: dict = attrs.field(factory=dict)
     server_proxies: dict = attrs.field(factory=dict)
@@ -63,7 +76,14 @@
         self.loss_rng = random.Random(f"losses {self.seed}")
         self.store = backends.ExpiringStore()
         self.addresses = {}
-        self.engine = replicas.new_engine(*MODELS)
+        self.has_policies = has_policies(self.seed)
+        self.has_pauses = has_pauses(self.seed)
+        self.grace_s, slots = GRACE_S, 13
+        if self.has_pauses:
+            rng = random.Random(f"bounds {self.seed}")
+            self.grace_s = LONG_GRACE_S
+            self.retry_slack, slots = rng.choice((5, 20, RETRY_SLACK)), rng.choice((5, 8, 13))
+        self.engine = replicas.new_engine(*MODELS, slots=slots)
         self.fleet = replicas.MemoryServers(
             backends.RegistrationStore(self.store, self.addresses),
             self.engine,
@@ -73,7 +93,6 @@
         self.run_log = backends.RunLog()
         self.signal_record = signals.SignalRecord()
         self.slowdowns = {}
-        self.has_policies = has_policies(self.seed)
 
     @property
     def entries(self):
@@ -95,7 +114,8 @@
         store_address = await self._start_server(self.store)
         for entry in self.entries:
             self.store_proxies[entry] = await self._start_proxy(store_address)
-        names = [f"s{n}" for n in range(MODEL_SERVERS)] + [
+        model_servers = MODEL_SERVERS_WITH_PAUSES if self.has_pauses else MODEL_SERVERS
+        names = [f"s{n}" for n in range(model_servers)] + [
             f"{PLAIN_PREFIX}{n}" for n in range(PLAIN_SERVERS)
         ]
         for number, name in enumerate(names):
@@ -106,6 +126,7 @@
                 self.signal_record,
                 self.slowdowns,
                 self._is_answer_lost,
+                self.has_pauses,
             )
             self.server_proxies[name] = await self._start_proxy(await self._start_server(app))
             self.server_proxies[name].is_greeting = self.has_link_cuts
@@ -146,6 +167,17 @@
                 for prefix in self.route_prefixes
             ),
         ]
+        if self.has_pauses:
+            routes.append(
+                _route(
+                    backends.LONG_PATH_PREFIX,
+                    replicas.SERVICE,
+                    "streaming",
+                    resumable=True,
+                    attempts=2,
+                    timeout_ms=LONG_TIMEOUT_MS,
+                )
+            )
         engine = {
             "slots": self.engine.slots,
             "models": [attrs.asdict(model) for model in MODELS],
@@ -199,10 +231,10 @@
 cores = 1
 [bounds]
 retry_ratio = {RETRY_RATIO}
-retry_slack = {RETRY_SLACK}
+retry_slack = {self.retry_slack}
 retry_window_s = {RETRY_WINDOW_S}
 stall_ms = {int(replicas.STALL_S * 1000)}
-grace_s = {GRACE_S}
+grace_s = {self.grace_s}
 [platform]
 address = "{self.store_proxies[entry].address}"
 """
@@ -213,6 +245,14 @@
     return seed % 4 == 3
 
 
+def has_pauses(seed):
+    """Return whether servers pause in a seed.
+
+    Lower seeds are kept for faults that they play without pauses.
+    """
+    return seed >= FIRST_SEED_WITH_PAUSES and seed % 4 != 0
+
+
 def _route(prefix, service, kind, **overrides):
     return {
         "name": prefix.strip("/"),
@@ -220,7 +260,7 @@
         "path_prefix": prefix,
         "service": service,
         "kind": kind,
-        "timeout_ms": 3000,
+        "timeout_ms": TIMEOUT_MS,
         "goal_ms": 300,
         "gap_target_ms": 300,
         "priority": 1,
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -20,6 +20,8 @@
 # that model, and no group served their own model any more.
 # Seed 52: a model lost its last group, but spares that held the other model did not load it.
 REGRESSION_SEEDS = (8, 21, 52)
+# Seed 2002: streams at sound servers were closed as their servers paused.
+PAUSE_SEEDS = (2002,)
 
 
 class SoakTest(unittest.TestCase):
@@ -28,6 +30,19 @@
             with self.subTest(seed=seed):
                 self._run_seed(seed, SHORT_FAULTS_S, has_signals=True)
 
+    def test_planned_work_and_pauses_of_servers_cost_no_answer(self):
+        """Guards against streams of sound servers that are given up while servers pause."""
+        for seed in PAUSE_SEEDS:
+            with self.subTest(seed=seed):
+                self.assertTrue(site.has_pauses(seed))
+                result = self._run_seed(seed, SHORT_FAULTS_S, has_signals=True)
+                long_counts = [
+                    count
+                    for name, count in result.outcome_counts.items()
+                    if name.startswith("long")
+                ]
+                self.assertGreater(sum(long_counts), 20)
+
     def test_seeds_that_failed_before_pass(self):
         for seed in REGRESSION_SEEDS:
             with self.subTest(seed=seed):
@@ -41,11 +56,14 @@
             )
         self.assertEqual([], result.violations, result.faults)
         self.assertGreater(result.outcome_counts["order served"], 20)
+        return result
 
-    def test_seeds_of_these_tests_play_without_policies(self):
+    def test_seeds_of_these_tests_play_without_policies_and_pauses(self):
         """Guards against seeds that no longer play the faults for which they were kept."""
         seeds = (*SHORT_SEEDS, *REGRESSION_SEEDS)
-        self.assertEqual([], [seed for seed in seeds if site.has_policies(seed)])
+        self.assertEqual(
+            [], [seed for seed in seeds if site.has_policies(seed) or site.has_pauses(seed)]
+        )
 
     def test_backend_accepts_orders_without_a_group(self):
         """Guards against a backend that fails on an order to stage, which names no group."""
