Show in a test that an entry ends when it is suspended just before a wait

SilenceDetector.run computes the time of its next check and then reads the clock again; when over 20 ms pass between the two, Notifier.wait gets a negative time.

--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -6,6 +6,7 @@
 import trio
 
 from tests import clocked
+from toucanhold import notifier
 from toucanhold.gateway import health, server_links, silence
 
 
@@ -203,3 +204,10 @@
     async def _record_event_soon(self, stream):
         await trio.sleep(0.01)
         stream.record_event()
+
+
+class NotifierTest(unittest.TestCase):
+    @clocked.on_test_clock
+    async def test_a_wait_whose_time_has_passed_meanwhile_returns_at_once(self):
+        """Guards against an entry that ends when it is suspended just before a wait."""
+        await notifier.Notifier().wait(-0.01)
