Show in tests that a backoff does not end the pause before it

Neither a probe that is answered so nor one that is left out in the backoff ends the recorded pause; the next pause is taken for its continuation, 2 s are over at once, and the group is dissolved with its streams (SERVER_RESUMED with paused_s 3.436, then GROUP_ENDING "s3 does not respond"). The two tests fail.

--- a/tests/test_backoffs.py
+++ b/tests/test_backoffs.py
@@ -139,6 +139,27 @@
         return attrs.evolve(server, order_count=3)
 
 
+@attrs.define(eq=False)
+class RefusingEngine(RecordingEngine):
+    """An engine client of engines that answer each probe with a backoff of ``backoff_s``."""
+
+    backoff_table: backoffs.BackoffTable
+    backoff_s: float
+
+    async def probe(self, server, on_connected):
+        on_connected()
+        observed = signals.Signals(backoff_s=self.backoff_s)
+        self.backoff_table.observe(server, observed, trio.current_time())
+
+
+class PausedEngine(RecordingEngine):
+    """An engine client of engines that accept connections and answer nothing."""
+
+    async def probe(self, server, on_connected):
+        on_connected()
+        await trio.sleep_forever()
+
+
 class ControlTest(unittest.TestCase):
     @clocked.on_test_clock
     async def test_a_server_with_a_backoff_gets_one_order_and_no_probes(self):
@@ -160,3 +181,28 @@
         self.assertEqual([orders.OrderOutcome.BEGUN, deferred, deferred], outcomes)
         self.assertEqual(["probe", leave, leave], engine.received)
         self.assertFalse(sender.is_unreachable(server.incarnation))
+
+    @clocked.on_test_clock
+    async def test_a_server_that_answers_probes_with_backoffs_is_not_unreachable(self):
+        """Guards against a sound group that is dissolved as a member answers with backoffs."""
+        backoff_table = backoffs.BackoffTable()
+        engine = RefusingEngine(backoff_table, backoff_s=1.0)
+        sender = ordering.OrderSender(engine, None, lambda: 1, backoff_table)
+        server = gateways.new_servers(1)["b0"]
+        for _ in range(20):
+            await sender.probe(server)
+            self.assertFalse(sender.is_unreachable(server.incarnation))
+            await trio.sleep(0.25)
+
+    @clocked.on_test_clock
+    async def test_a_backoff_ends_the_pause_before_it(self):
+        """Guards against a group dissolved as two short pauses and a backoff count as one pause."""
+        backoff_table = backoffs.BackoffTable()
+        sender = ordering.OrderSender(PausedEngine(), None, lambda: 1, backoff_table)
+        server = gateways.new_servers(1)["b0"]
+        await sender.probe(server)
+        backoff_table.observe(server, signals.Signals(backoff_s=BACKOFF_S), trio.current_time())
+        await sender.probe(server)
+        await trio.sleep(BACKOFF_S)
+        await sender.probe(server)
+        self.assertFalse(sender.is_unreachable(server.incarnation))
