--- a/standins/replicas.py
+++ b/standins/replicas.py
@@ -108,6 +108,11 @@
         """Whether it runs, and requests and orders reach it."""
         return self.mode in ("up", "unlisted")
 
+    @property
+    def finishes_work(self) -> bool:
+        """Whether what it has begun takes effect, at once or after a pause."""
+        return self.is_reachable or self.mode == "paused"
+
     def registration(self) -> servers.Server:
         """Return its registration."""
         return servers.Server(
@@ -330,7 +335,7 @@
         model = self.engine.model(order.model)
         assert model is not None
         await trio.sleep(model.load_s)
-        if target.born_ms == born_ms and target.is_reachable:
+        if target.born_ms == born_ms and target.finishes_work:
             target.staged = (order.model,)
             await self.register(target)
 
@@ -465,7 +470,7 @@
 
     async def _break_after_stall(self, head: MemoryServer, membership: servers.Membership) -> None:
         await trio.sleep(STALL_S)
-        if head.membership == membership and head.is_reachable:
+        if head.membership == membership and head.finishes_work:
             if trio.current_time() < head.busy_until_s:
                 self.cut_off_heads.append(head.name)
             await self._set_state(head, servers.GroupState.BROKEN)
