Wait no negative time after a suspension of the process

Cause: the silence detector computes how long to wait from one reading of the clock, and trio refuses a negative timeout. Change: a timeout that has passed is no wait. Measured: tests.test_silence.NotifierTest failed before ("seconds must be non-negative") and passes.

--- a/toucanhold/notifier.py
+++ b/toucanhold/notifier.py
@@ -19,5 +19,6 @@
 
     async def wait(self, timeout_s: float) -> None:
         """Return at the next notification, or after ``timeout_s`` seconds."""
-        with trio.move_on_after(timeout_s):
+        # The process may have been suspended since the timeout was computed.
+        with trio.move_on_after(max(0.0, timeout_s)):
             await self._event.wait()
