End the pause of a server that answers with a backoff

Cause: a server with a backoff is not probed, and its last pause went on to count, so the next one passed the 2 s at once. Change: a backoff ends the pause, as any answer does.

--- a/toucanhold/replicas/ordering.py
+++ b/toucanhold/replicas/ordering.py
@@ -131,8 +131,13 @@
         One that may be paused is not considered unreachable for :data:`MAX_PAUSE_S`.
         """
         if self.backoff_table.remaining_s(server):
+            self._paused.pop(server.incarnation, None)
             return server
         report, is_unanswered = await self._probe_twice(server)
+        if report is None and self.backoff_table.remaining_s(server):
+            # It has answered, with the backoff.
+            self._paused.pop(server.incarnation, None)
+            return server
         self.reachability.record_probe(server, report is not None or is_unanswered)
         if report is None:
             # Wait until all servers that were probed together have their results recorded.
