--- a/toucanhold/gateway/call_attempts.py
+++ b/toucanhold/gateway/call_attempts.py
@@ -14,6 +14,7 @@
 from toucanhold.gateway import (
     admission,
     attempt,
+    attempt_logs,
     call_state,
     calls,
     crash_guard,
@@ -171,14 +172,15 @@
         if isinstance(error, calls.NotRunError):
             self._avoid_if_gone(server_id, error)
         elif isinstance(error, calls.ResponseLostError):
-            self._log_lost(current, error)
+            use = self.gateway.retry_budget.use(self.state.service.name, current.is_trial)
+            attempt_logs.log_lost(current, error, use)
             current.record_unused_response()
             self.gateway.health.record_outcome(server_id, is_failure=True)
             self.guard.record_lost(server_id, error, current.progress)
 
     def _record_superseded(self, current: call_state.AttemptState) -> None:
         current.record_unused_response()
-        self._log_superseded(current)
+        attempt_logs.log_superseded(current)
         if current.is_silent:
             server_id = current.server.server_id
             self.state.excluded.add(server_id)
@@ -242,7 +244,7 @@
             # The server may have gone on, or failed, while other entries were asked for a retry.
             placement = None
             if race.attempts and race.is_silent():
-                # Otherwise, all streams of a server would go on at the few that have others here.
+                # If few servers are silent, this would send all streams of one to the same server.
                 preferred = found.heard_servers if found.is_widespread else frozenset()
                 placement = self.gateway.admission.try_acquire(
                     self._backup_request(race, found), preferred
@@ -254,7 +256,7 @@
                 # The silent servers may have received the call, so this one's retry counts.
                 self.state.has_arrived = True
                 current = self._new_attempt(race, placement, retry)
-                self._log_backup(current, silent, found)
+                attempt_logs.log_backup(current, silent, found)
                 race.is_backup_starting = False
                 await self._run_in_race(current, nursery)
             if race.status is not None:
@@ -387,47 +389,3 @@
         if reason is calls.RefusalReason.RESPONSE_LOST:
             reason = calls.RefusalReason.NO_SERVER
         raise calls.CallError(reason, retry_after_s=retry_after_s, decided_by=decided_by)
-
-    def _log_backup(
-        self,
-        current: call_state.AttemptState,
-        silent: call_state.AttemptState,
-        found: silence.Silence,
-    ) -> None:
-        events.log(
-            LOGGER,
-            events.Event.BACKUP_SENT,
-            request_id=self.state.call.call_id,
-            server=current.server.server_id,
-            silent_server=silent.server.server_id,
-            silent_s=round(found.silent_s, 3),
-            after_event=self.state.last_event_id,
-            runs=self.state.attempt_count,
-        )
-
-    def _log_superseded(self, current: call_state.AttemptState) -> None:
-        events.log(
-            LOGGER,
-            events.Event.ATTEMPT_SUPERSEDED,
-            request_id=self.state.call.call_id,
-            server=current.server.server_id,
-            decided_by=calls.Decider.ENTRY.value,
-            was_silent=current.is_silent,
-            after_event=self.state.last_event_id,
-        )
-
-    def _log_lost(self, current: call_state.AttemptState, error: calls.ResponseLostError) -> None:
-        state = self.state
-        use = self.gateway.retry_budget.use(state.service.name, current.is_trial)
-        events.log(
-            LOGGER,
-            events.Event.ATTEMPT_LOST,
-            request_id=state.call.call_id,
-            server=current.server.server_id,
-            decided_by=error.decided_by.value,
-            failure=str(error),
-            after_event=state.last_event_id,
-            attempts_left=state.attempts_left,
-            retries_left=round(use.headroom + use.borrowed, 2),
-            remaining_s=round(state.remaining_s, 3),
-        )
