--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.."
+exec python3 review/3/case.py
--- a/review/standins.py
+++ b/review/standins.py
@@ -18,6 +18,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -78,9 +79,9 @@
 async def read_body(reader, message):
     """Read a body by its length or chunks; to the end of the connection for a response."""
     if "chunked" in message.header("transfer-encoding"):
-        while size := int((await reader.readline()).split(b";")[0], 16):
+        while size := int((await reader.readuntil(b"\r\n")).split(b";")[0], 16):
             message.body += (await reader.readexactly(size + 2))[:-2]
-        while (await reader.readline()).strip():
+        while (await reader.readuntil(b"\r\n")).strip():
             pass
     elif message.header("content-length"):
         message.body = await reader.readexactly(int(message.header("content-length")))
@@ -308,6 +309,156 @@
         writer.write(answer(200, [*headers, ("X-Server-Seal", "seal." + attempt)], body))
 
 
+class GroupWorker(HttpServer):
+    """A worker of a model service, which joins groups and serves streams as the head of one."""
+
+    def __init__(self, record, store, service, zone, domain, engine, event_s):
+        super().__init__()
+        self.record, self.store, self.service, self.zone = record, store, service, zone
+        self.domain, self.engine, self.event_s = domain, engine, event_s
+        self.id = "i-" + os.urandom(5).hex()
+        self.born = int(time.time() * 1000)
+        self.staged, self.model, self.group, self.order_count = [], "", None, 0
+        self.running, self.runs = 0, collections.Counter()
+        self._tasks = set()
+
+    def models(self):
+        return [{"name": self.model, "version": 1, "adapters": []}] if self.model else []
+
+    def state(self):
+        fields = {"stage": "both", "models": self.models(), "domain": self.domain}
+        return fields | {"staged": self.staged, "group": self.group, "born": self.born}
+
+    def register(self):
+        fields = {"service": self.service, "address": self.address, "zone": self.zone}
+        fields |= {"version": "v1", "slots": self.engine["slots"], "state": "ready"}
+        fields |= {"cold_left_ms": 0, "seq": 1} | self.state()
+        self.store.put(f"servers/{self.id}", json.dumps(fields).encode())
+
+    async def respond(self, request, reader, writer):
+        headers = [("X-Instance-Id", self.id)]
+        path = request.first.split(" ")[1]
+        if request.header("x-target-instance", self.id) != self.id:
+            writer.write(answer(421, headers))
+        elif path == "/health":
+            writer.write(answer(200, headers))
+        elif path == "/report":
+            body = json.dumps(self.state() | self.load()).encode()
+            writer.write(answer(200, [*headers, ("Content-Type", "application/json")], body))
+        elif path == "/order":
+            writer.write(answer(self._order(json.loads(request.body)), headers))
+        elif self.group is None or self.group["state"] != "open":
+            writer.write(answer(421, headers))
+        elif self.running >= self.engine["slots"]:
+            writer.write(answer(503, [*headers, ("X-Not-Executed", "1")]))
+        else:
+            await self._stream(request, headers, writer)
+        await writer.drain()
+        return True
+
+    def load(self):
+        fields = {"busy": False, "seq": self.order_count, "queued": 0, "active": self.running}
+        return fields | {"kv_used": 0, "kv_total": self.engine["kv_capacity"], "handles": 0}
+
+    def _order(self, order):
+        if order.get("precondition", self.order_count) != self.order_count:
+            return 409
+        operation = order["op"]
+        is_own = self.group is not None and (self.group["name"], self.group["epoch"]) == (
+            order.get("group"),
+            order.get("epoch"),
+        )
+        if operation == "stage":
+            if order["model"] in self.staged:
+                return 200
+            self._start(self._stage(order["model"]))
+        elif operation == "join":
+            if self.group is not None and order["epoch"] < self.group["epoch"]:
+                return 412
+            if is_own:
+                return 200
+            rank = order["members"].index(self.id)
+            self.group = {"name": order["group"], "epoch": order["epoch"], "rank": rank}
+            self.group["state"] = "joining"
+            self._start(self._join(order["model"], dict(self.group)))
+        elif operation == "open":
+            if not is_own or self.group["state"] not in ("ready", "open"):
+                return 409
+            if self.group["state"] == "open":
+                return 200
+            self._start(self._open(dict(self.group)))
+        elif operation in ("close", "leave"):
+            if not is_own:
+                return 200
+            if operation == "leave":
+                self.group = None
+            elif self.group["state"] == "open":
+                self.group["state"] = "ready"
+            self.register()
+        self.order_count += 1
+        return 202
+
+    def _start(self, action):
+        task = asyncio.create_task(action)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _model(self, name):
+        return next(model for model in self.engine["models"] if model["name"] == name)
+
+    async def _stage(self, model):
+        # Before the first request, loads take a tenth of the time.
+        await asyncio.sleep(self._model(model)["load_s"] / 10)
+        self.staged = [model]
+        self.register()
+
+    async def _join(self, model, group):
+        self.register()
+        if self.model != model:
+            await asyncio.sleep(self._model(model)["load_s"] / 10)
+        else:
+            await asyncio.sleep(0.2)
+        self.model, self.staged = model, [model]
+        if self.group == group:
+            self.group = group | {"state": "ready"}
+        self.register()
+
+    async def _open(self, group):
+        await asyncio.sleep(self.engine["form_ms"] / 1000)
+        if self.group == group:
+            self.group = group | {"state": "open"}
+        self.register()
+
+    async def _stream(self, request, headers, writer):
+        """Send as many events as the path names, and stop when the connection closes."""
+        attempt = request.header("x-attempt-id")
+        count = int(request.first.split(" ")[1].rstrip("/").rpartition("/")[2])
+        first = int(request.header("last-event-id", "0")) + 1
+        self.record.line(f"run      {attempt} at {self.id}: events {first} to {count}")
+        self.running += 1
+        self.runs[attempt] += 1
+        lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
+        lines += [f"X-Attempt-Id: {attempt}", f"X-Server-Seal: seal.{attempt}"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        number = first
+        try:
+            writer.write(("\r\n".join([*lines, "Transfer-Encoding: chunked"]) + "\r\n\r\n").encode())
+            for number in range(first, count + 1):
+                await asyncio.sleep(self.event_s)
+                if writer.is_closing() or writer.transport.is_closing():
+                    raise ConnectionResetError
+                event = f"id: {number}\ndata: {attempt} {number}\n\n".encode()
+                writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                await writer.drain()
+            writer.write(b"0\r\n\r\n")
+            self.record.line(f"complete {attempt} at {self.id}")
+        except ConnectionError:
+            self.record.line(f"left     {attempt} at {self.id}: its caller closed at event {number}")
+            raise
+        finally:
+            self.running -= 1
+
+
 def free_hosts(count):
     """Return loopback hosts on which all ports of an entry are free."""
     while True:
@@ -327,7 +478,7 @@
     """One machine: starts its process again whenever it ends, as the platform does."""
 
     def __init__(self, record, folder, name, host, zone, zones, store_address, bounds=None):
-        self.record, self.name, self.host = record, name, host
+        self.record, self.name, self.host, self.zone = record, name, host, zone
         self.own_ends, self.exit_codes, self.starts = 0, [], 0
         self.process, self._is_stopped, self._is_ended_by_test = None, False, False
         self.settings_path = pathlib.Path(folder, f"{name}.toml")
@@ -478,6 +629,9 @@
             held = asyncio.run(bounded(work_folder))
         except TimeoutError:
             record.show("the case did not end in time")
+        except Exception:
+            # An error of the script is no broken rule.
+            traceback.print_exc()
     record.show({True: "the rule held", False: "the rule was broken"}.get(held, "could not run"))
     record.close()
     sys.exit({True: 0, False: 1}.get(held, 2))
