--- a/review/standins.py
+++ b/review/standins.py
@@ -265,6 +265,31 @@
         return 200, {"revision": self.revision}
 
 
+class CuttingStore(Store):
+    """A store that can cut the watches that are waiting."""
+
+    def __init__(self):
+        super().__init__()
+        self._cut = asyncio.Event()
+
+    def cut_watches(self):
+        self._cut.set()
+        self._cut = asyncio.Event()
+
+    async def respond(self, request, reader, writer):
+        if not request.first.startswith("GET /kv-watch"):
+            return await super().respond(request, reader, writer)
+        response = asyncio.create_task(super().respond(request, reader, writer))
+        cut = asyncio.create_task(self._cut.wait())
+        try:
+            await asyncio.wait((response, cut), return_when=asyncio.FIRST_COMPLETED)
+            # A watch that is cut ends with its connection.
+            return response.done() and await response
+        finally:
+            response.cancel()
+            cut.cancel()
+
+
 class Worker(HttpServer):
     """A worker of a plain service, which registers itself."""
 
@@ -429,6 +454,9 @@
             self.group = group | {"state": "open"}
         self.register()
 
+    async def _pause(self):
+        await asyncio.sleep(self.event_s)
+
     async def _stream(self, request, headers, writer):
         """Send as many events as the path names, and stop when the connection closes."""
         attempt = request.header("x-attempt-id")
@@ -444,7 +472,7 @@
         try:
             writer.write(("\r\n".join([*lines, "Transfer-Encoding: chunked"]) + "\r\n\r\n").encode())
             for number in range(first, count + 1):
-                await asyncio.sleep(self.event_s)
+                await self._pause()
                 if writer.is_closing() or writer.transport.is_closing():
                     raise ConnectionResetError
                 event = f"id: {number}\ndata: {attempt} {number}\n\n".encode()
@@ -518,9 +546,10 @@
         self.process.send_signal(number)
 
     def last_error(self):
-        """Return the last line of an error that the process wrote."""
+        """Return the last line of the last error that ended the process."""
         lines = self.log_path.read_text(errors="replace").splitlines()
-        return next((line for line in reversed(lines) if "Error" in line), "")
+        found = (line for line in reversed(lines) if "Error: " in line and line[:1] != "{")
+        return next(found, "").strip(" |")
 
     async def stop(self):
         self._is_stopped = True
@@ -552,6 +581,11 @@
     return "\n".join(lines) + "\n"
 
 
+def new_attempt():
+    """Return an id for a request."""
+    return os.urandom(8).hex()
+
+
 class Outcome:
     """How one request of a client ended: a status, or 0 for none."""
 
@@ -561,7 +595,7 @@
 
 async def send_request(record, address, method, path, headers, body=b"", timeout_s=2.5):
     """Send one request on a connection of its own and return its outcome."""
-    attempt = os.urandom(8).hex()
+    attempt = new_attempt()
     lines = [f"{method} {path} HTTP/1.1", f"X-Attempt-Id: {attempt}"]
     lines += [f"X-Deadline-Remaining-Ms: {int(timeout_s * 1000)}"]
     lines += [f"{name}: {value}" for name, value in headers]
