Read what others write through one strict module

Cause: each reader had a list of exceptions of its own around the parser, and converted numbers outside of it. int() of NaN or of 1e999 raised through the mirror's listener and the watch, whose task ends the process.

Change: toucanhold/parsing.py reads JSON, msgpack, numbers, names and addresses; what it returns is safe to use later. codec reads every number and text through it and no longer turns texts into numbers. All readers of stored items, reports, configurations, records, datagrams, headers, event IDs, settings and answers of the store use it. Entry and group records with addresses that nobody can connect to are refused when they are read.

The records of test_entries have real addresses now, as empty ones are refused.

--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -14,7 +14,7 @@
 
 
 def new_item(name, revision, boot="b1", value=None):
-    entry = entries.Entry(name, "zone-a", "r", "", "", boot)
+    entry = entries.Entry(name, "zone-a", "r", "10.1.0.1:80", "10.1.0.1:7340", boot)
     key = f"{entries.ENTRIES_PREFIX}{name}/{boot}"
     return keyvalue.Item(key, value or codec.to_json(entry), revision, revision)
 
--- a/toucanhold/backends/http.py
+++ b/toucanhold/backends/http.py
@@ -3,13 +3,12 @@
 import collections.abc
 import contextlib
 import functools
-import json
 
 import attrs
 import httpcore
 import trio
 
-from toucanhold import codec, connection_errors
+from toucanhold import codec, connection_errors, parsing
 from toucanhold.backends import client, pacing, pool
 
 REPORT_PATH = "/v1/load"
@@ -167,8 +166,8 @@
 def error_type(body: bytes) -> str:
     """Return the ``error.type`` of an engine's JSON error body, or an empty string without one."""
     try:
-        return json.loads(body)["error"]["type"]
-    except (ValueError, KeyError, TypeError):
+        return parsing.text(parsing.load_json(body)["error"]["type"])
+    except (parsing.ParseError, KeyError, TypeError):
         return ""
 
 
--- a/toucanhold/callers/order_keys.py
+++ b/toucanhold/callers/order_keys.py
@@ -1,11 +1,9 @@
 """Handles callers' requests for order keys."""
 
-import json
-
 import attrs
 import trio
 
-from toucanhold import asgi
+from toucanhold import asgi, parsing
 from toucanhold.orders import issued, keys
 from toucanhold.routing import requests
 
@@ -49,13 +47,12 @@
         try:
             with trio.fail_after(BODY_TIMEOUT_S):
                 body = await asgi.read_body(receive, BODY_LIMIT_BYTES)
-            count = json.loads(body or b"{}").get("count", 1)
+            count = parsing.load_json(body or b"{}").get("count", 1)
         except (
             asgi.BodyTooLargeError,
             trio.TooSlowError,
-            ValueError,
+            parsing.ParseError,
             AttributeError,
-            RecursionError,
         ) as error:
             raise _malformed_body("the body must be a JSON object") from error
         if type(count) is not int or not 1 <= count <= issued.MAX_KEYS_PER_REQUEST:
--- a/toucanhold/callers/reading.py
+++ b/toucanhold/callers/reading.py
@@ -2,12 +2,11 @@
 
 import json
 import string
-import typing
 
 import attrs
 import trio
 
-from toucanhold import asgi
+from toucanhold import asgi, parsing
 from toucanhold.callers import bodies
 from toucanhold.configuration import holder, rules
 from toucanhold.membership import permit
@@ -106,7 +105,7 @@
         self, scope: asgi.Scope, body: bytes, request_id: str
     ) -> requests.CallerRequest:
         try:
-            fields = json.loads(body, parse_constant=_reject_json_constant)
+            fields = parsing.load_json(body)
             name, stream = fields["model"], fields.get("stream", False)
             # The model is given as "service" or "service:adapter".
             name, _, adapter = name.partition(":") if isinstance(name, str) else (name, "", "")
@@ -114,7 +113,7 @@
             # Callers name the service, but engines know only the loaded model or adapter.
             body = json.dumps(fields | {"model": adapter or service.model}).encode()
             prefix = affinity.prefix_key(fields)
-        except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+        except (parsing.ParseError, KeyError, TypeError, AttributeError) as error:
             detail = "the body must be a JSON object with the field 'model'"
             raise new_refusal(requests.Problem.MALFORMED, detail) from error
         if stream is not None and not isinstance(stream, bool):
@@ -256,7 +255,3 @@
         raise new_refusal(
             requests.Problem.WRONG_CONTENT_TYPE, f"the content type must be {JSON_TYPE}"
         )
-
-
-def _reject_json_constant(name: str) -> typing.NoReturn:
-    raise ValueError(f"{name} is not valid JSON")
--- a/toucanhold/codec.py
+++ b/toucanhold/codec.py
@@ -1,11 +1,14 @@
 """Encoding of attrs objects to JSON and msgpack, and decoding."""
 
 import json
+import math
 import typing
 
 import cattrs
 import msgpack
 
+from toucanhold import parsing
+
 CONVERTER = cattrs.Converter(forbid_extra_keys=True)
 # Entries of adjacent versions run at the same time during a rolling upgrade; the older ones must
 # not reject a whole message because of a field that they do not know.
@@ -21,8 +24,32 @@
     return value
 
 
+def _structure_int(value: object, _: type) -> int:
+    # int() would also accept texts, and numbers that msgpack cannot encode again.
+    return parsing.whole(value, -parsing.MAX_WHOLE)
+
+
+def _structure_float(value: object, _: type) -> float:
+    # Ages of what never happened are infinite.
+    return float(parsing.number(value, -math.inf, math.inf))
+
+
+def _structure_str(value: object, _: type) -> str:
+    return parsing.text(value)
+
+
+def _structure_bool(value: object, _: type) -> bool:
+    if not isinstance(value, bool):
+        raise TypeError(f"expected true or false, got {type(value).__name__}")
+    return value
+
+
 for _converter in (CONVERTER, TOLERANT_CONVERTER):
     _converter.register_structure_hook(bytes, _structure_bytes)
+    _converter.register_structure_hook(int, _structure_int)
+    _converter.register_structure_hook(float, _structure_float)
+    _converter.register_structure_hook(str, _structure_str)
+    _converter.register_structure_hook(bool, _structure_bool)
 
 
 class CodecError(Exception):
@@ -86,9 +113,9 @@
     :raises CodecError: when the tag is missing or the bytes are malformed
     """
     try:
-        tag, plain = msgpack.unpackb(data)
-    except (ValueError, TypeError, msgpack.UnpackException) as error:
-        raise CodecError(f"not valid msgpack: {error!r}") from error
+        tag, plain = parsing.load_msgpack(data)
+    except (ValueError, TypeError) as error:
+        raise CodecError(f"not a pair of a tag and a value: {error}") from error
     if not isinstance(tag, str):
         raise CodecError(f"expected a string as tag, got {type(tag).__name__}")
     return tag, plain
@@ -96,9 +123,9 @@
 
 def _parse_json(data: bytes) -> object:
     try:
-        return json.loads(data)
-    except (ValueError, RecursionError) as error:
-        raise CodecError(f"not valid JSON: {error}") from error
+        return parsing.load_json(data)
+    except parsing.ParseError as error:
+        raise CodecError(str(error)) from error
 
 
 def _error_texts(error: Exception) -> list[str]:
--- a/toucanhold/configuration/document.py
+++ b/toucanhold/configuration/document.py
@@ -2,14 +2,12 @@
 
 import collections
 import collections.abc
-import ipaddress
-import json
 import pathlib
 import tomllib
 
 import attrs
 
-from toucanhold import codec
+from toucanhold import codec, parsing
 from toucanhold.configuration import inventory, rules
 
 FORMAT_VERSION = 1
@@ -68,8 +66,8 @@
     :raises InvalidDocumentError: with every error
     """
     try:
-        plain = tomllib.loads(data.decode()) if suffix == ".toml" else json.loads(data)
-    except ValueError as error:
+        plain = tomllib.loads(data.decode()) if suffix == ".toml" else parsing.load_json(data)
+    except (ValueError, RecursionError) as error:
         problem = DocumentError("document", str(error))
         raise InvalidDocumentError("document is not valid TOML or JSON", [problem]) from error
     return from_plain(plain)
@@ -81,7 +79,10 @@
     :param plain: maps, lists and scalars
     :raises InvalidDocumentError: with every error
     """
-    errors = list(_integer_errors("", plain))
+    try:
+        errors = list(_integer_errors("", plain))
+    except RecursionError:
+        errors = [DocumentError("document", "is nested too deeply")]
     if errors:
         raise InvalidDocumentError("invalid document", errors)
     try:
@@ -236,9 +237,8 @@
 
 
 def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
     try:
-        ipaddress.ip_address(host.strip("[]"))
-    except ValueError:
+        parsing.ip_address(text)
+    except parsing.ParseError:
         return False
-    return port.isdigit() and 0 < int(port) < 65536
+    return True
--- a/toucanhold/configuration/snapshot.py
+++ b/toucanhold/configuration/snapshot.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from toucanhold import codec
+from toucanhold import codec, parsing
 from toucanhold.configuration import document, inventory, rules
 
 RULES_PART = "rules"
@@ -57,8 +57,11 @@
         if kind is None or not self.body:
             return None
         try:
-            return codec.from_json(self.body, kind)
-        except codec.CodecError as error:
+            decoded = codec.from_json(self.body, kind)
+            for vm in decoded.vms if isinstance(decoded, inventory.Inventory) else ():
+                parsing.ip_address(vm.address)
+            return decoded
+        except (codec.CodecError, parsing.ParseError) as error:
             raise SnapshotError(f"part {self.name}: {error}", self.number) from error
 
 
--- a/toucanhold/coordination/etcd.py
+++ b/toucanhold/coordination/etcd.py
@@ -9,6 +9,7 @@
 import httpcore
 import trio
 
+from toucanhold import parsing
 from toucanhold.coordination import http_errors, keyvalue
 
 CALL_TIMEOUT_S = 2.0
@@ -45,13 +46,13 @@
         response_fields = await self._call("/v3/kv/range", request)
         return keyvalue.RangeResult(
             _parse_revision(response_fields),
-            tuple(map(_parse_item, response_fields.get("kvs", []))),
+            tuple(map(_parse_item, _parse_items(response_fields))),
         )
 
     async def read_key(self, key: str) -> keyvalue.Item | None:
         """See :class:`keyvalue.KeyValueClient`."""
         response_fields = await self._call("/v3/kv/range", {"key": _encode(key.encode())})
-        items = response_fields.get("kvs", [])
+        items = _parse_items(response_fields)
         return _parse_item(items[0]) if items else None
 
     async def commit(
@@ -76,12 +77,12 @@
     async def grant_lease(self, ttl_s: int) -> int:
         """See :class:`keyvalue.KeyValueClient`."""
         response_fields = await self._call("/v3/lease/grant", {"TTL": str(ttl_s)})
-        return int(response_fields["ID"])
+        return _parse_number(response_fields, "ID")
 
     async def keep_alive(self, lease: int) -> bool:
         """See :class:`keyvalue.KeyValueClient`."""
         response_fields = await self._call("/v3/lease/keepalive", {"ID": str(lease)})
-        return int(response_fields.get("result", {}).get("TTL", 0)) > 0
+        return _parse_number(_parse_fields(response_fields, "result"), "TTL", "0") > 0
 
     async def revoke_lease(self, lease: int) -> None:
         """See :class:`keyvalue.KeyValueClient`."""
@@ -119,10 +120,7 @@
             raise keyvalue.IndeterminateError(
                 f"{path}: expected HTTP status 200, got {response.status}: {content[:200]!r}"
             )
-        try:
-            return json.loads(content)
-        except ValueError as error:
-            raise keyvalue.IndeterminateError(f"{path}: response is not JSON") from error
+        return _parse_object(content)
 
     def _request(self, path: str, body: dict, timeout_s: float) -> httpcore.Request:
         content = json.dumps(body).encode()
@@ -161,10 +159,7 @@
 
 
 def _parse_watch_line(line: bytes) -> int:
-    try:
-        result = json.loads(line).get("result", {})
-    except ValueError as error:
-        raise keyvalue.IndeterminateError("watch message is not JSON") from error
+    result = _parse_fields(_parse_object(line), "result")
     if result.get("canceled"):
         if result.get("compact_revision"):
             raise keyvalue.CompactedError("the history that the watch needs was compacted")
@@ -192,18 +187,55 @@
     return {"request_put": put}
 
 
+def _parse_object(content: bytes) -> dict:
+    try:
+        response_fields = parsing.load_json(content)
+    except parsing.ParseError as error:
+        raise keyvalue.IndeterminateError(f"the response is {error}") from error
+    if not isinstance(response_fields, dict):
+        raise keyvalue.IndeterminateError("expected a JSON object as response")
+    return response_fields
+
+
+def _parse_fields(response_fields: dict, name: str) -> dict:
+    fields = response_fields.get(name, {})
+    if not isinstance(fields, dict):
+        raise keyvalue.IndeterminateError(f"expected an object in {name}")
+    return fields
+
+
+def _parse_items(response_fields: dict) -> list[dict]:
+    items = response_fields.get("kvs", [])
+    if not isinstance(items, list) or not all(isinstance(item, dict) for item in items):
+        raise keyvalue.IndeterminateError("expected a list of objects in kvs")
+    return items
+
+
 def _parse_item(kv: dict) -> keyvalue.Item:
+    try:
+        key = base64.b64decode(kv["key"]).decode()
+        value = base64.b64decode(kv.get("value", ""))
+    except (ValueError, TypeError, KeyError) as error:
+        raise keyvalue.IndeterminateError(f"expected key and value in base64: {error}") from error
     return keyvalue.Item(
-        key=base64.b64decode(kv["key"]).decode(),
-        value=base64.b64decode(kv.get("value", "")),
-        create_revision=int(kv.get("create_revision", 0)),
-        mod_revision=int(kv.get("mod_revision", 0)),
-        lease=int(kv.get("lease", 0)),
+        key=key,
+        value=value,
+        create_revision=_parse_number(kv, "create_revision", "0"),
+        mod_revision=_parse_number(kv, "mod_revision", "0"),
+        lease=_parse_number(kv, "lease", "0"),
     )
 
 
 def _parse_revision(response_fields: dict) -> int:
-    return int(response_fields.get("header", {}).get("revision", 0))
+    return _parse_number(_parse_fields(response_fields, "header"), "revision", "0")
+
+
+def _parse_number(fields: dict, name: str, default: str = "") -> int:
+    # The gateway writes 64-bit numbers as texts.
+    number = parsing.digits(str(fields.get(name, default)))
+    if number is None:
+        raise keyvalue.IndeterminateError(f"expected a number in {name}")
+    return number
 
 
 def _encode(data: bytes) -> str:
--- a/toucanhold/coordination/vms.py
+++ b/toucanhold/coordination/vms.py
@@ -1,11 +1,12 @@
 """Reads the platform's list of live and leaving VMs, which lags behind the VMs' state."""
 
 import abc
-import json
 
 import attrs
 import httpcore
 
+from toucanhold import parsing
+
 CALL_TIMEOUT_S = 2.0
 LEAVING_STATE = "leaving"
 
@@ -48,9 +49,9 @@
         try:
             async with httpcore.AsyncConnectionPool(retries=0) as pool:
                 response = await pool.request("GET", self.url, extensions={"timeout": timeouts})
-            vms = json.loads(response.content)["vms"]
+            vms = parsing.load_json(response.content)["vms"]
             return frozenset(vm["vm"] for vm in vms if vm["state"] == LEAVING_STATE)
         except (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError) as error:
             raise VmListError(f"{self.url}: {error!r}") from error
-        except (ValueError, KeyError, TypeError) as error:
+        except (parsing.ParseError, KeyError, TypeError) as error:
             raise VmListError(f"{self.url}: malformed list: {error!r}") from error
--- a/toucanhold/gateway/attempt.py
+++ b/toucanhold/gateway/attempt.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from toucanhold import events
+from toucanhold import events, parsing
 from toucanhold.gateway import call_state, calls, health, silence
 from toucanhold.routing import sse
 
@@ -147,9 +147,9 @@
 
     :raises calls.ResponseLostError: if events are missing before this one
     """
-    if not event.event_id.isdigit():
+    event_number = parsing.digits(event.event_id.decode("latin-1"))
+    if event_number is None:
         return True
-    event_number = int(event.event_id)
     last_number = state.last_event_id
     if last_number is not None and event_number <= last_number:
         return False
--- a/toucanhold/gateway/entries.py
+++ b/toucanhold/gateway/entries.py
@@ -8,7 +8,7 @@
 import attrs
 import trio
 
-from toucanhold import clock, codec, events
+from toucanhold import clock, codec, events, parsing
 from toucanhold.coordination import keyvalue, lease, mirror
 
 ENTRIES_PREFIX = "toucanhold/entries/"
@@ -56,6 +56,26 @@
     lending_address: str = ""
 
 
+def decode(data: bytes) -> Entry:
+    """Return the registration that a record contains.
+
+    :raises codec.CodecError: when it is malformed
+    """
+    entry = codec.from_json(data, Entry)
+    try:
+        for name in (entry.entry, entry.zone, entry.boot):
+            parsing.name(name)
+        parsing.number(entry.cores)
+        for address in (entry.callers_address, entry.exchange_address):
+            parsing.ip_address(address)
+        for address in (entry.tunnel_address, entry.lending_address):
+            if address:
+                parsing.ip_address(address)
+    except parsing.ParseError as error:
+        raise codec.CodecError(str(error)) from error
+    return entry
+
+
 @attrs.define(eq=False)
 class EntryList:
     """Keeps this entry registered and follows the registrations of the others.
@@ -161,7 +181,7 @@
             if item is None or key == self._own_key:
                 continue
             try:
-                self._records[key] = item.create_revision, codec.from_json(item.value, Entry)
+                self._records[key] = item.create_revision, decode(item.value)
             except codec.CodecError as error:
                 LOGGER.warning("entry record %s cannot be decoded: %s", key, error)
         self._refresh_others()
--- a/toucanhold/gateway/gateway.py
+++ b/toucanhold/gateway/gateway.py
@@ -101,7 +101,9 @@
         call: calls.Call,
         reply: calls.Reply,
     ) -> int:
-        service = routes.services[route.draw_service(self.rng)]
+        service = routes.services.get(route.draw_service(self.rng))
+        if service is None:
+            raise calls.CallError(calls.RefusalReason.NO_SERVER, retry_after_s=RETRY_AFTER_S)
         self.retry_budget.record_request(service.name)
         deadline_s = min(call.deadline_s, call.arrived_s + route.timeout_s)
         state = call_state.CallState(call, route, service, workspace, deadline_s, reply)
--- a/toucanhold/gateway/limits.py
+++ b/toucanhold/gateway/limits.py
@@ -16,6 +16,7 @@
 # many limits.
 REPEAT_PERIOD_S = 10.0
 MAX_LIMITS = 4096
+MAX_VERSION = 2**62
 
 LOGGER = logging.getLogger(__name__)
 
@@ -42,8 +43,9 @@
 
     @property
     def is_valid(self) -> bool:
-        """Whether the rate is a finite number that is not negative, if there is one."""
-        return self.rate_per_s is None or 0 <= self.rate_per_s < math.inf
+        """Whether the version and the rate, if there is one, are within their bounds."""
+        is_rate = self.rate_per_s is None or 0 <= self.rate_per_s < math.inf
+        return is_rate and 0 <= self.version < MAX_VERSION
 
     def replaces(self, other: Limit) -> bool:
         """Return whether this is a later limit, or the lower one of two of the same version."""
@@ -75,6 +77,8 @@
         if rate_per_s is None and sent_s < self._learned_s[server.incarnation]:
             return
         version = known.version + 1 if known is not None else 1
+        # A notice with a garbled version must not make this entry's own notices invalid.
+        version = min(version, MAX_VERSION - 1)
         self._put(Limit(server.server_id, server.born_ms, version, rate_per_s), "")
 
     def merge(self, limit: Limit, entry: str) -> None:
--- a/toucanhold/gateway/notices.py
+++ b/toucanhold/gateway/notices.py
@@ -8,7 +8,7 @@
 import attrs
 import msgpack
 
-from toucanhold import codec
+from toucanhold import codec, parsing
 from toucanhold.gateway import (
     crashes,
     draining,
@@ -22,6 +22,7 @@
 # Keep a datagram below its limit; a server ID and its count take about 20 bytes.
 MAX_SERVER_COUNTS = 1100
 MAX_RECENT_COUNTS = 150
+MAX_COUNT = 2**31
 
 
 class NoticeError(Exception):
@@ -107,11 +108,12 @@
     :raises NoticeError: if the datagram is not a valid notice
     """
     try:
-        notice = codec.from_plain_tolerant(msgpack.unpackb(data), Notice)
-    except (codec.CodecError, ValueError, msgpack.UnpackException) as error:
+        notice = codec.from_plain_tolerant(parsing.load_msgpack(data), Notice)
+    except (codec.CodecError, parsing.ParseError) as error:
         raise NoticeError(f"the datagram is not a valid notice: {error!r}") from error
-    if any(count < 0 for counts in (notice.in_flight, notice.recent) for count in counts.values()):
-        raise NoticeError(f"negative count of requests from entry {notice.entry}")
+    counts = (*notice.in_flight.values(), *notice.recent.values())
+    if not all(0 <= count <= MAX_COUNT for count in counts):
+        raise NoticeError(f"counts of requests out of bounds from entry {notice.entry}")
     if not all(limit.is_valid for limit in notice.limits):
         raise NoticeError(f"limits from entry {notice.entry} that are no rates: {notice.limits}")
     if not all(suspension.is_valid for suspension in notice.suspended):
--- a/toucanhold/orders/keys.py
+++ b/toucanhold/orders/keys.py
@@ -8,7 +8,7 @@
 import attrs
 import msgpack
 
-from toucanhold import keyring
+from toucanhold import keyring, parsing
 
 PREFIX = "thk1."
 VALID_S = 3600.0
@@ -70,8 +70,8 @@
                 raise InvalidKeyError("not in canonical base64 form")
             if self.secrets.find(mac, lambda secret: _mac(secret, body)) is None:
                 raise InvalidKeyError("invalid signature")
-            key = IssuedKey(*msgpack.unpackb(body))
-        except (ValueError, TypeError, msgpack.UnpackException) as error:
+            key = IssuedKey(*parsing.load_msgpack(body))
+        except (ValueError, TypeError) as error:
             raise InvalidKeyError("malformed") from error
         if key.workspace != workspace:
             raise InvalidKeyError("issued to another workspace")
--- a/toucanhold/peers/transport.py
+++ b/toucanhold/peers/transport.py
@@ -5,6 +5,8 @@
 
 import trio
 
+from toucanhold import parsing
+
 
 class TransportError(Exception):
     """A connection to a peer failed, or an address could not be bound."""
@@ -42,10 +44,10 @@
 
     async def connect(self, address: str) -> trio.abc.Stream:
         """See :class:`PeerTransport`."""
-        host, _, port = address.rpartition(":")
         try:
+            host, _, port = parsing.ip_address(address).rpartition(":")
             return await trio.open_tcp_stream(host.strip("[]"), int(port))
-        except OSError as error:
+        except (OSError, parsing.ParseError) as error:
             raise TransportError(f"cannot connect to {address}: {error}") from error
 
     async def listen(
--- a/toucanhold/platform/configuration.py
+++ b/toucanhold/platform/configuration.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import json
 import typing
 
+from toucanhold import parsing
 from toucanhold.coordination import keyvalue
 from toucanhold.routes import table
 
@@ -28,8 +28,8 @@
     :raises ConfigurationError: when the value is malformed
     """
     try:
-        return _parse_route_table(json.loads(item.value))
-    except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+        return _parse_route_table(parsing.load_json(item.value))
+    except (parsing.ParseError, KeyError, TypeError, AttributeError) as error:
         raise ConfigurationError(f"{type(error).__name__}: {error}") from error
 
 
@@ -38,43 +38,50 @@
     for route_fields in fields["routes"]:
         route = _parse_route(route_fields)
         routes.setdefault(route.host, {})[route.prefix] = route
-    services = {service["name"]: _parse_service(service) for service in fields["services"]}
+    services = [_parse_service(service) for service in fields["services"]]
     tenants = fields.get("tenants") or []
     workspaces = {
-        key: table.Workspace(tenant["name"], tenant.get("priority"))
+        parsing.name(key): _parse_workspace(tenant)
         for tenant in tenants
         for key in tenant.get("api_keys") or ()
     }
     return table.RouteTable(
-        version=int(fields["version"]),
+        version=parsing.whole(fields["version"]),
         routes=routes,
-        services=services,
+        services={service.name: service for service in services},
         workspaces=workspaces,
         has_workspaces=bool(tenants),
         limits=_parse_limits(fields.get("limits") or {}),
     )
 
 
+def _parse_workspace(fields: dict[str, typing.Any]) -> table.Workspace:
+    priority = fields.get("priority")
+    return table.Workspace(
+        parsing.name(fields["name"]), parsing.whole(priority) if priority is not None else None
+    )
+
+
 def _parse_route(fields: dict[str, typing.Any]) -> table.Route:
     # A route names either one service or a weighted list of services.
     weighted_services = fields.get("split") or [{"service": fields["service"], "weight": 1}]
     shares = tuple(
-        table.ServiceShare(share["service"], share["weight"]) for share in weighted_services
+        table.ServiceShare(parsing.name(share["service"]), parsing.number(share["weight"]))
+        for share in weighted_services
     )
-    is_stream = fields["kind"] == STREAMING
-    timeout_s = fields["timeout_ms"] / 1000
+    timeout_ms = parsing.number(fields["timeout_ms"])
     return table.Route(
-        name=fields["name"],
-        host=fields["host"].lower(),
-        prefix=fields["path_prefix"],
-        service_shares=tuple(share for share in shares if share.weight > 0) or shares,
+        name=parsing.name(fields["name"]),
+        host=parsing.name(fields["host"]).lower(),
+        prefix=parsing.name(fields["path_prefix"]),
+        service_shares=tuple(share for share in shares if share.weight > 0) or shares[:1],
         repeatability=_parse_repeatability(fields),
-        is_stream=is_stream,
-        max_attempts=int(fields.get("attempts") or 1),
-        timeout_s=timeout_s,
-        objective_s=(fields.get("goal_ms") or fields["timeout_ms"]) / 1000,
-        gap_objective_s=(fields.get("gap_target_ms") or fields["timeout_ms"]) / 1000,
-        priority=int(fields.get("priority") or 0),
+        is_stream=fields["kind"] == STREAMING,
+        max_attempts=_whole(fields, "attempts", 1),
+        timeout_s=timeout_ms / 1000,
+        objective_s=_number(fields, "goal_ms", timeout_ms) / 1000,
+        gap_objective_s=_number(fields, "gap_target_ms", timeout_ms) / 1000,
+        priority=_whole(fields, "priority", 0),
         is_public=bool(fields.get("public")),
     )
 
@@ -90,8 +97,8 @@
 def _parse_service(fields: dict[str, typing.Any]) -> table.Service:
     engine = fields.get("engine")
     return table.Service(
-        name=fields["name"],
-        cold_requests_per_s=fields.get("cold_per_s") or 0.0,
+        name=parsing.name(fields["name"]),
+        cold_requests_per_s=_number(fields, "cold_per_s", 0.0),
         engine=_parse_engine(engine) if engine and engine.get("models") else None,
     )
 
@@ -99,33 +106,42 @@
 def _parse_engine(fields: dict[str, typing.Any]) -> table.Engine:
     return table.Engine(
         models=tuple(_parse_model(model) for model in fields["models"]),
-        slots=int(fields["slots"]),
-        memory_tokens=int(fields.get("kv_capacity") or 0),
-        step_s=(fields.get("step_ms") or 0) / 1000,
-        steps_per_pass=int(fields.get("stride") or 1),
-        prefill_tokens_per_s=fields.get("read_per_s") or 0.0,
-        formation_time_s=(fields.get("form_ms") or 0) / 1000,
-        loads_per_s=fields.get("loads_per_s") or 0.0,
-        max_concurrent_loads=int(fields.get("loads_at_once") or 1),
-        step_per_request_s=(fields.get("per_seq_ms") or 0) / 1000,
-        prefill_step_tokens=int(fields.get("chunk") or 0),
+        slots=int(parsing.number(fields["slots"])),
+        memory_tokens=_whole(fields, "kv_capacity", 0),
+        step_s=_number(fields, "step_ms", 0.0) / 1000,
+        steps_per_pass=_whole(fields, "stride", 1),
+        prefill_tokens_per_s=_number(fields, "read_per_s", 0.0),
+        formation_time_s=_number(fields, "form_ms", 0.0) / 1000,
+        loads_per_s=_number(fields, "loads_per_s", 0.0),
+        max_concurrent_loads=_whole(fields, "loads_at_once", 1),
+        step_per_request_s=_number(fields, "per_seq_ms", 0.0) / 1000,
+        prefill_step_tokens=_whole(fields, "chunk", 0),
     )
 
 
 def _parse_model(fields: dict[str, typing.Any]) -> table.Model:
     return table.Model(
-        name=fields["name"],
-        size=int(fields.get("size") or 1),
-        share=fields.get("share") or 0.0,
-        pace=fields.get("pace") or 1.0,
-        load_s=fields.get("load_s") or 0.0,
-        warm_s=fields.get("warm_s") or 0.0,
+        name=parsing.name(fields["name"]),
+        size=_whole(fields, "size", 1),
+        share=_number(fields, "share", 0.0),
+        pace=_number(fields, "pace", 1.0),
+        load_s=_number(fields, "load_s", 0.0),
+        warm_s=_number(fields, "warm_s", 0.0),
     )
 
 
 def _parse_limits(fields: dict[str, typing.Any]) -> table.Limits:
     return table.Limits(
-        header_bytes=fields.get("max_header_bytes") or DEFAULT_HEADER_BYTES,
-        body_bytes=fields.get("max_body_bytes") or DEFAULT_BODY_BYTES,
-        idle_timeout_s=(fields.get("idle_timeout_ms") or DEFAULT_IDLE_TIMEOUT_S * 1000) / 1000,
+        header_bytes=_whole(fields, "max_header_bytes", DEFAULT_HEADER_BYTES),
+        body_bytes=_whole(fields, "max_body_bytes", DEFAULT_BODY_BYTES),
+        idle_timeout_s=_number(fields, "idle_timeout_ms", DEFAULT_IDLE_TIMEOUT_S * 1000) / 1000,
     )
+
+
+def _number(fields: dict[str, typing.Any], name: str, default: float) -> float:
+    """Return the number in a field, or the default where it is missing, null or 0."""
+    return parsing.number(fields.get(name) or default)
+
+
+def _whole(fields: dict[str, typing.Any], name: str, default: int) -> int:
+    return int(_number(fields, name, default))
--- a/toucanhold/platform/front.py
+++ b/toucanhold/platform/front.py
@@ -9,13 +9,13 @@
 import attrs
 import trio
 
-from toucanhold import asgi, events, metrics
+from toucanhold import asgi, events, metrics, parsing
 from toucanhold.gateway import calls, gateway
 from toucanhold.platform import headers
 
 # Time allowed for a request without a deadline header.
 DEFAULT_TIMEOUT_S = 30.0
-MAX_COUNT_DIGITS = 9
+MAX_COUNT = 10**9 - 1
 MAX_PROMPT_PARTS = 64
 PART_ID_PATTERN = re.compile("[0-9a-f]{1,32}")
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
@@ -188,7 +188,7 @@
         deadline_s=arrived_s
         + _parse_remaining_s(headers.find(request_headers, headers.REMAINING_MS)),
         model=headers.find(request_headers, headers.MODEL),
-        last_event_id=int(last_event_id) if headers.is_number(last_event_id) else None,
+        last_event_id=parsing.digits(last_event_id),
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
         shared_parts=_parse_shared_parts(headers.find(request_headers, headers.PROMPT_PARTS)),
@@ -196,7 +196,8 @@
 
 
 def _parse_remaining_s(text: str) -> float:
-    return int(text) / 1000 if headers.is_number(text) else DEFAULT_TIMEOUT_S
+    remaining_ms = parsing.digits(text)
+    return remaining_ms / 1000 if remaining_ms is not None else DEFAULT_TIMEOUT_S
 
 
 def _parse_tokens(usage: str, hint: str) -> tuple[int | None, int | None]:
@@ -226,10 +227,7 @@
 
 
 def _parse_count(text: str) -> int | None:
-    """Return a number of at most nine ASCII digits, else None."""
-    digits = text.strip()
-    is_number = digits.isascii() and digits.isdigit() and len(digits) <= MAX_COUNT_DIGITS
-    return int(digits) if is_number else None
+    return parsing.digits(text.strip(), MAX_COUNT)
 
 
 async def _refuse(reply: HttpReply, error: calls.CallError) -> None:
--- a/toucanhold/platform/headers.py
+++ b/toucanhold/platform/headers.py
@@ -83,11 +83,6 @@
     return any(key.lower() in (b"content-length", b"transfer-encoding") for key, _ in lines)
 
 
-def is_number(text: str) -> bool:
-    """Return whether a header's value is a plain whole number."""
-    return text.isascii() and text.isdigit()
-
-
 def headers_to_forward(lines: HeaderLines) -> tuple[tuple[bytes, bytes], ...]:
     """Return the caller's headers that are forwarded unchanged, with names in lower case."""
     normalized = [(key.lower(), value) for key, value in lines]
--- a/toucanhold/platform/servers.py
+++ b/toucanhold/platform/servers.py
@@ -11,6 +11,7 @@
 import httpcore
 import trio
 
+from toucanhold import parsing
 from toucanhold.gateway import calls, server_links
 from toucanhold.platform import headers, registrations
 from toucanhold.platform import signals as platform_signals
@@ -112,8 +113,8 @@
             status, content = await self._control_call(
                 server, b"GET", b"/report", b"", on_connected
             )
-            report_fields = json.loads(content) if status == 200 else None
-        except (calls.ExchangeError, ValueError) as error:
+            report_fields = parsing.load_json(content) if status == 200 else None
+        except (calls.ExchangeError, parsing.ParseError) as error:
             LOGGER.debug("%s: no report: %s", server.server_id, error)
             return None
         if not isinstance(report_fields, dict):
@@ -130,10 +131,12 @@
         )
         # In a report, "seq" counts the orders that the server has begun; in a registration, it
         # counts the server's own writes.
-        order_count = report_fields.get("seq")
-        if reported is None or not isinstance(order_count, int):
+        try:
+            order_count = parsing.whole(report_fields.get("seq"))
+        except parsing.ParseError as error:
+            LOGGER.debug("%s: no report: %s", server.server_id, error)
             return None
-        return attrs.evolve(reported, order_count=order_count)
+        return attrs.evolve(reported, order_count=order_count) if reported is not None else None
 
     async def _control_call(
         self,
--- a/toucanhold/platform/settings.py
+++ b/toucanhold/platform/settings.py
@@ -9,10 +9,13 @@
 
 import attrs
 
+from toucanhold import parsing
 from toucanhold.gateway import policies
 
 FILE_VARIABLE = "TOUCANHOLD_SETTINGS"
 POLICIES_VARIABLE = "TOUCANHOLD_POLICIES"
+# Tunnels and loans use the two ports after the first internal one.
+MAX_PORT = parsing.MAX_PORT - 2
 
 
 class SettingsError(Exception):
@@ -84,6 +87,14 @@
         self.document = document
         self.errors: list[str] = []
 
+    def address(self, path: str) -> str:
+        found = self._lookup(path)
+        try:
+            return parsing.ip_address(found)
+        except parsing.ParseError as error:
+            self.errors.append(f"{path}: {error}")
+            return ""
+
     def text(self, path: str, default: str | None = None) -> str:
         found = self._lookup(path)
         if isinstance(found, str) and found:
@@ -97,17 +108,21 @@
         found = self._lookup(path)
         if found is None:
             return default
-        if isinstance(found, bool) or not isinstance(found, int | float) or found < 0:
-            self.errors.append(f"{path}: expected a number of 0 or more, got {found!r}")
+        try:
+            return parsing.number(found) * factor
+        except parsing.ParseError as error:
+            self.errors.append(f"{path}: {error}")
             return default
-        return found * factor
 
     def first_port(self, path: str) -> int:
         found = self._lookup(path)
-        if isinstance(found, list) and found and isinstance(found[0], int):
-            return found[0]
-        self.errors.append(f"{path}: expected a list of two port numbers, got {found!r}")
-        return 0
+        try:
+            return parsing.whole(
+                found[0] if isinstance(found, list) and found else None, 1, MAX_PORT
+            )
+        except parsing.ParseError as error:
+            self.errors.append(f"{path}: expected a list of two port numbers: {error}")
+            return 0
 
     def _lookup(self, path: str) -> typing.Any:
         found: typing.Any = self.document
@@ -129,7 +144,7 @@
         raise SettingsError(f"{FILE_VARIABLE} is not set; expected the path of the settings file")
     try:
         settings = parse(pathlib.Path(path).read_text())
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise SettingsError(f"{path}: {error}") from error
     try:
         active_policies = policies.parse(variables.get(POLICIES_VARIABLE, ""))
@@ -149,13 +164,13 @@
         entry=reader.text("node"),
         zone=reader.text("zone"),
         region=reader.text("region", default="-"),
-        callers_address=reader.text("listen.front"),
-        readiness_address=reader.text("listen.ready"),
-        directory_address=reader.text("listen.directory"),
+        callers_address=reader.address("listen.front"),
+        readiness_address=reader.address("listen.ready"),
+        directory_address=reader.address("listen.directory"),
         exchange_address=f"{reader.text('ip')}:{reader.first_port('internal_ports')}",
         tunnel_address=f"{reader.text('ip')}:{reader.first_port('internal_ports') + 1}",
         lending_address=f"{reader.text('ip')}:{reader.first_port('internal_ports') + 2}",
-        store_address=reader.text("platform.address"),
+        store_address=reader.address("platform.address"),
         min_lease_s=reader.number("platform.ttl_min_ms", 1.0, 0.001),
         # In the file, "cores" is the speed of the one core of which this process has a share,
         # relative to a standard core.
--- a/toucanhold/platform/store.py
+++ b/toucanhold/platform/store.py
@@ -15,6 +15,7 @@
 import httpcore
 import trio
 
+from toucanhold import parsing
 from toucanhold.coordination import http_errors, keyvalue, mirror, watching
 
 # The store answers in 4 ms, in 240 ms when it is slow, and otherwise not at all; waiting longer
@@ -84,6 +85,8 @@
             items += page
             if not response_fields.get("has_more") or not page:
                 break
+            if page[-1].key <= last_key:
+                raise keyvalue.IndeterminateError("expected a page of keys after the last one")
             last_key = page[-1].key
         return keyvalue.RangeResult(first_revision, tuple(items))
 
@@ -225,9 +228,9 @@
     if not content:
         return {}
     try:
-        response_fields = json.loads(content)
-    except ValueError as error:
-        raise keyvalue.IndeterminateError(f"{path}: response is not JSON") from error
+        response_fields = parsing.load_json(content)
+    except parsing.ParseError as error:
+        raise keyvalue.IndeterminateError(f"{path}: {error}") from error
     if not isinstance(response_fields, dict):
         raise keyvalue.IndeterminateError(f"{path}: expected a JSON object as response")
     return response_fields
@@ -242,13 +245,11 @@
     return [fields for fields in objects if isinstance(fields, dict)]
 
 
-def _get_int(response_fields: dict, name: str) -> int:
-    number = response_fields.get(name)
-    if not isinstance(number, int):
-        raise keyvalue.IndeterminateError(
-            f"expected an integer in {name}, got {type(number).__name__}"
-        )
-    return number
+def _get_int(response_fields: dict, name: str, default: int | None = None) -> int:
+    try:
+        return parsing.whole(response_fields.get(name, default))
+    except parsing.ParseError as error:
+        raise keyvalue.IndeterminateError(f"{name}: {error}") from error
 
 
 def _parse_item(fields: dict) -> keyvalue.Item:
@@ -258,17 +259,24 @@
         # Written by another client; readers of the key report an undecodable value themselves.
         value = b""
     return keyvalue.Item(
-        key=str(fields.get("key", "")),
+        key=_get_key(fields),
         value=value,
         # The store's "revision" is that of the last change, "create_rev" that of the creation.
-        create_revision=int(fields.get("create_rev") or 0),
-        mod_revision=int(fields.get("revision") or 0),
-        lease=int(fields.get("lease") or 0),
+        create_revision=_get_int(fields, "create_rev", 0),
+        mod_revision=_get_int(fields, "revision", 0),
+        lease=_get_int(fields, "lease", 0),
     )
 
 
 def _parse_deletion(fields: dict) -> mirror.Deletion:
-    return mirror.Deletion(str(fields.get("key", "")), int(fields.get("revision") or 0))
+    return mirror.Deletion(_get_key(fields), _get_int(fields, "revision", 0))
+
+
+def _get_key(fields: dict) -> str:
+    try:
+        return parsing.text(fields.get("key"))
+    except parsing.ParseError as error:
+        raise keyvalue.IndeterminateError(f"key: {error}") from error
 
 
 def _encode_condition(condition: keyvalue.Condition) -> dict:
--- a/toucanhold/replicas/records.py
+++ b/toucanhold/replicas/records.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from toucanhold import codec, events
+from toucanhold import codec, events, parsing
 from toucanhold.coordination import keyvalue, mirror
 from toucanhold.registry import registry, servers
 
@@ -189,6 +189,13 @@
     record = codec.from_json(item.value, GroupRecord)
     if not record.members:
         raise codec.CodecError("group record has no members; expected at least one")
+    try:
+        for member in record.members:
+            parsing.name(member.server_id)
+            if member.address:
+                parsing.ip_address(member.address)
+    except parsing.ParseError as error:
+        raise codec.CodecError(str(error)) from error
     return Group(record, item.create_revision, item.mod_revision)
 
 
--- a/toucanhold/routing/resuming.py
+++ b/toucanhold/routing/resuming.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from toucanhold import parsing
 from toucanhold.backends import client
 from toucanhold.routing import sse
 
@@ -72,7 +73,7 @@
 
 
 def _parse_event_id(event_id: bytes) -> int:
-    try:
-        return int(event_id)
-    except ValueError as error:
-        raise StreamGapError(f"event id {event_id[:40]!r} is not a number") from error
+    number = parsing.digits(event_id.decode("latin-1"))
+    if number is None:
+        raise StreamGapError(f"expected a number as event id, got {event_id[:40]!r}")
+    return number
--- a/toucanhold/routing/slots.py
+++ b/toucanhold/routing/slots.py
@@ -13,7 +13,7 @@
 import attrs
 import trio
 
-from toucanhold import events
+from toucanhold import events, parsing
 from toucanhold.coordination import keyvalue
 
 # All entries must use the same number of slots; changing it requires another prefix.
@@ -173,5 +173,5 @@
 
 def _parse_slot(key: str) -> tuple[int, ...]:
     # Empty for a malformed key, which must not stop this entry.
-    name = key.removeprefix(SLOTS_PREFIX)
-    return (int(name),) if name.isdecimal() else ()
+    slot = parsing.digits(key.removeprefix(SLOTS_PREFIX))
+    return (slot,) if slot is not None else ()
--- a/toucanhold/settings.py
+++ b/toucanhold/settings.py
@@ -1,14 +1,13 @@
 """Settings of an entry, read from command-line flags and environment variables."""
 
 import collections.abc
-import ipaddress
 import random
 import string
 import typing
 
 import attrs
 
-from toucanhold import keyring, logs
+from toucanhold import keyring, logs, parsing
 
 ENVIRONMENT_PREFIX = "TOUCANHOLD_"
 SECRET_MIN_LENGTH = 16
@@ -41,14 +40,10 @@
 
 
 def _address(text: str) -> str:
-    host, _, port = text.rpartition(":")
     try:
-        ipaddress.ip_address(host.strip("[]"))
-    except ValueError:
-        raise ValueError("must be IP:port") from None
-    if not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError("must have a port of 1 to 65535")
-    return text
+        return parsing.ip_address(text)
+    except parsing.ParseError:
+        raise ValueError("must be IP:port, with a port of 1 to 65535") from None
 
 
 def _addresses(text: str) -> tuple[str, ...]:
