Do not take a cut watch for an outage of the store

Cause: any failed call counted as an outage. The next answer, which told of the removal, was taken for the end of it, and removed servers stay in use for 2.2 s after an outage so that lapsed registrations can return.

Followers of prefixes tell of a lost service only if a read fails.

--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -2,12 +2,13 @@
 
 import random
 import unittest
+from unittest import mock
 
 import trio
 
 from standins import memory
 from tests import test_revisions as support
-from toucanhold.coordination import keyvalue, lease, rate_limit
+from toucanhold.coordination import following, keyvalue, lease, rate_limit
 
 KEY = "toucanhold/key"
 TTL_S = 4
@@ -82,6 +83,33 @@
             self.assertTrue(site.app("entry-2").entry_lease.is_held())
 
 
+class FollowerTest(unittest.TestCase):
+    @support.on_test_clock
+    async def test_a_watch_that_is_cut_is_no_outage_of_the_service(self):
+        """Guards against an entry that tells of a lost service whenever a watch ends."""
+        client = memory.MemoryPlatform().client("entry-0")
+        states = set()
+
+        async def refresh():
+            states.add(follower.is_answering)
+            return (await client.read("k")).revision
+
+        follower = following.PrefixFollower(client, "k", refresh, random.Random(1))
+        with (
+            mock.patch.object(
+                memory.MemoryClient, "watch", side_effect=keyvalue.IndeterminateError("cut")
+            ),
+            trio.move_on_after(10),
+        ):
+            await follower.run()
+        self.assertTrue(follower.is_answering)
+        client.faults.mode = "down"
+        with trio.move_on_after(1):
+            await follower.run()
+        self.assertFalse(follower.is_answering)
+        self.assertEqual({False, True}, states)
+
+
 class CallCostTest(unittest.TestCase):
     @support.on_test_clock
     async def test_waiting_for_a_held_lease_costs_one_read_per_attempt(self):
--- a/toucanhold/coordination/following.py
+++ b/toucanhold/coordination/following.py
@@ -23,7 +23,7 @@
 
     :ivar refresh: reads and applies the current state; returns the revision read
     :ivar rng: jitter of the backoff and of the refresh interval
-    :ivar is_answering: whether the key-value service answered the last call
+    :ivar is_answering: whether the key-value service answers reads; a watch may be cut meanwhile
     """
 
     client: keyvalue.KeyValueClient
@@ -37,29 +37,35 @@
         backoff_s = FIRST_BACKOFF_S
         while True:
             try:
-                await self._refresh_and_watch()
+                revision = await self._refresh()
                 backoff_s = FIRST_BACKOFF_S
+                await self._watch(revision)
                 continue
             except keyvalue.CompactedError:
                 continue
             except keyvalue.KeyValueError as error:
-                if self.is_answering:
-                    backoff_s = FIRST_BACKOFF_S
-                self._set_answering(False, str(error))
+                LOGGER.debug("cannot follow %s: %s", self.prefix, error)
             # Jitter keeps the entries from calling all at once when the service recovers.
             await trio.sleep(backoff_s * self.rng.uniform(0.5, 1.5))
             backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
 
-    async def _refresh_and_watch(self) -> None:
-        revision = await self.refresh()
+    async def _refresh(self) -> int:
+        try:
+            revision = await self.refresh()
+        except keyvalue.KeyValueError as error:
+            self._set_answering(False, str(error))
+            raise
         self._set_answering(True, "")
+        return revision
+
+    async def _watch(self, revision: int) -> None:
         # A watch whose connection is dead without an error never reports a change, so its reader
         # would keep stale state; hence a read at an interval.
         with trio.move_on_after(REFRESH_INTERVAL_S * self.rng.uniform(0.8, 1.2)):
             async with self.client.watch(self.prefix, revision + 1) as revisions:
                 async for changed_revision in revisions:
                     if changed_revision > revision:
-                        revision = await self.refresh()
+                        revision = await self._refresh()
 
     def _set_answering(self, is_answering: bool, reason: str) -> None:
         if is_answering != self.is_answering:
--- a/toucanhold/coordination/mirror.py
+++ b/toucanhold/coordination/mirror.py
@@ -57,9 +57,10 @@
     """How current a mirror is, and whether the service answers.
 
     :ivar confirmed_at: when the mirror last certainly held all items of the service
-    :ivar is_answering: whether the last call to the service was answered, here or at the entry
-        that this mirror follows
-    :ivar last_failure_at: when a call last failed
+    :ivar is_answering: whether the service answers calls, here or at the entry that this mirror
+        follows; one failed call alone does not change that
+    :ivar last_failure_at: when the service was last known to be away; see
+        :class:`outages.OutageDetector`
     """
 
     confirmed_at: clock.Instant = clock.DISTANT_PAST
@@ -88,12 +89,12 @@
 
     @property
     def is_answering(self) -> bool:
-        """Whether the service's last call was answered."""
+        """Whether the service answers calls."""
         return self.sync_status.is_answering
 
     @property
     def since_failure_s(self) -> float:
-        """Seconds since the last failed call."""
+        """Seconds since the service was last known to be away."""
         return self.sync_status.last_failure_at.age_s()
 
     def items_under(self, prefix: str) -> list[keyvalue.Item]:
--- a/toucanhold/events.py
+++ b/toucanhold/events.py
@@ -89,6 +89,7 @@
     ENTRY_LEFT = (7010, logging.INFO, "another entry has left or is stopping")
     SOURCE_FOLLOWED = (5004, logging.INFO, "this entry gets changes from another entry")
     SOURCE_LOST = (5005, logging.WARNING, "this entry gets no more changes from another entry")
+    WATCH_CUT = (5007, logging.INFO, "a watch failed once; the service may still answer")
     FOLLOWER_LOST = (5006, logging.INFO, "a stream to an entry that follows this one has ended")
     CALL_PLACED = (2010, logging.INFO, "a backend server was chosen for a request")
     CALL_ENDED = (2011, logging.INFO, "a request got its final answer")
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -219,6 +219,7 @@
 
     def _build_relay(self, peers: transport.PeerTransport) -> None:
         watch = watching.ServiceWatch(self.store, self.kv_mirror, self._batch_delay_s, self.rng)
+        self.store.on_answer = watch.outage_detector.record_answer
         self.hierarchy = hierarchy.Hierarchy(self.entry_list, self._planner_name)
         self.publisher = publishing.Publisher(
             self.kv_mirror, self.entry_list.own.exchange_address, peers
--- a/toucanhold/platform/store.py
+++ b/toucanhold/platform/store.py
@@ -35,9 +35,11 @@
 
     :ivar address: ``IP:port`` of the store
     :ivar calls: number of calls by kind; the platform charges for each call
+    :ivar on_answer: called after each call that the store answered and did not refuse
     """
 
     address: str
+    on_answer: collections.abc.Callable[[], None] = lambda: None
     calls: collections.Counter[str] = attrs.field(factory=collections.Counter, init=False)
     _pool: httpcore.AsyncConnectionPool = attrs.field(init=False)
 
@@ -214,7 +216,9 @@
             )
         if response.status in (429, 503):
             raise keyvalue.UnavailableError(f"{path}: refused with status {response.status}")
-        return response.status, _parse_object(path, response.content)
+        response_fields = _parse_object(path, response.content)
+        self.on_answer()
+        return response.status, response_fields
 
 
 def _check_status(status: int, expected_status: int, response_fields: dict) -> None:
--- a/toucanhold/relay/messages.py
+++ b/toucanhold/relay/messages.py
@@ -46,9 +46,9 @@
 class Status:
     """How current the sender's mirror is; sent at an interval.
 
-    :ivar is_answering: whether the service answered the last call
+    :ivar is_answering: whether the service answers calls
     :ivar confirmed_s: seconds since the mirror last certainly held all items of the service
-    :ivar failed_s: seconds since a call to the service last failed
+    :ivar failed_s: seconds since the service was last known to be away
     """
 
     is_answering: bool
