Defer an order to a new server that refuses its probe

Cause: a server with a backoff is returned by probe() as known, without a count of orders; send() then read the count that was never stored.

Change: without a count after the probe, the order is deferred, as during any other backoff. RefusedProbeTest fails before with KeyError: ('b0', 1).

--- a/tests/test_ordering.py
+++ b/tests/test_ordering.py
@@ -5,10 +5,10 @@
 import attrs
 import trio
 
-from standins import memory, replicas
+from standins import gateways, memory, replicas
 from tests import clocked
 from toucanhold.coordination import mirror
-from toucanhold.registry import registry
+from toucanhold.registry import backoffs, registry, signals
 from toucanhold.replicas import ordering, orders
 
 
@@ -102,3 +102,39 @@
             self.assertTrue(sender.is_unreachable(server.incarnation))
             self.assertEqual([], sender.paused())
             nursery.cancel_scope.cancel()
+
+
+@attrs.define(eq=False)
+class RefusingClient(orders.EngineClient):
+    """Refuses every probe with a backoff, as the signals of its answers tell."""
+
+    backoff_table: backoffs.BackoffTable
+    sent: list = attrs.field(factory=list)
+
+    async def send(self, server, order, order_count, fence):
+        self.sent.append(order)
+        return orders.OrderOutcome.BEGUN
+
+    async def probe(self, server, on_connected):
+        on_connected()
+        self.backoff_table.observe(server, signals.Signals(backoff_s=1.0), trio.current_time())
+        return None
+
+
+class RefusedProbeTest(unittest.TestCase):
+    @clocked.on_test_clock
+    async def test_an_order_to_a_new_server_that_refuses_probes_is_deferred(self):
+        """Guards against a refused probe that ends the planner's process."""
+        table = backoffs.BackoffTable()
+        engine_client = RefusingClient(table)
+        server_registry = registry.Registry(
+            mirror.Mirror(), replicas.REGISTRATIONS_PREFIX, replicas.decode_registration
+        )
+        sender = ordering.OrderSender(engine_client, server_registry, lambda: 1, table)
+        server = gateways.new_servers(1)["b0"]
+        for _ in range(3):
+            outcome = await sender.send(server, orders.Stage("m0"))
+            self.assertIs(orders.OrderOutcome.DEFERRED, outcome)
+            await trio.sleep(1.1)
+        self.assertEqual([], engine_client.sent)
+        self.assertFalse(sender.is_unreachable(server.incarnation))
--- a/toucanhold/replicas/ordering.py
+++ b/toucanhold/replicas/ordering.py
@@ -90,8 +90,14 @@
         async with self._locks[server.server_id]:
             if self.backoff_table.remaining_s(server):
                 return await self._send_during_backoff(server, order)
-            if server.incarnation not in self._order_counts and await self.probe(server) is None:
-                return orders.OrderOutcome.UNREACHABLE
+            if server.incarnation not in self._order_counts:
+                report = await self.probe(server)
+                if server.incarnation not in self._order_counts:
+                    # A server that refuses the probe with a backoff is returned without a count.
+                    outcomes = orders.OrderOutcome
+                    outcome = outcomes.UNREACHABLE if report is None else outcomes.DEFERRED
+                    _log_answer(server, order, None, outcome)
+                    return outcome
             outcome = await self._send_once(server, order)
             if outcome is orders.OrderOutcome.REFUSED:
                 # The engine may have begun one more order than its answers showed: a delayed one,
