Bear changes of a share of a limit during its write

Cause: a refusal (429 or 503) of a write removed the mark of an unclear write, which the mirror may have removed while the write was under way: KeyError, and the process ended. A renewal whose answer came after another entry's write was known held the share once more, so two entries would have used it.

Change: the mark is removed if it is still there; a share is held after a write only if no later write of another entry is known. Both tests of RemovedShareTest fail before: one with the KeyError, one with a share in use that was lost.

--- a/tests/test_limit_shares.py
+++ b/tests/test_limit_shares.py
@@ -6,10 +6,11 @@
 
 import trio
 
-from standins import retries
+from standins import gateways, memory, retries
 from tests import clocked
 from toucanhold import clock
-from toucanhold.gateway import limit_shares
+from toucanhold.coordination import keyvalue, mirror
+from toucanhold.gateway import entries, limit_shares
 
 WINDOW_S = 10.0
 SAMPLE_S = 0.25
@@ -129,3 +130,49 @@
     """Return a function that returns the current point in time as if so much had passed."""
     now = clock.now()
     return lambda: clock.Instant(now.monotonic_s + delay_s, now.suspended_s)
+
+
+class RemovedShareTest(unittest.TestCase):
+    def _new_shares(self):
+        kv_mirror = mirror.Mirror()
+        client = memory.MemoryPlatform().client("own")
+        own = gateways.new_entry("own")
+        entry_list = entries.EntryList(own, client, kv_mirror, random.Random(1))
+        return kv_mirror, limit_shares.LimitShares(client, kv_mirror, entry_list, random.Random(1))
+
+    @clocked.on_test_clock
+    async def test_a_refused_write_of_a_share_that_another_entry_took_is_no_error(self):
+        """Guards against a share that another entry takes while this one's write is refused."""
+        kv_mirror, shares = self._new_shares()
+        key = f"{limit_shares.PREFIX}01"
+
+        async def refuse_after_another_write(*arguments):
+            item = keyvalue.Item(key, b'{"entry": "e2", "boot": "b2"}', 5, 5)
+            kv_mirror.replace(keyvalue.RangeResult(5, (item,)))
+            raise keyvalue.UnavailableError("refused with status 503")
+
+        with unittest.mock.patch.object(memory.MemoryClient, "commit", refuse_after_another_write):
+            with self.assertRaises(keyvalue.UnavailableError):
+                await shares._take(key)
+        self.assertEqual(0, shares.fraction(1.0))
+
+    @clocked.on_test_clock
+    async def test_a_share_that_was_lost_during_its_renewal_is_not_held_again(self):
+        """Guards against a share of a limit that two entries use."""
+        kv_mirror, shares = self._new_shares()
+        key = f"{limit_shares.PREFIX}01"
+        await shares._take(key)
+        await trio.sleep(limit_shares.RENEW_S + 1)
+
+        async def succeed_before_another_write(*arguments):
+            item = keyvalue.Item(key, b'{"entry": "e2", "boot": "b2"}', 5, 9)
+            kv_mirror.replace(keyvalue.RangeResult(9, (item,)))
+            return keyvalue.CommitResult(True, 8)
+
+        with unittest.mock.patch.object(
+            memory.MemoryClient, "commit", succeed_before_another_write
+        ):
+            await shares._renew()
+            self.assertEqual([], shares.usable(1.0))
+            await shares._take(key)
+        self.assertEqual([], shares.usable(1.0))
--- a/toucanhold/gateway/limit_shares.py
+++ b/toucanhold/gateway/limit_shares.py
@@ -133,10 +133,9 @@
                 continue
             written_at = clock.now()
             result = await self._write(key, held.revision)
-            if result.succeeded:
-                self._held[key] = attrs.evolve(
-                    held, revision=result.revision, written_at=written_at
-                )
+            if result.succeeded and key in self._held:
+                revision = max(result.revision, self._held[key].revision)
+                self._held[key] = attrs.evolve(held, revision=revision, written_at=written_at)
 
     async def _take_one(self) -> bool:
         """Try to take a share that is free; return whether there was one."""
@@ -157,16 +156,24 @@
         try:
             result = await self._write(key, seen.revision if seen is not None else 0)
         except keyvalue.UnavailableError:
-            del self._unclear[key]
+            # The mirror may have told meanwhile what became of the share.
+            self._unclear.pop(key, None)
             raise
         self._unclear.pop(key, None)
-        if result.succeeded:
+        if result.succeeded and not self._is_taken_after(key, result.revision):
             # An earlier process of this entry had ended when this one started.
             is_own = seen is not None and self._is_own(seen)
             acquired_at = self._started_at if is_own else clock.now()
             held = _HeldShare(result.revision, written_at, acquired_at, is_new=seen is None)
             self._hold(key, held)
 
+    def _is_taken_after(self, key: str, revision: int) -> bool:
+        """Return whether another entry has written a share since a revision."""
+        own = self.entry_list.own
+        seen = self._seen.get(key)
+        is_later = seen is not None and seen.revision > revision
+        return is_later and seen.holder != Holder(own.entry, own.boot)
+
     async def _write(self, key: str, revision: int) -> keyvalue.CommitResult:
         own = self.entry_list.own
         condition = keyvalue.Condition(key, mod_revision=revision)
