Write no key without a lease while it is being released

Cause: release() clears the lease while _acquire() waits for its renewal; the key was then written with lease 0 and would stay for good after the process has ended: no planner could be elected, or callers would be sent to a dead entry.

Change: _acquire() ends if the key was released meanwhile. The test fails before: the key is found with lease=0.

--- a/tests/test_lease_release.py
+++ b/tests/test_lease_release.py
@@ -2,11 +2,13 @@
 
 import random
 import unittest
+import unittest.mock
 
 import trio
 import trio.testing
 
 from standins import memory
+from tests import clocked
 from toucanhold.coordination import lease
 
 KEY = "toucanhold/entries/entry-0"
@@ -59,3 +61,24 @@
 
         before, after = trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
         self.assertEqual(1, len(after - before), "a read was made before")
+
+    @clocked.on_test_clock
+    async def test_a_key_is_not_written_without_a_lease_during_a_release(self):
+        """Guards against the key of a planner that is gone, which stays for good."""
+        platform = memory.MemoryPlatform()
+        client = platform.client("entry-0")
+        leased_key = lease.LeasedKey(client, "k", b"v", 2, random.Random(1))
+        leased_key._lease = await client.grant_lease(60)
+        keep_alive = client.keep_alive
+
+        async def released_meanwhile(lease_id):
+            await leased_key.release()
+            return True
+
+        with unittest.mock.patch.object(
+            memory.MemoryClient, "keep_alive", side_effect=released_meanwhile
+        ):
+            await leased_key._acquire()
+        self.assertIsNone(await client.read_key("k"))
+        self.assertFalse(leased_key.is_held())
+        self.assertFalse(await keep_alive(1))
--- a/toucanhold/coordination/lease.py
+++ b/toucanhold/coordination/lease.py
@@ -83,6 +83,9 @@
             return
         if not self._lease or not await self.client.keep_alive(self._lease):
             self._lease = await self.client.grant_lease(self.ttl_s)
+        if self._is_released:
+            # The key would be written without a lease and stay for good.
+            return
         absent = keyvalue.Condition(self.key, create_revision=0)
         write = keyvalue.Write(self.key, self.value, self._lease)
         try:
