Let an unexpected error end only the work for its item

Cause: every task of an entry ran in one nursery, so an error that no layer expected, in the work for one server, key or datagram, ended the process with the requests of all callers.

Shared loops contain the work for each item, tasks of both applications start again after an error, and an error in a caller's request is answered with 502 or a broken-off answer instead of 500. TASK_FAILED tells the traceback. Dispatching keeps its queue if ordering fails. A second start of lending, polling and the settings signal is safe.

--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -3,6 +3,7 @@
 import collections
 import random
 import unittest
+from unittest import mock
 
 import attrs
 import msgpack
@@ -106,6 +107,29 @@
 
 
 class ExchangeTest(unittest.TestCase):
+    def test_a_datagram_that_meets_an_error_ends_only_its_own_handling(self):
+        """Guards against one datagram that ends the process with the requests of others."""
+        trio.run(self._exchange_after_errors)
+
+    async def _exchange_after_errors(self):
+        handle = exchange.Exchange._handle_datagram
+        failures = iter([KeyError("i-1"), ExceptionGroup("group", [OverflowError()])])
+
+        def fail_at_first(own_exchange, data):
+            failure = next(failures, None)
+            if failure is not None:
+                raise failure
+            return handle(own_exchange, data)
+
+        nodes = new_site("a", 2)
+        with mock.patch.object(exchange.Exchange, "_handle_datagram", fail_at_first):
+            async with trio.open_nursery() as nursery:
+                for node in nodes:
+                    nursery.start_soon(node.run)
+                nodes[1].loads.add("b0")
+                await wait_until(lambda: nodes[0].loads.estimate("b0") == 1)
+                nursery.cancel_scope.cancel()
+
     def test_two_entries_share_load_silent_servers_and_crash_counts(self):
         trio.run(self._exchange)
 
--- a/toucanhold/coordination/mirror.py
+++ b/toucanhold/coordination/mirror.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from toucanhold import clock, events, notifier
+from toucanhold import clock, events, notifier, supervision
 from toucanhold.coordination import keyvalue
 
 # Batches of changes kept for entries that follow this mirror. At most about ten batches arrive per
@@ -181,6 +181,9 @@
     def _notify(self, keys: set[str]) -> None:
         for prefix, listener in self._listeners:
             matching_keys = frozenset(key for key in keys if key.startswith(prefix))
-            if matching_keys:
-                listener(matching_keys)
+            if matching_keys and not supervision.call(listener, matching_keys):
+                # The error hid the other items of the batch. Listeners read the current items, so
+                # they may be called for a key again.
+                for key in matching_keys if len(matching_keys) > 1 else ():
+                    supervision.call(listener, frozenset((key,)))
         self.changed.notify_all()
--- a/toucanhold/entry.py
+++ b/toucanhold/entry.py
@@ -9,7 +9,16 @@
 import attrs
 import trio
 
-from toucanhold import application, codec, events, external, gauges, metrics, settings
+from toucanhold import (
+    application,
+    codec,
+    events,
+    external,
+    gauges,
+    metrics,
+    settings,
+    supervision,
+)
 from toucanhold.callers import app as callers_app
 from toucanhold.callers import directory
 from toucanhold.callers import reading as callers_reading
@@ -76,18 +85,21 @@
     async def start(self, nursery: trio.Nursery) -> None:
         """See :class:`application.Application`."""
         await nursery.start(self.peers.run)
-        nursery.start_soon(self.permit.run)
-        nursery.start_soon(self.revisions.run)
-        nursery.start_soon(self.hold_broadcaster.run)
-        nursery.start_soon(self.configuration_follower.run)
-        nursery.start_soon(self.plan_follower.run)
-        nursery.start_soon(self.roster_follower.run)
-        nursery.start_soon(self.entry_lease.run)
-        nursery.start_soon(self.planner_lease.run)
-        nursery.start_soon(self.router.run)
-        nursery.start_soon(self.poller.run)
-        nursery.start_soon(self._poll_vm_list)
-        nursery.start_soon(self.planner.run)
+        for run in (
+            self.permit.run,
+            self.revisions.run,
+            self.hold_broadcaster.run,
+            self.configuration_follower.run,
+            self.plan_follower.run,
+            self.roster_follower.run,
+            self.entry_lease.run,
+            self.planner_lease.run,
+            self.router.run,
+            self.poller.run,
+            self._poll_vm_list,
+            self.planner.run,
+        ):
+            nursery.start_soon(supervision.keep_running, run)
         await nursery.start(self.orders.run)
         await self._serve(nursery, self.callers, self.settings.callers_address)
         await self._serve(nursery, self.operators, self.settings.operators_address)
--- a/toucanhold/events.py
+++ b/toucanhold/events.py
@@ -84,6 +84,7 @@
     ZONE_OPENED = (4011, logging.INFO, "an availability zone gets new work again")
     SETTINGS_RELOADED = (1004, logging.INFO, "the settings were reloaded")
     SETTINGS_REFUSED = (1006, logging.ERROR, "the new settings could not be read and are ignored")
+    TASK_FAILED = (1007, logging.ERROR, "a task met an unexpected error; all others go on")
     LINES_DROPPED = (1005, logging.WARNING, "log lines were dropped to stay within the limits")
     ENTRY_JOINED = (7009, logging.INFO, "another entry was discovered")
     ENTRY_LEFT = (7010, logging.INFO, "another entry has left or is stopping")
--- a/toucanhold/gateway/admission.py
+++ b/toucanhold/gateway/admission.py
@@ -16,6 +16,7 @@
 import attrs
 import trio
 
+from toucanhold import supervision
 from toucanhold.gateway import calls, queueing, targets
 from toucanhold.registry import servers
 from toucanhold.routes import table
@@ -128,7 +129,7 @@
     def release(self, request: queueing.PlacementRequest, server: servers.Server) -> None:
         """Release a slot and give it to a queued request."""
         self._release(request, server)
-        self.dispatch()
+        supervision.call(self.dispatch)
 
     async def run(self) -> None:
         """Dispatch queued requests every ``DISPATCH_INTERVAL_S`` until cancelled."""
@@ -142,22 +143,32 @@
     def dispatch(self) -> None:
         """Assign servers with capacity to queued requests in queue order."""
         now_s = trio.current_time()
-        queued, self._queue = self._queue, []
-        queued.sort(key=lambda waiter: self._order_key(waiter, now_s))
+        queued = sorted(self._queue, key=lambda waiter: self._order_key(waiter, now_s))
+        self._queue = []
         full_keys: set[tuple[str, str]] = set()
         for waiter in queued:
-            request = waiter.request
-            if request.key in full_keys or not self._may_start(request, now_s):
-                self._queue.append(waiter)
-                continue
-            waiter.server = self._try_place(request)
-            if waiter.server is None:
-                full_keys.add(request.key)
-                self._queue.append(waiter)
-                continue
-            waiter.decided.set()
+            if not supervision.call(self._dispatch_one, waiter, now_s, full_keys):
+                waiter.decided.set()
         self._reject_unservable()
 
+    def _dispatch_one(
+        self, waiter: queueing.Waiter, now_s: float, full_keys: set[tuple[str, str]]
+    ) -> None:
+        """Assign a server to a queued request, or leave it in the queue.
+
+        :param full_keys: services and models without capacity; extended
+        """
+        request = waiter.request
+        if request.key in full_keys or not self._may_start(request, now_s):
+            self._queue.append(waiter)
+            return
+        waiter.server = self._try_place(request)
+        if waiter.server is None:
+            full_keys.add(request.key)
+            self._queue.append(waiter)
+            return
+        waiter.decided.set()
+
     def _order_key(self, waiter: queueing.Waiter, now_s: float) -> tuple[float, ...]:
         # By priority, then requests that can still be on time, then by policies, then by arrival.
         request = waiter.request
--- a/toucanhold/gateway/crash_store.py
+++ b/toucanhold/gateway/crash_store.py
@@ -13,7 +13,7 @@
 import attrs
 import trio
 
-from toucanhold import codec
+from toucanhold import codec, supervision
 from toucanhold.coordination import keyvalue, mirror
 from toucanhold.gateway import blame, crashes
 
@@ -65,8 +65,11 @@
         """Write culprits until cancelled."""
         async for key in self._pending:
             await trio.sleep(self.rng.uniform(0, MAX_WRITE_DELAY_S))
-            while not await self._store(key):
-                await trio.sleep(RETRY_DELAY_S * self.rng.uniform(0.5, 1.5))
+            await supervision.run(self._store_until_held, key)
+
+    async def _store_until_held(self, key: str) -> None:
+        while not await self._store(key):
+            await trio.sleep(RETRY_DELAY_S * self.rng.uniform(0.5, 1.5))
 
     def _enqueue(self, key: str) -> None:
         try:
--- a/toucanhold/gateway/exchange.py
+++ b/toucanhold/gateway/exchange.py
@@ -21,7 +21,7 @@
 import attrs
 import trio
 
-from toucanhold import notifier
+from toucanhold import notifier, supervision
 from toucanhold.gateway import (
     crashes,
     draining,
@@ -244,7 +244,7 @@
         by_name = {entry.entry: entry for entry in self.entry_list.others()}
         for name, reported_s in list(self._last_report_s.items()):
             if reported_s < oldest_s or name not in by_name:
-                del self._last_report_s[name]
+                self._last_report_s.pop(name, None)
                 continue
             await self._send_digest(socket, by_name[name])
 
@@ -263,9 +263,12 @@
                 if error.errno not in (errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH):
                     raise
                 continue
-            sender = self._handle_datagram(data)
-            if sender is not None:
-                await self._send_digest(socket, sender)
+            await supervision.run(self._handle_datagram_and_reply, socket, data)
+
+    async def _handle_datagram_and_reply(self, socket: trio.socket.SocketType, data: bytes) -> None:
+        sender = self._handle_datagram(data)
+        if sender is not None:
+            await self._send_digest(socket, sender)
 
     def _handle_datagram(self, data: bytes) -> entries.Entry | None:
         """Process a datagram; return the sender if it must be sent a digest, else None."""
--- a/toucanhold/gateway/retry_lending.py
+++ b/toucanhold/gateway/retry_lending.py
@@ -16,7 +16,7 @@
 import attrs
 import trio
 
-from toucanhold import clock
+from toucanhold import clock, supervision
 from toucanhold.gateway import entries, retry_budget, retry_loans
 
 # Entries that are asked at once, and the time until further ones are asked.
@@ -45,7 +45,7 @@
 
     @abc.abstractmethod
     async def open(self) -> None:
-        """Begin to receive; called once, before the other methods."""
+        """Begin to receive, before the other methods; called again after an error."""
 
     @abc.abstractmethod
     async def send(self, data: bytes, address: str) -> None:
@@ -71,6 +71,8 @@
 
     async def open(self) -> None:
         """See :class:`LoanTransport`; the socket is closed with the process."""
+        if self._socket is not None:
+            self._socket.close()
         host, _, port = self.address.rpartition(":")
         self._socket = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
         await self._socket.bind((host, int(port)))
@@ -159,7 +161,7 @@
             except retry_loans.LoanMessageError as error:
                 LOGGER.debug("ignored a datagram: %s", error)
                 continue
-            await self._handle(message)
+            await supervision.run(self._handle, message)
 
     async def _handle(self, message: retry_loans.Message) -> None:
         match message:
--- a/toucanhold/gateway/silence.py
+++ b/toucanhold/gateway/silence.py
@@ -10,7 +10,7 @@
 import attrs
 import trio
 
-from toucanhold import events, notifier
+from toucanhold import events, notifier, supervision
 from toucanhold.gateway import health, server_links
 
 MIN_CHECK_INTERVAL_S = 0.02
@@ -288,7 +288,7 @@
         heard = frozenset(name for name, heard_s in others.items() if heard_s >= heard_since_s)
         silence = Silence(silent_s, heard, frozenset(others) - heard)
         for stream in list(streams):
-            stream.on_silent(silence)
+            supervision.call(stream.on_silent, silence)
 
     def _record_event(self, server_id: str) -> None:
         since_s = self._silent_since_s.pop(server_id, None)
--- a/toucanhold/membership/permit.py
+++ b/toucanhold/membership/permit.py
@@ -11,7 +11,7 @@
 import attrs
 import trio
 
-from toucanhold import clock, events
+from toucanhold import clock, events, supervision
 from toucanhold.configuration import holder, reading
 from toucanhold.coordination import keyvalue
 from toucanhold.membership import roster
@@ -83,7 +83,7 @@
                 self._tick()
                 poll_s = POLL_INTERVAL_S * self.rng.uniform(0.8, 1.2)
                 if not self._has_majority() and self.reader.confirmed_at.age_s() > poll_s:
-                    nursery.start_soon(self._poll)
+                    nursery.start_soon(supervision.run, self._poll)
 
     def _tick(self) -> None:
         gap_s = self._last_tick.age_s()
--- a/toucanhold/observing/poller.py
+++ b/toucanhold/observing/poller.py
@@ -1,10 +1,12 @@
 """Polls the load report of each backend server in a task of its own."""
 
+import functools
 import random
 
 import attrs
 import trio
 
+from toucanhold import supervision
 from toucanhold.backends import client
 from toucanhold.configuration import holder, inventory
 from toucanhold.observing import view
@@ -26,6 +28,7 @@
 
     async def run(self) -> None:
         """Start and cancel polling tasks as the inventory changes, until cancelled."""
+        self._poll_scopes.clear()
         async with trio.open_nursery() as nursery:
             while True:
                 self._update_tasks(nursery)
@@ -38,7 +41,8 @@
             self.view.remove(vm.vm)
         for vm in listed_vms - set(self._poll_scopes):
             self._poll_scopes[vm] = trio.CancelScope()
-            nursery.start_soon(self._poll, vm, self._poll_scopes[vm])
+            poll = functools.partial(self._poll, vm, self._poll_scopes[vm])
+            nursery.start_soon(supervision.keep_running, poll)
 
     async def _poll(self, vm: inventory.Vm, scope: trio.CancelScope) -> None:
         with scope:
--- a/toucanhold/orders/handling.py
+++ b/toucanhold/orders/handling.py
@@ -6,6 +6,7 @@
 import attrs
 import trio
 
+from toucanhold import supervision
 from toucanhold.orders import claimed, issued, keys, results, running
 from toucanhold.routing import dispatch, requests
 
@@ -25,7 +26,8 @@
     async def run(self, *, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED) -> None:
         """Run the tasks of orders and the commits of claims until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.claimed_executor.claims.committer.run)
+            committer = self.claimed_executor.claims.committer
+            nursery.start_soon(supervision.keep_running, committer.run)
             await nursery.start(self.runner.run)
             task_status.started()
 
--- a/toucanhold/peers/transport.py
+++ b/toucanhold/peers/transport.py
@@ -2,10 +2,11 @@
 
 import abc
 import collections.abc
+import functools
 
 import trio
 
-from toucanhold import parsing
+from toucanhold import parsing, supervision
 
 
 class TransportError(Exception):
@@ -63,4 +64,6 @@
             listeners = await trio.open_tcp_listeners(int(port), host=host.strip("[]"))
         except OSError as error:
             raise TransportError(f"cannot listen on {address}: {error}") from error
-        await trio.serve_listeners(handler, listeners, task_status=task_status)
+        # An error in the work for one stream must not end those of the others.
+        contained = functools.partial(supervision.run, handler)
+        await trio.serve_listeners(contained, listeners, task_status=task_status)
--- a/toucanhold/planning/planner.py
+++ b/toucanhold/planning/planner.py
@@ -6,7 +6,7 @@
 import attrs
 import trio
 
-from toucanhold import events
+from toucanhold import events, supervision
 from toucanhold.backends import client
 from toucanhold.configuration import holder
 from toucanhold.coordination import keyvalue, lease
@@ -84,7 +84,7 @@
     async def run(self) -> None:
         """Plan until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.term_log.run)
+            nursery.start_soon(supervision.keep_running, self.term_log.run)
             while True:
                 self._log_leadership_change()
                 self.view.prune_ended({group.group for group in self.plans.groups()})
@@ -123,7 +123,7 @@
         async with trio.open_nursery() as nursery:
             for due in self.order_scheduler.due_orders(last_term):
                 if due.vm.vm in vms:
-                    nursery.start_soon(self._deliver, due, ORDER_TIMEOUT_S)
+                    nursery.start_soon(supervision.run, self._deliver, due, ORDER_TIMEOUT_S)
 
     async def _tick(self) -> None:
         fencing = self.planner_lease.fencing
@@ -144,7 +144,7 @@
         async with trio.open_nursery() as nursery:
             for due in self.order_scheduler.due_orders(fencing):
                 if self.plan_writer.is_confirmed(due.vm.fabric_domain):
-                    nursery.start_soon(self._send, due, fencing)
+                    nursery.start_soon(supervision.run, self._send, due, fencing)
 
     async def _record_formed(self, complete: frozenset[tuple[str, int]]) -> None:
         for versioned in self.plans.domains():
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -11,7 +11,7 @@
 import attrs
 import trio
 
-from toucanhold import application, events, metrics, serving
+from toucanhold import application, events, metrics, serving, supervision
 from toucanhold.coordination import lease, mirror, watching
 from toucanhold.gateway import (
     admission,
@@ -138,7 +138,7 @@
             self.retry_lending.run,
             self._reload_on_signal,
         ):
-            nursery.start_soon(run)
+            nursery.start_soon(supervision.keep_running, run)
         front_app = front.FrontApp(self.gateway, self.metrics, lambda: self.entry_list.is_stopping)
         streams_server = serving.HypercornServer(IDLE_TIMEOUT_S)
         await self._serve(nursery, streams_server, front_app, entry_settings.callers_address)
@@ -351,7 +351,8 @@
     async def _reload_on_signal(self) -> None:
         with trio.open_signal_receiver(signal.SIGHUP) as signals:
             async for _ in signals:
-                self._reload()
+                # While no receiver is open, a signal would end the process.
+                supervision.call(self._reload)
 
     def _reload(self) -> None:
         try:
--- a/toucanhold/platform/front.py
+++ b/toucanhold/platform/front.py
@@ -9,7 +9,7 @@
 import attrs
 import trio
 
-from toucanhold import asgi, events, metrics, parsing
+from toucanhold import asgi, events, metrics, parsing, supervision
 from toucanhold.gateway import calls, gateway
 from toucanhold.platform import headers
 
@@ -157,6 +157,13 @@
             # Returning with the answer unfinished makes the HTTP server close the connection, so
             # the caller cannot take a truncated answer for a complete one.
             return f"broken off: {error}", error.decided_by.value
+        except Exception as error:
+            supervision.log_error(self.gateway.serve, error)
+            if not reply.status:
+                # Nobody knows whether a server has run the request.
+                unclear = calls.CallError(calls.RefusalReason.RESPONSE_LOST, may_have_run=True)
+                await _refuse(reply, unclear)
+            return "failed by an unexpected error", calls.Decider.ENTRY.value
 
 
 def read_call(scope: asgi.Scope, body: bytes, arrived_s: float) -> calls.Call:
--- a/toucanhold/replicas/planner.py
+++ b/toucanhold/replicas/planner.py
@@ -9,7 +9,7 @@
 import attrs
 import trio
 
-from toucanhold import events, notifier
+from toucanhold import events, notifier, supervision
 from toucanhold.coordination import lease, mirror
 from toucanhold.registry import backoffs, registry, servers
 from toucanhold.replicas import (
@@ -168,7 +168,7 @@
     def _start_drivers(self, nursery: trio.Nursery) -> None:
         for name in self.group_table.groups.keys() - self._driven_groups:
             self._driven_groups.add(name)
-            nursery.start_soon(self._run_driver, name)
+            nursery.start_soon(supervision.run, self._run_driver, name)
 
     async def _run_driver(self, name: str) -> None:
         group_driver = driver.GroupDriver(
@@ -190,21 +190,22 @@
         if routes is None or not self._is_settled():
             return
         for service in routes.model_services():
-            placement_planner = composition.PlacementPlanner(self._snapshot(service))
-            self._record_targets(service, placement_planner)
-            new_records = [
-                self._new_record(service, placement) for placement in placement_planner.placements()
-            ]
-            for begin in range(0, len(new_records), plan.MAX_GROUPS_PER_WRITE):
-                await self._create_groups(new_records[begin : begin + plan.MAX_GROUPS_PER_WRITE])
-            self.preloader.order_preloads(
-                service, placement_planner.preloads(), not self._has_created_groups, nursery
-            )
-            self.preloader.order_spare_stagings(
-                service, placement_planner.spare_stagings(), nursery
-            )
-            if self._may_convert(service):
-                await self._apply_conversion(service, placement_planner.next_conversion(), nursery)
+            await supervision.run(self._plan_service, service, nursery)
+
+    async def _plan_service(self, service: table.Service, nursery: trio.Nursery) -> None:
+        placement_planner = composition.PlacementPlanner(self._snapshot(service))
+        self._record_targets(service, placement_planner)
+        new_records = [
+            self._new_record(service, placement) for placement in placement_planner.placements()
+        ]
+        for begin in range(0, len(new_records), plan.MAX_GROUPS_PER_WRITE):
+            await self._create_groups(new_records[begin : begin + plan.MAX_GROUPS_PER_WRITE])
+        self.preloader.order_preloads(
+            service, placement_planner.preloads(), not self._has_created_groups, nursery
+        )
+        self.preloader.order_spare_stagings(service, placement_planner.spare_stagings(), nursery)
+        if self._may_convert(service):
+            await self._apply_conversion(service, placement_planner.next_conversion(), nursery)
 
     def _record_targets(
         self, service: table.Service, placement_planner: composition.PlacementPlanner
--- a/toucanhold/replicas/preloading.py
+++ b/toucanhold/replicas/preloading.py
@@ -7,7 +7,7 @@
 import attrs
 import trio
 
-from toucanhold import events
+from toucanhold import events, supervision
 from toucanhold.coordination import mirror
 from toucanhold.registry import registry, servers
 from toucanhold.replicas import composition, ordering, orders
@@ -61,7 +61,7 @@
                 server=preload.server.server_id,
                 model=preload.model,
             )
-            nursery.start_soon(self._order_preload, preload)
+            nursery.start_soon(supervision.run, self._order_preload, preload)
 
     def order_spare_stagings(
         self, service: table.Service, stagings: list[composition.Preload], nursery: trio.Nursery
@@ -120,7 +120,7 @@
             model=model,
             domain=server.domain,
         )
-        nursery.start_soon(self._send_order, server, orders.Stage(model))
+        nursery.start_soon(supervision.run, self._send_order, server, orders.Stage(model))
 
     async def _order_preload(self, preload: composition.Preload) -> None:
         server = preload.server
--- a/toucanhold/replicas/probing.py
+++ b/toucanhold/replicas/probing.py
@@ -7,6 +7,7 @@
 import attrs
 import trio
 
+from toucanhold import supervision
 from toucanhold.registry import registry, servers
 from toucanhold.replicas import ordering, records
 
@@ -60,7 +61,7 @@
             for server in records.find_members(group, self.server_registry)
         ]
         for server in [*probed, *self._witnesses(probed)]:
-            nursery.start_soon(self.order_sender.probe, server)
+            nursery.start_soon(supervision.run, self.order_sender.probe, server)
 
     def _probe_paused(self, nursery: trio.Nursery) -> None:
         now_s = trio.current_time()
@@ -68,7 +69,7 @@
             last_s = self._last_paused_probe_s.get(server.server_id, 0.0)
             if now_s - last_s >= PAUSED_PROBE_INTERVAL_S:
                 self._last_paused_probe_s[server.server_id] = now_s
-                nursery.start_soon(self.order_sender.probe, server)
+                nursery.start_soon(supervision.run, self.order_sender.probe, server)
 
     def _probe_lapsed(self, nursery: trio.Nursery) -> None:
         if not self.server_registry.lapsed:
@@ -84,9 +85,9 @@
                 continue
             self._last_probe_s[name] = now_s
             probed.append(server)
-            nursery.start_soon(self._probe_lapsed_server, server)
+            nursery.start_soon(supervision.run, self._probe_lapsed_server, server)
         for witness in self._witnesses(probed):
-            nursery.start_soon(self.order_sender.probe, witness)
+            nursery.start_soon(supervision.run, self.order_sender.probe, witness)
 
     async def _probe_lapsed_server(self, server: servers.Server) -> None:
         report = await self.order_sender.probe(server)
--- a/toucanhold/routing/incidents.py
+++ b/toucanhold/routing/incidents.py
@@ -7,6 +7,7 @@
 import attrs
 import trio
 
+from toucanhold import supervision
 from toucanhold.backends import client
 from toucanhold.observing import view
 from toucanhold.routing import admission, attempts, capacity, failures, requests, suspects
@@ -117,7 +118,12 @@
         )
         if incident.verdict is suspects.Verdict.PENDING:
             self._nursery.start_soon(
-                self._determine_verdict, tracked.fingerprint, attempt.boot, incident, now_s
+                supervision.run,
+                self._determine_verdict,
+                tracked.fingerprint,
+                attempt.boot,
+                incident,
+                now_s,
             )
 
     def _retain(self, tracked: TrackedRequest) -> None:
--- a/toucanhold/routing/router.py
+++ b/toucanhold/routing/router.py
@@ -8,6 +8,7 @@
 import attrs
 import trio
 
+from toucanhold import supervision
 from toucanhold.backends import client
 from toucanhold.configuration import holder
 from toucanhold.coordination import keyvalue
@@ -77,10 +78,10 @@
     async def run(self) -> None:
         """Run the background tasks until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.slots.run)
-            nursery.start_soon(self.dispatcher.watchdog.run)
+            nursery.start_soon(supervision.keep_running, self.slots.run)
+            nursery.start_soon(supervision.keep_running, self.dispatcher.watchdog.run)
             if self.tracker is not None:
-                nursery.start_soon(self.tracker.run)
+                nursery.start_soon(supervision.keep_running, self.tracker.run)
 
     async def release(self) -> None:
         """Release this entry's slots; no request may be in flight any more."""
--- a/toucanhold/routing/watchdog.py
+++ b/toucanhold/routing/watchdog.py
@@ -5,6 +5,7 @@
 import attrs
 import trio
 
+from toucanhold import supervision
 from toucanhold.observing import view
 from toucanhold.routing import candidates
 
@@ -56,14 +57,14 @@
         while True:
             await trio.sleep(CHECK_INTERVAL_S)
             now_s = trio.current_time()
-            for attempt in self._attempts:
+            for attempt in list(self._attempts):
                 attempt.reason = attempt.reason or self._end_reason(attempt)
                 silence = self._silence(attempt, now_s)
                 if attempt.reason:
                     attempt.scope.cancel()
                 elif silence:
                     attempt.is_silent = True
-                    attempt.on_silent(silence)
+                    supervision.call(attempt.on_silent, silence)
 
     def _silence(self, attempt: WatchedAttempt, now_s: float) -> str:
         # A paused or unreachable backend server does not even close its connection; without this
