Bound what answers without end cost an entry

Callers saw, with servers that send bytes without end which are no answer: an entry whose memory grew by 234 MB, other servers' requests delayed by 3.6 s or not served at all, and requests that may be repeated left to their deadline.

Causes: a limit of 16 MB for each body but none for all, and errors that kept the bodies alive; thousands of chunks, header lines or events of one read parsed without a pause; any byte counted as a sign of life; errors of the event splitter that nobody expected (status 500).

Change: BoundedConnection checks heads and framing and lets other tasks run; AnswerMemory bounds unfinished parts of all answers together; AnswerArrival gives up what keeps arriving without an end, if another server can answer. Both request paths, reports and tunnels use them.

--- a/toucanhold/backends/client.py
+++ b/toucanhold/backends/client.py
@@ -124,6 +124,8 @@
     :ivar boot_id: the only boot that may receive it; empty for any
     :ivar warm_only: whether the boot must report to be warm when its connection is new
     :ivar guard: called right before the first and the last byte are sent; false aborts the request
+    :ivar on_read: called whenever bytes of the answer have arrived; may raise a
+        :class:`BackendError` to end it
     """
 
     method: str
@@ -136,6 +138,7 @@
     boot_id: str = ""
     warm_only: bool = False
     guard: collections.abc.Callable[[], bool] | None = None
+    on_read: collections.abc.Callable[[], None] = lambda: None
 
 
 @attrs.frozen
@@ -143,11 +146,13 @@
     """Status and headers of an answer, and its body.
 
     :ivar chunks: chunks of the body; iteration raises :class:`BackendError` if it is truncated
+    :ivar length_bytes: length of the body; None where its end is marked otherwise
     """
 
     status: int
     headers: Headers
     chunks: collections.abc.AsyncIterator[bytes]
+    length_bytes: int | None = None
 
 
 class BackendClient(abc.ABC):
--- a/toucanhold/backends/http.py
+++ b/toucanhold/backends/http.py
@@ -18,6 +18,8 @@
 REQUEST_ID_HEADER = b"x-request-id"
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 BODILESS_STATUSES = (204, 304)
+# Errors quote what a server has sent.
+MAX_DETAIL_LENGTH = 300
 
 CONNECT_ERRORS = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
 TRANSFER_ERRORS = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError)
@@ -61,14 +63,18 @@
         self._open_responses += 1
         try:
             with _translate_errors(address, client.AnswerLostError):
-                response = await connection.http.handle_async_request(
-                    _to_httpcore(address, request)
+                response = await connection.http.request(
+                    _to_httpcore(address, request), request.on_read
                 )
             try:
                 _check_request_id(address, request, response)
                 _check_framing(address, request, response)
-                chunks = _read_chunks(address, response)
-                yield client.ForwardedResponse(response.status, tuple(response.headers), chunks)
+                yield client.ForwardedResponse(
+                    response.status,
+                    tuple(response.headers),
+                    _read_chunks(address, connection.http.chunks(response)),
+                    _body_length(response),
+                )
             finally:
                 await _close_shielded(response)
         finally:
@@ -126,11 +132,10 @@
         report_request = client.ForwardedRequest("GET", REPORT_PATH, (), b"", "control", timeout_s)
         try:
             with _translate_errors(address, client.NotSentError):
-                response = await connection.http.handle_async_request(
-                    _to_httpcore(address, report_request)
-                )
+                response = await connection.http.request(_to_httpcore(address, report_request))
             try:
-                body = await _read_limited(address, _read_chunks(address, response))
+                chunks = _read_chunks(address, connection.http.chunks(response))
+                body = await _read_limited(address, chunks)
             finally:
                 await _close_shielded(response)
             return _parse_report(address, response.status, body)
@@ -281,15 +286,23 @@
             raise client.ConnectRefusedError(f"{address}: connection refused") from error
         raise client.NotSentError(f"{address}: cannot connect: {error!r}") from error
     except TRANSFER_ERRORS as error:
-        raise error_class(f"{address}: connection lost: {error!r}") from error
+        detail = f"{address}: connection lost: {error!r}"[:MAX_DETAIL_LENGTH]
+        raise error_class(detail) from error
 
 
-async def _read_chunks(address: str, response: httpcore.Response) -> collections.abc.AsyncIterator:
+async def _read_chunks(
+    address: str, chunks: collections.abc.AsyncIterator[bytes]
+) -> collections.abc.AsyncIterator[bytes]:
     with _translate_errors(address, client.AnswerLostError):
-        async for chunk in response.aiter_stream():
+        async for chunk in chunks:
             yield chunk
 
 
+def _body_length(response: httpcore.Response) -> int | None:
+    value = _find_header(response.headers, b"content-length") or b""
+    return parsing.digits(value.decode("latin-1").strip())
+
+
 async def _close_shielded(response: httpcore.Response) -> None:
     # Closing an unfinished response closes its connection, so the rest of a late answer can never
     # be read as the answer to another request.
--- a/toucanhold/backends/pool.py
+++ b/toucanhold/backends/pool.py
@@ -5,7 +5,7 @@
 import attrs
 import httpcore
 
-from toucanhold.backends import pacing
+from toucanhold.backends import bounded, pacing
 
 KEEPALIVE_EXPIRY_S = 30.0
 MAX_IDLE_CONNECTIONS = 64
@@ -19,7 +19,7 @@
     :ivar boot_id: boot of the server at its other end; empty until checked by a load report
     """
 
-    http: httpcore.AsyncHTTP11Connection
+    http: bounded.BoundedConnection
     boot_id: str = ""
 
     def is_reusable(self) -> bool:
@@ -90,4 +90,4 @@
     stream = await pacing.connect(
         origin.host.decode(), origin.port, min(timeout_s, CONNECT_TIMEOUT_S), read_interval
     )
-    return Connection(httpcore.AsyncHTTP11Connection(origin, stream, KEEPALIVE_EXPIRY_S))
+    return Connection(bounded.BoundedConnection(origin, stream, KEEPALIVE_EXPIRY_S))
--- a/toucanhold/gateway/call_attempts.py
+++ b/toucanhold/gateway/call_attempts.py
@@ -155,6 +155,7 @@
                     self.gateway.health,
                     functools.partial(self._may_fail_over, current),
                     functools.partial(self._handle_silence, current, nursery),
+                    self.gateway.answer_memory,
                 )
                 self.guard.record_answer(race.status, current.progress)
         except calls.ExchangeError as error:
--- a/toucanhold/gateway/calls.py
+++ b/toucanhold/gateway/calls.py
@@ -152,6 +152,8 @@
     :ivar remaining_s: time left for the response
     :ivar last_event_id: ID of the event after which a stream resumes; None to start it
     :ivar is_stream: whether the response is a stream of server-sent events
+    :ivar on_read: called whenever bytes of the response have arrived; may raise an
+        :class:`ExchangeError` to end it
     """
 
     call: Call
@@ -160,6 +162,7 @@
     last_event_id: int | None
     is_stream: bool
     urgency: Urgency = Urgency.IN_TIME
+    on_read: collections.abc.Callable[[], None] = lambda: None
 
 
 @attrs.frozen
@@ -170,12 +173,14 @@
     :ivar chunks: the body; iterating raises :class:`ResponseLostError` if the connection is lost
     :ivar ends_with_connection: whether nothing else marks the end of the body, so that a body that
         is cut off may look complete
+    :ivar length_bytes: length of the body; None where its end is marked otherwise
     """
 
     status: int
     headers: Headers
     chunks: collections.abc.AsyncIterator[bytes]
     ends_with_connection: bool = False
+    length_bytes: int | None = None
 
 
 class ServerClient(abc.ABC):
--- a/toucanhold/gateway/gateway.py
+++ b/toucanhold/gateway/gateway.py
@@ -7,6 +7,7 @@
 import attrs
 import trio
 
+from toucanhold.backends import answer_memory
 from toucanhold.gateway import (
     admission,
     attempt,
@@ -38,6 +39,7 @@
     :ivar attempt_observer: notified of the attempts on servers
     :ivar min_initial_fraction: least fraction of a route's timeout that callers start with
     :ivar first_event_times: decide how long requests may queue; fixed unless they observe attempts
+    :ivar answer_memory: bounds what is held of unfinished answers
     :ivar in_flight: number of calls without a final response
     """
 
@@ -54,6 +56,7 @@
     first_event_times: first_event_times.FirstEventTimes = attrs.field(
         factory=first_event_times.FirstEventTimes
     )
+    answer_memory: answer_memory.AnswerMemory = attrs.field(factory=answer_memory.AnswerMemory)
     in_flight: int = attrs.field(default=0, init=False)
 
     async def serve(self, call: calls.Call, reply: calls.Reply) -> int:
--- a/toucanhold/peers/frames.py
+++ b/toucanhold/peers/frames.py
@@ -19,6 +19,7 @@
 
     :ivar max_body_bytes: largest body accepted; small until the peer is authenticated
     :ivar idle_timeout_s: longest time to wait for the next bytes
+    :ivar read_size_bytes: largest number of bytes to read at once
     :ivar received_bytes: total number of bytes received, lengths included
     :ivar sent_bytes: total number of bytes sent, lengths included
     """
@@ -26,6 +27,7 @@
     stream: trio.abc.Stream
     max_body_bytes: int
     idle_timeout_s: float = float("inf")
+    read_size_bytes: int = READ_SIZE_BYTES
     received_bytes: int = 0
     sent_bytes: int = 0
     _buffer: bytearray = attrs.field(factory=bytearray, init=False)
@@ -63,7 +65,7 @@
         while len(self._buffer) < size_bytes:
             try:
                 with trio.fail_after(self.idle_timeout_s):
-                    data = await self.stream.receive_some(READ_SIZE_BYTES)
+                    data = await self.stream.receive_some(self.read_size_bytes)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 raise FrameError(f"cannot receive: {error!r}") from error
             if not data:
--- a/toucanhold/platform/headers.py
+++ b/toucanhold/platform/headers.py
@@ -4,6 +4,8 @@
 
 import collections.abc
 
+from toucanhold import parsing
+
 # Identifies one attempt; a caller's repeat of the same request has another identifier.
 CALL_ID = b"x-attempt-id"
 REMAINING_MS = b"x-deadline-remaining-ms"
@@ -83,6 +85,11 @@
     return any(key.lower() in (b"content-length", b"transfer-encoding") for key, _ in lines)
 
 
+def body_length(lines: HeaderLines) -> int | None:
+    """Return the length of a response's body, or None where its headers do not say."""
+    return parsing.digits(find(lines, b"content-length").strip())
+
+
 def headers_to_forward(lines: HeaderLines) -> tuple[tuple[bytes, bytes], ...]:
     """Return the caller's headers that are forwarded unchanged, with names in lower case."""
     normalized = [(key.lower(), value) for key, value in lines]
--- a/toucanhold/platform/servers.py
+++ b/toucanhold/platform/servers.py
@@ -12,6 +12,7 @@
 import trio
 
 from toucanhold import parsing
+from toucanhold.backends import bounded
 from toucanhold.gateway import calls, server_links
 from toucanhold.platform import headers, registrations
 from toucanhold.platform import signals as platform_signals
@@ -24,8 +25,9 @@
 CONNECT_TIMEOUT_S = 0.3
 # Servers answer orders and report queries within milliseconds.
 CONTROL_TIMEOUT_S = 0.4
-READ_BYTES = 64 * 1024
-REPORT_LIMIT_BYTES = 1024 * 1024
+REPORT_LIMIT_BYTES = 64 * 1024
+# Errors quote what a server has sent.
+MAX_DETAIL_LENGTH = 300
 MISDIRECTED_STATUS = 421
 
 URGENCY_VALUES = {
@@ -72,7 +74,7 @@
             remaining_s = forwarded.remaining_s - (sent_s - started_s)
             with _translated_errors(server):
                 request = _request(server, attrs.evolve(forwarded, remaining_s=remaining_s))
-                response = await connection.handle_async_request(request)
+                response = await connection.request(request, forwarded.on_read)
             self._record_sign(server, opened)
             self._observe_signals(server, response, sent_s)
             _check_refusal(server, response)
@@ -80,8 +82,9 @@
             yield calls.Response(
                 response.status,
                 headers.end_to_end(response.headers),
-                self._chunks(server, opened, response),
+                self._chunks(server, opened, connection.chunks(response)),
                 not headers.is_framed(response.headers),
+                headers.body_length(response.headers),
             )
         finally:
             with trio.CancelScope(shield=True):
@@ -164,9 +167,9 @@
                 request = httpcore.Request(
                     method, _url(server.address, target), headers=request_headers, content=body
                 )
-                response = await connection.handle_async_request(request)
+                response = await connection.request(request)
                 self._observe_signals(server, response, sent_s)
-                async for chunk in response.aiter_stream():
+                async for chunk in connection.chunks(response):
                     content += chunk
                     if len(content) > REPORT_LIMIT_BYTES:
                         raise calls.ResponseLostError(
@@ -192,10 +195,13 @@
             raise calls.NotRunError(str(error), error.is_gone, was_sent=False) from error
 
     async def _chunks(
-        self, server: servers.Server, opened: dialing.Connection, response: httpcore.Response
+        self,
+        server: servers.Server,
+        opened: dialing.Connection,
+        chunks: collections.abc.AsyncIterator[bytes],
     ) -> collections.abc.AsyncIterator[bytes]:
         with _translated_errors(server):
-            async for chunk in response.aiter_stream():
+            async for chunk in chunks:
                 self._record_sign(server, opened)
                 yield chunk
 
@@ -216,10 +222,10 @@
 
 def _http_connection(
     server: servers.Server, opened: dialing.Connection
-) -> httpcore.AsyncHTTP11Connection:
+) -> bounded.BoundedConnection:
     host, _, port = server.address.rpartition(":")
     origin = httpcore.Origin(b"http", host.encode(), int(port))
-    return httpcore.AsyncHTTP11Connection(origin, opened.stream)
+    return bounded.BoundedConnection(origin, opened.stream)
 
 
 def _url(address: str, target: bytes) -> httpcore.URL:
@@ -281,9 +287,10 @@
     try:
         yield
     except TRANSFER_ERRORS as error:
-        detail = f"{server.server_id}: connection lost: {error!r}"
-        is_server_lost = not isinstance(error, streams.TunnelLostError)
-        decided_by = calls.Decider.SERVER if is_server_lost else calls.Decider.TUNNEL
+        detail = f"{server.server_id}: connection lost: {error!r}"[:MAX_DETAIL_LENGTH]
+        is_server_lost = not isinstance(error, streams.TunnelLostError | bounded.InvalidAnswerError)
+        is_tunnel_lost = isinstance(error, streams.TunnelLostError)
+        decided_by = calls.Decider.TUNNEL if is_tunnel_lost else calls.Decider.SERVER
         raise calls.ResponseLostError(detail, is_server_lost, decided_by) from error
 
 
--- a/toucanhold/routing/attempts.py
+++ b/toucanhold/routing/attempts.py
@@ -11,18 +11,26 @@
 import trio
 
 from toucanhold import events
-from toucanhold.backends import client, http
+from toucanhold.backends import answer_memory, arrivals, client, http
 from toucanhold.routing import admission, races, relay, requests, resuming, sse, watchdog
 
 if typing.TYPE_CHECKING:
     from toucanhold.routing import dispatch
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Events that are forwarded before other tasks may run.
+MAX_BATCH_EVENTS = 32
 RETRY_AFTER_S = 1.0
 DRAIN_TIMEOUT_S = 1.0
 FORWARDED_RESPONSE_HEADERS = (b"content-type",)
 # Error types that engines document as refusals before a request was started.
 NOT_STARTED_ERROR_TYPES = ("wrong_group", "not_serving", "model_not_found")
+LOST_ERRORS = (
+    client.BackendError,
+    sse.FramingError,
+    answer_memory.AnswerMemoryError,
+    arrivals.EndlessAnswerError,
+)
 RETRYABLE_STATUSES = (429, 500, 502, 503, 504)
 
 LOGGER = logging.getLogger(__name__)
@@ -194,23 +202,28 @@
         self, placement: admission.Placement, attempt: watchdog.WatchedAttempt
     ) -> None:
         vm = placement.candidate.vm
-        forwarded = self._build_forwarded_request(placement)
+        arrival = arrivals.AnswerArrival(self.request.deadline_s, self._may_retry)
+        forwarded = self._build_forwarded_request(placement, arrival)
         self.sent_count += 1
         try:
-            async with self.dispatcher.backends.forward(vm.address, forwarded) as response:
-                await self._forward_response(response, placement, attempt)
+            with self.dispatcher.answer_memory.hold() as held:
+                async with self.dispatcher.backends.forward(vm.address, forwarded) as response:
+                    await self._forward_response(response, placement, attempt, arrival, held)
         except client.NotSentError as error:
             placement.is_finished = True
             self.sent_count -= 1
             not_run_error = _not_run_error(str(error))
             raise self._record_failure(placement, not_run_error, was_sent=False) from error
-        except (client.BackendError, sse.FramingError) as error:
+        except LOST_ERRORS as error:
             lost_error = _lost_error(self.request, str(error))
             if not self.request.may_repeat:
                 self.dispatcher.finder.require_new_report(vm.vm, trio.current_time())
                 raise lost_error from error
             raise self._record_failure(placement, lost_error) from error
 
+    def _may_retry(self) -> bool:
+        return self.request.may_repeat and self.can_resume and self.dispatcher.may_retry(self)
+
     def _record_failure(
         self, placement: admission.Placement, error: requests.RequestError, was_sent: bool = True
     ) -> RetryableError | requests.RequestError:
@@ -224,11 +237,15 @@
         response: client.ForwardedResponse,
         placement: admission.Placement,
         attempt: watchdog.WatchedAttempt,
+        arrival: arrivals.AnswerArrival,
+        held: answer_memory.HeldAnswer,
     ) -> None:
-        if self.request.stream and response.status == 200:
-            await self._forward_stream(response, placement, attempt)
+        is_stream = self.request.stream and response.status == 200
+        arrival.end_head(is_stream)
+        if is_stream:
+            await self._forward_stream(response, placement, attempt, arrival, held)
         else:
-            body = await _read_body(response)
+            body = await _read_body(response, held)
             await trio.lowlevel.checkpoint_if_cancelled()
             placement.is_finished = True
             answer = BufferedAnswer(response.status, _forwarded_headers(response.headers), body)
@@ -265,15 +282,37 @@
         response: client.ForwardedResponse,
         placement: admission.Placement,
         attempt: watchdog.WatchedAttempt,
+        arrival: arrivals.AnswerArrival,
+        held: answer_memory.HeldAnswer,
     ) -> None:
         splitter = sse.EventSplitter()
+        try:
+            await self._forward_events(response, placement, attempt, arrival, held, splitter)
+        finally:
+            # Errors refer to it.
+            splitter.clear()
+
+    async def _forward_events(
+        self,
+        response: client.ForwardedResponse,
+        placement: admission.Placement,
+        attempt: watchdog.WatchedAttempt,
+        arrival: arrivals.AnswerArrival,
+        held: answer_memory.HeldAnswer,
+        splitter: sse.EventSplitter,
+    ) -> None:
         position = self.stream_position.of_new_attempt()
         headers = _forwarded_headers(response.headers)
         async for chunk in response.chunks:
             await trio.lowlevel.checkpoint_if_cancelled()
-            attempt.record_event()
-            for event in splitter.feed(chunk):
-                if position.accept(event):
+            for number, event in enumerate(splitter.feed(chunk), 1):
+                if not number % MAX_BATCH_EVENTS:
+                    await trio.lowlevel.checkpoint()
+                is_new = position.accept(event) if event.has_content else position.has_begun
+                arrival.record_event(event, is_new, 2 + (position.last_event_id or 0))
+                if event.has_content:
+                    attempt.record_event()
+                if is_new:
                     self._race.claim(attempt)
                     self.stream_position = position
                     self._model_version = _model_version(placement)
@@ -283,13 +322,19 @@
                     placement.is_finished = True
                     await _drain(response)
                     return
+            arrival.record_rest(splitter)
+            held.resize(splitter.buffered_bytes)
+            if splitter.has_partial_event:
+                attempt.expect_event()
             if self.response_relay.is_full():
                 attempt.last_event_s = float("inf")
                 await self.response_relay.wait_for_space()
         # By its framing alone, a stream that closes cleanly without its end marker looks complete.
         raise client.AnswerLostError("the stream ended before its end marker")
 
-    def _build_forwarded_request(self, placement: admission.Placement) -> client.ForwardedRequest:
+    def _build_forwarded_request(
+        self, placement: admission.Placement, arrival: arrivals.AnswerArrival
+    ) -> client.ForwardedRequest:
         request, candidate = self.request, placement.candidate
         is_warm = candidate.report.warmth is client.Warmth.WARM
         headers = list(request.headers)
@@ -313,6 +358,7 @@
             boot_id=candidate.report.boot_id,
             warm_only=is_warm,
             guard=None if is_warm else placement.may_send,
+            on_read=arrival.record_read,
         )
 
     def _log_backup(self, placement: admission.Placement, silent_vm: str, reason: str) -> None:
@@ -338,13 +384,14 @@
         )
 
 
-async def _read_body(response: client.ForwardedResponse) -> bytes:
-    body = bytearray()
+async def _read_body(response: client.ForwardedResponse, held: answer_memory.HeldAnswer) -> bytes:
+    if (response.length_bytes or 0) > MAX_ANSWER_BYTES:
+        raise client.AnswerLostError(f"the answer exceeds {MAX_ANSWER_BYTES} bytes")
     async for chunk in response.chunks:
-        body += chunk
-        if len(body) > MAX_ANSWER_BYTES:
+        held.append(chunk)
+        if len(held.body) > MAX_ANSWER_BYTES:
             raise client.AnswerLostError(f"the answer exceeds {MAX_ANSWER_BYTES} bytes")
-    return bytes(body)
+    return bytes(held.body)
 
 
 async def _drain(response: client.ForwardedResponse) -> None:
--- a/toucanhold/routing/budget.py
+++ b/toucanhold/routing/budget.py
@@ -16,10 +16,15 @@
         """Add the tokens that a first attempt earns."""
         self._tokens = min(MAX_RETRY_TOKENS, self._tokens + TOKENS_PER_REQUEST)
 
+    @property
+    def has_remaining(self) -> bool:
+        """Whether a token for a retry is left."""
+        return self._tokens >= 1
+
     def try_acquire(self) -> bool:
         """Take one token for a retry; return False if there is none."""
         # When every backend server fails, retries would multiply the load that made them fail.
-        if self._tokens < 1:
+        if not self.has_remaining:
             return False
         self._tokens -= 1
         return True
--- a/toucanhold/routing/dispatch.py
+++ b/toucanhold/routing/dispatch.py
@@ -1,5 +1,7 @@
 """Serves a request: places it, sends it, forwards its answer and retries where that is safe."""
 
+from __future__ import annotations
+
 import collections.abc
 import contextlib
 import logging
@@ -8,7 +10,7 @@
 import trio
 
 from toucanhold import events
-from toucanhold.backends import client
+from toucanhold.backends import answer_memory, client
 from toucanhold.routing import (
     admission,
     attempts,
@@ -46,6 +48,7 @@
     """Serves requests, with retries.
 
     :ivar retry_budget: limits the retries of all requests together
+    :ivar answer_memory: bounds what is held of unfinished answers
     """
 
     admission: admission.AdmissionPolicy
@@ -53,6 +56,7 @@
     backends: client.BackendClient
     watchdog: watchdog.Watchdog
     retry_budget: budget.RetryBudget = attrs.field(factory=budget.RetryBudget)
+    answer_memory: answer_memory.AnswerMemory = attrs.field(factory=answer_memory.AnswerMemory)
 
     @contextlib.asynccontextmanager
     async def serve(self, request: requests.CallerRequest) -> collections.abc.AsyncIterator[Answer]:
@@ -113,14 +117,22 @@
 
     def retry_denied_reason(self, attempt: attempts.AttemptRunner) -> str:
         """Return why there may be no further attempt; if there may, consume a retry, return ""."""
+        reason = self._exclusion_reason(attempt)
+        if not reason and not self.retry_budget.try_acquire():
+            reason = "the retry budget is used up"
+        return reason
+
+    def may_retry(self, attempt: attempts.AttemptRunner) -> bool:
+        """Return whether there may be a further attempt, without consuming a retry."""
+        return not self._exclusion_reason(attempt) and self.retry_budget.has_remaining
+
+    def _exclusion_reason(self, attempt: attempts.AttemptRunner) -> str:
         if attempt.attempt_count >= MAX_ATTEMPTS:
             return f"the limit of {MAX_ATTEMPTS} attempts is reached"
         request = attempt.request
         min_duration_s = self.admission.expected_duration_s(request) / 2
         if not attempt.has_begun and trio.current_time() + min_duration_s >= request.deadline_s:
             return "another attempt cannot meet the deadline"
-        if not self.retry_budget.try_acquire():
-            return "the retry budget is used up"
         return ""
 
 
--- a/toucanhold/routing/sse.py
+++ b/toucanhold/routing/sse.py
@@ -6,6 +6,8 @@
 
 DONE_DATA = b"[DONE]"
 EVENT_LIMIT_BYTES = 1024 * 1024
+# Length of the longest end of an event: two line ends.
+MAX_END_BYTES = 4
 
 
 class FramingError(Exception):
@@ -25,6 +27,11 @@
     event_id: bytes = b""
     data: bytes = b""
 
+    @property
+    def has_content(self) -> bool:
+        """Whether it has an ID or data, unlike a comment."""
+        return bool(self.event_id or self.data)
+
     @property
     def is_end(self) -> bool:
         """Whether this is the marker that ends a complete stream."""
@@ -36,12 +43,23 @@
     """Splits a stream of bytes into complete events and buffers an incomplete one."""
 
     _buffer: bytearray = attrs.field(factory=bytearray)
+    # Length of the beginning of the buffer that holds no end of an event.
+    _searched_bytes: int = 0
 
     @property
     def has_partial_event(self) -> bool:
         """Whether an incomplete event is buffered."""
         return bool(self._buffer)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Size of the incomplete event that is buffered."""
+        return len(self._buffer)
+
+    def clear(self) -> None:
+        """Discard the incomplete event."""
+        self._buffer.clear()
+
     def feed(self, chunk: bytes) -> collections.abc.Iterator[ServerSentEvent]:
         """Yield the events that ``chunk`` completes.
 
@@ -49,9 +67,11 @@
         """
         self._buffer += chunk
         while True:
-            end, length = _event_end(self._buffer)
+            end, length = _event_end(self._buffer, self._searched_bytes)
             if end < 0:
+                self._searched_bytes = max(0, len(self._buffer) - MAX_END_BYTES + 1)
                 break
+            self._searched_bytes = 0
             raw = bytes(self._buffer[: end + length])
             del self._buffer[: end + length]
             yield _parse(raw)
@@ -59,8 +79,8 @@
             raise FramingError(f"an event exceeds {EVENT_LIMIT_BYTES} bytes")
 
 
-def _event_end(buffer: bytearray) -> tuple[int, int]:
-    unix, dos = buffer.find(b"\n\n"), buffer.find(b"\r\n\r\n")
+def _event_end(buffer: bytearray, start: int) -> tuple[int, int]:
+    unix, dos = buffer.find(b"\n\n", start), buffer.find(b"\r\n\r\n", start)
     if dos >= 0 and (unix < 0 or dos < unix):
         return dos, 4
     return unix, 2
--- a/toucanhold/routing/watchdog.py
+++ b/toucanhold/routing/watchdog.py
@@ -35,6 +35,11 @@
         """Record that a part of the answer has arrived."""
         self.last_event_s, self.is_silent = trio.current_time(), False
 
+    def expect_event(self) -> None:
+        """Record that a part of an event has arrived, so that its rest is due."""
+        if self.last_event_s == float("inf"):
+            self.last_event_s = trio.current_time()
+
 
 @attrs.define(eq=False)
 class Watchdog:
--- a/toucanhold/tunnels/dialing.py
+++ b/toucanhold/tunnels/dialing.py
@@ -271,7 +271,9 @@
         has_opened = False
         try:
             stream = await self.transport.connect(entry.tunnel_address)
-            frame_stream = frames.FrameStream(stream, MESSAGE_LIMIT_BYTES)
+            frame_stream = frames.FrameStream(
+                stream, MESSAGE_LIMIT_BYTES, read_size_bytes=streams.CHUNK_BYTES
+            )
             request = messages.Open(
                 race.server.server_id, race.server.born_ms, RELAY_CONNECT_TIMEOUT_S
             )
--- a/toucanhold/tunnels/serving.py
+++ b/toucanhold/tunnels/serving.py
@@ -54,7 +54,9 @@
             await self._closed.wait(math.inf)
 
     async def _serve(self, stream: trio.abc.Stream) -> None:
-        frame_stream = frames.FrameStream(stream, OPEN_LIMIT_BYTES, OPEN_TIMEOUT_S)
+        frame_stream = frames.FrameStream(
+            stream, OPEN_LIMIT_BYTES, OPEN_TIMEOUT_S, streams.CHUNK_BYTES
+        )
         self.open_count += 1
         try:
             with trio.move_on_after(MAX_LIFETIME_S):
--- a/toucanhold/tunnels/streams.py
+++ b/toucanhold/tunnels/streams.py
@@ -11,8 +11,9 @@
 from toucanhold.peers import frames
 from toucanhold.tunnels import messages
 
-CHUNK_BYTES = 64 * 1024
-MAX_FRAME_BYTES = CHUNK_BYTES + 1
+CHUNK_BYTES = 16 * 1024
+# Earlier versions send longer frames.
+MAX_FRAME_BYTES = 64 * 1024 + 1
 
 
 class TunnelLostError(httpcore.NetworkError):
