Serve each client's connection on its own, over HTTP/1.1 only

Callers could see: one request with "Upgrade: h2c" and an HTTP2-Settings header that is no base64 ended the process of an entry, with the requests of all others. Found by a fuzz of the callers' port after 175 connections; nobody reported it.

Cause: hypercorn switches to HTTP/2 on such a header, decodes it unguarded, and an error in one connection leaves the nursery of all.

Change: an entry ignores Upgrade, and serves connections by a loop of its own around hypercorn's connections, in which an error ends only its connection.

--- a/toucanhold/serving.py
+++ b/toucanhold/serving.py
@@ -4,15 +4,18 @@
 import collections.abc
 import functools
 import logging
-import math
 import socket
 import urllib.parse
 
 import attrs
 import h11
 import hypercorn.config
-import hypercorn.trio
 import trio
+from hypercorn import app_wrappers
+from hypercorn.protocol import h11 as http1
+from hypercorn.trio import task_group, tcp_server, worker_context
+
+from toucanhold import supervision
 
 MAX_HEADER_BYTES = 32 * 1024
 LISTEN_BACKLOG = 512
@@ -72,19 +75,36 @@
     ) -> None:
         """See :class:`HttpServer`."""
         config = self._config()
-        config.bind = [f"fd://{_listen(address).detach()}"]
-        await hypercorn.trio.serve(
-            app, config, shutdown_trigger=stop.wait, mode="asgi", task_status=task_status
-        )
+        listener = trio.SocketListener(trio.socket.from_stdlib_socket(_listen(address)))
+        tls_context = config.create_ssl_context()
+        if tls_context is not None:
+            listener = trio.SSLListener(listener, tls_context, https_compatible=True)
+        context = worker_context.WorkerContext(None)
+        wrapped_app = app_wrappers.ASGIWrapper(app)
+
+        async def handle(stream: trio.abc.Stream) -> None:
+            # Requests of other connections go on whatever bytes a client sends.
+            await supervision.run(_Connection(wrapped_app, config, context, {}, stream).run)
+
+        async with trio.open_nursery() as connections:
+            async with trio.open_nursery() as accepting:
+                accepting.start_soon(
+                    functools.partial(
+                        trio.serve_listeners, handle, [listener], handler_nursery=connections
+                    )
+                )
+                task_status.started()
+                await stop.wait()
+                accepting.cancel_scope.cancel()
+            # A limit would cut off the streams in flight at a planned stop. Each request has its
+            # own deadline.
+            await context.terminated.set()
 
     def _config(self) -> hypercorn.config.Config:
         config = hypercorn.config.Config()
         config.certfile, config.keyfile = (name or None for name in self.tls_files)
         config.alpn_protocols = ["http/1.1"]
         config.keep_alive_timeout = self.idle_timeout_s
-        # A limit would cut off the streams in flight at a planned stop. Each request has its own
-        # deadline.
-        config.graceful_timeout = math.inf
         config.h11_max_incomplete_size = MAX_HEADER_BYTES
         config.errorlog = logging.getLogger("toucanhold.http")
         config.accesslog = None
@@ -92,6 +112,59 @@
         return config
 
 
+class _Connection(tcp_server.TCPServer):
+    """One connection of a client, which speaks HTTP/1.1 only."""
+
+    async def run(self) -> None:
+        """Serve requests until either side closes the connection."""
+        is_tls = isinstance(self.stream, trio.SSLStream)
+        try:
+            if is_tls:
+                with trio.fail_after(self.config.ssl_handshake_timeout):
+                    await self.stream.do_handshake()
+            transport = self.stream.transport_stream if is_tls else self.stream
+            peer, own = transport.socket.getpeername(), transport.socket.getsockname()
+            async with task_group.TaskGroup() as tasks:
+                self._task_group = tasks
+                self.protocol = _Protocol(
+                    self.app,
+                    self.config,
+                    self.context,
+                    tasks,
+                    self.state,
+                    is_tls,
+                    peer[:2],
+                    own[:2],
+                    self.protocol_send,
+                )
+                await self.protocol.initiate()
+                await self.idle_task.restart(tasks, self._idle_timeout)
+                await self._read_data()
+        except (OSError, trio.BrokenResourceError, trio.TooSlowError) as error:
+            LOGGER.debug("a connection ended: %r", error)
+        finally:
+            await self._close()
+
+
+class _Protocol(http1.H11Protocol):
+    """HTTP/1.1 without upgrades to other protocols, which clients' headers could ask for."""
+
+    async def _check_protocol(self, event: h11.Request) -> None:
+        """See :class:`http1.H11Protocol`."""
+
+    async def _create_stream(self, request: h11.Request) -> None:
+        """See :class:`http1.H11Protocol`."""
+        lines = [(name, value) for name, value in request.headers if name != b"upgrade"]
+        await super()._create_stream(
+            h11.Request(
+                method=request.method,
+                target=request.target,
+                headers=lines,
+                http_version=request.http_version,
+            )
+        )
+
+
 @attrs.frozen
 class ShortAnswerServer(HttpServer):
     """Serves ASGI applications that answer short requests at once, over plain HTTP/1.1.
