Limit the loads of new servers under a new planner, too

Cause: "no group formed yet" was read from the planner's own process, so each new planner took its first round for the first start of the fleet, in which loads are not limited.

Change: it is a first start only while the store holds no group and no plan.

--- a/tests/test_replicas.py
+++ b/tests/test_replicas.py
@@ -10,7 +10,7 @@
 from tests import clocked, replica_cluster
 from toucanhold.coordination import keyvalue
 from toucanhold.registry import servers
-from toucanhold.replicas import driver, orders
+from toucanhold.replicas import driver, orders, preloading
 
 
 async def start_formed_cluster(nursery, **options):
@@ -446,6 +446,28 @@
             self.assertEqual(orders_before, len(cluster.fleet.sent_orders))
             nursery.cancel_scope.cancel()
 
+    @clocked.on_test_clock
+    async def test_next_planner_limits_the_loads_of_new_servers(self):
+        """Guards against a new planner that lets all new servers load from the store at once."""
+        async with trio.open_nursery() as nursery:
+            cluster, node = await start_formed_cluster(nursery)
+            node.kill()
+            for number in range(12):
+                await cluster.fleet.add(f"new{number:02}", "d0", "zone-a")
+            orders_before = len(cluster.fleet.sent_orders)
+            second = cluster.start("entry-2")
+            await cluster.wait_for(second.planner.may_act, 10)
+            await trio.sleep(1.5)
+            preloaded = {
+                order.group
+                for _, _, order in cluster.fleet.sent_orders[orders_before:]
+                if isinstance(order, orders.Join)
+                and order.group.startswith(preloading.SPARE_PREFIX)
+            }
+            self.assertGreater(len(preloaded), 0)
+            self.assertLessEqual(len(preloaded), cluster.engine.max_concurrent_loads)
+            nursery.cancel_scope.cancel()
+
     @clocked.on_test_clock
     async def test_next_planner_keeps_groups_with_a_member_that_it_never_saw(self):
         """Guards against streams cut off because an entry that started late becomes planner."""
--- a/toucanhold/replicas/planner.py
+++ b/toucanhold/replicas/planner.py
@@ -72,7 +72,6 @@
     _last_arrival_s: float = attrs.field(default=0.0, init=False)
     _seen_incarnations: set[tuple[str, int]] = attrs.field(factory=set, init=False)
     _last_count_s: float = attrs.field(default=float("-inf"), init=False)
-    _has_created_groups: bool = attrs.field(default=False, init=False)
     _last_conversion_s: float = attrs.field(default=float("-inf"), init=False)
     _follows_demand: set[str] = attrs.field(factory=set, init=False)
     _targets_logged_s: dict[str, float] = attrs.field(factory=dict, init=False)
@@ -201,7 +200,7 @@
         for begin in range(0, len(new_records), plan.MAX_GROUPS_PER_WRITE):
             await self._create_groups(new_records[begin : begin + plan.MAX_GROUPS_PER_WRITE])
         self.preloader.order_preloads(
-            service, placement_planner.preloads(), not self._has_created_groups, nursery
+            service, placement_planner.preloads(), self._is_first_start(), nursery
         )
         self.preloader.order_spare_stagings(service, placement_planner.spare_stagings(), nursery)
         if self._may_convert(service):
@@ -237,7 +236,10 @@
             return
         for group in created:
             self._log_planned(group)
-        self._has_created_groups = True
+
+    def _is_first_start(self) -> bool:
+        """Return whether no planner has ever formed a group."""
+        return not self.group_table.groups and plan.PLAN_KEY not in self.kv_mirror.items
 
     def _is_settled(self) -> bool:
         arrived = {server.incarnation for server in self.server_registry.servers.values()}
--- a/toucanhold/replicas/preloading.py
+++ b/toucanhold/replicas/preloading.py
@@ -42,7 +42,7 @@
     ) -> None:
         """Order spares to load models into memory.
 
-        :param is_start: whether no group exists yet; loads are then not limited
+        :param is_start: whether no group has ever existed; loads are then not limited
         """
         assert service.engine is not None
         now_s = trio.current_time()
