Survive a reload signal during the start; fuzz the product's own readers

It is ignored from the first line of the program on; settings that changed meanwhile are applied once the entry listens.

Messages between entries are decompressed to 64 MB at most.

tests.test_fuzz hands records, stored parts and bodies of callers with numbers and texts that only lenient readers accept to the readers of the product's own interface.

--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import unittest
+from unittest import mock
 
 import hypothesis
 import trio
@@ -10,11 +11,14 @@
 from hypothesis import strategies
 
 from toucanhold import codec, settings
-from toucanhold.backends import client
-from toucanhold.configuration import document, holder, snapshot
+from toucanhold.backends import client, http
+from toucanhold.callers import reading
+from toucanhold.configuration import document, holder, inventory, rules, snapshot
+from toucanhold.membership import roster
+from toucanhold.orders import records as claim_records
 from toucanhold.peers import frames, messages
 from toucanhold.plans import plan
-from toucanhold.routing import sse
+from toucanhold.routing import requests, sse
 
 # Derandomised: each run uses the same examples and so gives the same result.
 fuzzed = hypothesis.settings(
@@ -22,17 +26,30 @@
 )
 
 names = strategies.text("abcz-/0", min_size=1, max_size=5)
-plain = strategies.recursive(
-    strategies.none() | strategies.booleans() | strategies.integers() | strategies.text(max_size=5),
-    lambda inner: strategies.lists(inner, max_size=4)
-    | strategies.dictionaries(
-        names
-        | strategies.sampled_from(["inventory", "rules", "vms", "format_version", "services"]),
-        inner,
-        max_size=4,
-    ),
-    max_leaves=12,
+# What only lenient readers accept, or what is too much for those that follow.
+hostile = strategies.sampled_from(
+    (float("nan"), float("inf"), 1e300, 10**30, -(2**63), "\ud800", "a\r\nb", "²", "1" * 5000)
 )
+
+
+def nested(scalars):
+    """Return a strategy for lists and maps of scalars."""
+    keys = names | strategies.sampled_from(
+        ["inventory", "rules", "vms", "format_version", "services"]
+    )
+    return strategies.recursive(
+        scalars,
+        lambda inner: strategies.lists(inner, max_size=4)
+        | strategies.dictionaries(keys, inner, max_size=4),
+        max_leaves=12,
+    )
+
+
+scalars = (
+    strategies.none() | strategies.booleans() | strategies.integers() | strategies.text(max_size=5)
+)
+plain = nested(scalars)
+hostile_plain = nested(scalars | hostile)
 parts = strategies.builds(
     snapshot.Part, names, strategies.integers(0, 2**40), strategies.binary(max_size=20)
 )
@@ -120,7 +137,7 @@
 
 class DocumentTest(unittest.TestCase):
     @fuzzed
-    @hypothesis.given(plain)
+    @hypothesis.given(hostile_plain)
     def test_any_decoded_document_is_valid_or_errors_have_paths(self, value):
         try:
             document.from_plain(value)
@@ -161,6 +178,67 @@
         self.assertEqual(("vm-1", boot_id, 2), (report.vm, report.boot_id, report.running))
 
 
+# Records that other processes write, with valid values of their fields.
+RECORDS = (
+    plan.DomainPlan("fabric-1", groups=(plan.Group("g", 1, "drafts", ("vm-1",)),)),
+    inventory.Inventory((inventory.Vm("vm-1", "127.0.0.1:1", "zone-a"),)),
+    rules.Rules(services=(rules.Service("notes", rules.ServiceKind.PLAIN),)),
+    snapshot.ZonesOut(("zone-a",), (snapshot.ResolvedHold("h", 1.0),)),
+    roster.Member("entry-0", "zone-a", "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", boot="b"),
+    claim_records.ClaimRecord("a", b"f", "entry-0", "b", 5.0),
+    client.Report("vm-1", "b"),
+)
+
+
+def spoiled(fields):
+    """Return a strategy for ``fields`` with some values replaced."""
+    changes = strategies.dictionaries(strategies.sampled_from(sorted(fields)), hostile_plain)
+    return strategies.builds(lambda changed: fields | changed, changes)
+
+
+class RecordTest(unittest.TestCase):
+    @fuzzed
+    @hypothesis.given(strategies.data())
+    def test_any_record_is_refused_or_can_be_written_again(self, data):
+        """Guards against a record whose reader, or a later writer, ends with the process."""
+        for record in RECORDS:
+            fields = data.draw(spoiled(codec.CONVERTER.unstructure(record)))
+            with contextlib.suppress(codec.CodecError):
+                decoded = codec.from_plain_tolerant(fields, type(record))
+                codec.pack_tagged("record", decoded)
+            if isinstance(record, claim_records.ClaimRecord):
+                continue
+            with contextlib.suppress(codec.CodecError):
+                codec.to_json(codec.from_json(json.dumps(fields).encode(), type(record)))
+
+    @fuzzed
+    @hypothesis.given(strategies.data())
+    def test_any_stored_part_is_refused_or_has_addresses_to_connect_to(self, data):
+        """Guards against an inventory that ends the poller of all servers."""
+        vm = codec.CONVERTER.unstructure(RECORDS[1].vms[0])
+        body = json.dumps({"vms": [data.draw(spoiled(vm))]}).encode()
+        part = snapshot.Part(snapshot.INVENTORY_PREFIX + "zone-a", 1, body)
+        with contextlib.suppress(snapshot.SnapshotError):
+            for decoded in part.decoded.vms:
+                http._origin(decoded.address)
+
+
+class CallerTest(unittest.TestCase):
+    @fuzzed
+    @hypothesis.given(
+        strategies.builds(lambda value: json.dumps(value).encode(), spoiled({"model": "drafts"}))
+        | strategies.sampled_from((b"[" * 5000, b'{"model": 1e999}', b'{"model": ' + b"9" * 5000))
+        | strategies.binary(max_size=20)
+    )
+    def test_any_body_is_a_request_or_refused(self, body):
+        """Guards against bodies of callers that get a status of 500."""
+        current = holder.ConfigurationHolder()
+        limits = reading.RequestLimits(10_000, 5.0, 10.0)
+        reader = reading.RequestReader(current, mock.Mock(), limits, mock.Mock())
+        with contextlib.suppress(requests.RequestError):
+            reader._model_request({"path": "/v1/chat/completions", "headers": []}, body, "r1")
+
+
 class ArrivalOrderTest(unittest.TestCase):
     @fuzzed
     @hypothesis.given(strategies.lists(deltas, max_size=8))
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from toucanhold import startup
+from toucanhold import exitstatus, startup
 
 UNUSED_MODULES = ("cleo", "opentelemetry", "prometheus_client", "rapidfuzz")
 
@@ -28,5 +28,22 @@
         self.assertGreater(gc.get_freeze_count(), 0)
 
 
+class SignalTest(unittest.TestCase):
+    def test_a_reload_during_the_start_does_not_end_the_process(self):
+        """Guards against an entry that ends when its settings change while it starts."""
+        code = (
+            "import importlib, os, signal\n"
+            "from toucanhold import core, environment\n"
+            "import_module = importlib.import_module\n"
+            "def interrupted(name):\n"
+            "    os.kill(os.getpid(), signal.SIGHUP)\n"
+            "    return import_module(name)\n"
+            "importlib.import_module = interrupted\n"
+            "print(core.main(['platform'], environment.Environment({})))\n"
+        )
+        finished = trio.run(_run_python, code)
+        self.assertEqual(int(exitstatus.ExitStatus.USAGE), int(finished.stdout))
+
+
 async def _run_python(code):
     return await trio.run_process([sys.executable, "-c", code], capture_stdout=True)
--- a/toucanhold/core.py
+++ b/toucanhold/core.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import importlib
+import signal
 import sys
 
 from toucanhold import environment, exitstatus, startup
@@ -26,6 +27,8 @@
     argument_list = list(sys.argv[1:] if arguments is None else arguments)
     try:
         if argument_list == PLATFORM_ENTRY:
+            # Until the entry listens for it, the signal to reload would end the process.
+            signal.signal(signal.SIGHUP, signal.SIG_IGN)
             with startup.paused_garbage_collection():
                 running = importlib.import_module("toucanhold.platform.running")
             return running.run(env)
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -350,16 +350,20 @@
 
     async def _reload_on_signal(self) -> None:
         with trio.open_signal_receiver(signal.SIGHUP) as signals:
+            # The settings may have changed since they were read, with a signal that was ignored.
+            supervision.call(self._reload, True)
             async for _ in signals:
                 # While no receiver is open, a signal would end the process.
                 supervision.call(self._reload)
 
-    def _reload(self) -> None:
+    def _reload(self, only_if_changed: bool = False) -> None:
         try:
             new_settings = self.reload()
         except settings.SettingsError as error:
             events.log(LOGGER, events.Event.SETTINGS_REFUSED, reason=str(error))
             return
+        if only_if_changed and new_settings.bounds == self.settings.bounds:
+            return
         # Addresses are fixed for the life of the process; only the bounds can be reloaded.
         self.settings = attrs.evolve(self.settings, bounds=new_settings.bounds)
         self._apply_bounds(new_settings.bounds)
--- a/toucanhold/relay/messages.py
+++ b/toucanhold/relay/messages.py
@@ -14,6 +14,8 @@
 COMPRESSED_MARKER = b"z"
 PLAIN_MARKER = b"p"
 MIN_COMPRESSED_BYTES = 400
+# A few compressed bytes could become any number.
+MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 
 
 class MessageError(Exception):
@@ -74,8 +76,16 @@
     :raises MessageError: when the body is not a message of this protocol
     """
     try:
-        data = zlib.decompress(body[1:]) if body[:1] == COMPRESSED_MARKER else body[1:]
+        data = _decompress(body[1:]) if body[:1] == COMPRESSED_MARKER else body[1:]
         tag, plain = codec.unpack_tagged(data)
         return codec.from_plain_tolerant(plain, MESSAGE_TYPES[tag])
     except (zlib.error, codec.CodecError, KeyError) as error:
         raise MessageError(f"not a message: {error!r}") from error
+
+
+def _decompress(data: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    decompressed = decompressor.decompress(data, MAX_MESSAGE_BYTES)
+    if decompressor.unconsumed_tail or not decompressor.eof:
+        raise MessageError(f"truncated, or longer than {MAX_MESSAGE_BYTES} bytes")
+    return decompressed
