Poll a server again after an unexpected error in its report

Cause: an error in the polling of one server left the scope that its task runs in, and a scope cannot be entered twice, so the restarted task would have failed for good.

Change: the polling starts again inside the scope. The new test fails with the scope outside (RuntimeError at each start). A request is only built anew for the HTTP server if it has an Upgrade header.

--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -1,12 +1,17 @@
 """Unexpected errors in the work for one item, which must not end that for others."""
 
+import collections
+import random
 import unittest
 
 import trio
 
 from tests import clocked
 from toucanhold import supervision
+from toucanhold.backends import client
+from toucanhold.configuration import holder, inventory, snapshot
 from toucanhold.coordination import keyvalue, mirror
+from toucanhold.observing import poller, view
 
 
 class SupervisionTest(unittest.TestCase):
@@ -61,3 +66,28 @@
             kv_mirror.replace(keyvalue.RangeResult(1, items))
         self.assertEqual({"a/0", "a/2", "a/3"}, heard)
         self.assertEqual({"a/0", "a/1", "a/2", "a/3"}, later)
+
+
+class PollerTest(unittest.TestCase):
+    @clocked.on_test_clock
+    async def test_a_report_that_meets_an_error_is_asked_for_again(self):
+        """Guards against one server's report that ends the polling of all servers."""
+        vms = tuple(inventory.Vm(f"vm-{n}", "127.0.0.1:1", "zone-a") for n in range(2))
+        configuration = holder.ConfigurationHolder(
+            snapshot.Configuration(1, inventory.Inventory(vms))
+        )
+        asked = collections.Counter()
+
+        class Backends:
+            async def read_report(self, address, timeout_s):
+                asked["all"] += 1
+                if asked["all"] < 6:
+                    raise OverflowError("a number out of range")
+                return client.Report("vm-0", "b1")
+
+        observed = view.BackendView()
+        poll = poller.Poller(configuration, Backends(), observed, random.Random(1))
+        with trio.move_on_after(8), self.assertLogs(supervision.LOGGER, "ERROR"):
+            await poll.run()
+        self.assertIsNotNone(observed.observation("vm-0"))
+        self.assertGreater(asked["all"], 15)
--- a/toucanhold/observing/poller.py
+++ b/toucanhold/observing/poller.py
@@ -41,16 +41,18 @@
             self.view.remove(vm.vm)
         for vm in listed_vms - set(self._poll_scopes):
             self._poll_scopes[vm] = trio.CancelScope()
-            poll = functools.partial(self._poll, vm, self._poll_scopes[vm])
-            nursery.start_soon(supervision.keep_running, poll)
+            nursery.start_soon(self._poll, vm, self._poll_scopes[vm])
 
     async def _poll(self, vm: inventory.Vm, scope: trio.CancelScope) -> None:
         with scope:
-            while True:
-                interval_s = await self._poll_once(vm)
-                # Without jitter all entries would poll at the same moment and act on equally old
-                # reports.
-                await trio.sleep(interval_s * self.rng.uniform(0.8, 1.2))
+            await supervision.keep_running(functools.partial(self._poll_repeatedly, vm))
+
+    async def _poll_repeatedly(self, vm: inventory.Vm) -> None:
+        while True:
+            interval_s = await self._poll_once(vm)
+            # Without jitter all entries would poll at the same moment and act on equally old
+            # reports.
+            await trio.sleep(interval_s * self.rng.uniform(0.8, 1.2))
 
     async def _poll_once(self, vm: inventory.Vm) -> float:
         asked_at_s = trio.current_time()
--- a/toucanhold/serving.py
+++ b/toucanhold/serving.py
@@ -155,14 +155,14 @@
     async def _create_stream(self, request: h11.Request) -> None:
         """See :class:`http1.H11Protocol`."""
         lines = [(name, value) for name, value in request.headers if name != b"upgrade"]
-        await super()._create_stream(
-            h11.Request(
+        if len(lines) < len(request.headers):
+            request = h11.Request(
                 method=request.method,
                 target=request.target,
                 headers=lines,
                 http_version=request.http_version,
             )
-        )
+        await super()._create_stream(request)
 
 
 @attrs.frozen
