--- a/tests/platform/soak/running.py
+++ b/tests/platform/soak/running.py
@@ -8,7 +8,17 @@
 import trio
 
 from standins import processes
-from tests.platform.soak import answers, callers, crashing, faults, links, pauses, retries, signals
+from tests.platform.soak import (
+    answers,
+    callers,
+    crashing,
+    faults,
+    links,
+    pauses,
+    retries,
+    signals,
+    strangers,
+)
 from tests.platform.soak import site as sites
 
 FAULTS_S = 20.0
@@ -82,6 +92,8 @@
                     answers.LongCaller(site, long_record, injector.reserved_targets).run, faults_s
                 )
                 nursery.start_soon(pauses.PauseInjector(site, injector).run, faults_s)
+            if strangers.has_strangers(site.seed):
+                nursery.start_soon(strangers.StrangerInjector(site, injector.log).run, faults_s)
             await injector.run(faults_s)
             await trio.sleep(RECOVERY_S)
             since_s = trio.current_time()
