Read the store past items that cannot be read

Cause: the reader of the store's answers failed the whole read, and before that ended the caller, on one key that cannot be encoded or one number out of bounds, so one item of another writer hid all others.

Change: such an item or event is left out with a warning. A page of nothing else fails the read, as the place to go on from is unknown.

--- a/tests/platform/test_platform_store.py
+++ b/tests/platform/test_platform_store.py
@@ -81,3 +81,18 @@
         self.assertTrue(await client.keep_alive(lease))
         await client.revoke_lease(lease)
         self.assertFalse(await client.keep_alive(lease))
+
+    @with_store
+    async def test_items_with_unreadable_keys_hide_no_others(self, app, client):
+        """Guards against one key of another writer that keeps an entry from reading the store."""
+        app.page_size = 2
+        for name in ("\ud800", "a", "b", "\udcff", "z"):
+            app.put(f"servers/{name}", b"x")
+        result = await client.read_all(may_be_stale=False)
+        self.assertEqual(["a", "b", "z"], [item.key[8:] for item in result.items])
+        changes = await client.read_changes(1, 0.1)
+        self.assertEqual(["a", "b", "z"], sorted(item.key[8:] for item in changes.items))
+        for name in ("\ud801", "\ud802", "\ud803"):
+            app.put(f"servers/{name}", b"x")
+        with self.assertRaises(keyvalue.IndeterminateError):
+            await client.read_all(may_be_stale=False)
--- a/toucanhold/platform/store.py
+++ b/toucanhold/platform/store.py
@@ -8,6 +8,7 @@
 import collections.abc
 import contextlib
 import json
+import logging
 import socket
 import urllib.parse
 
@@ -28,6 +29,8 @@
 UNACKNOWLEDGED_LIMIT_MS = 3000
 MAX_CONNECTIONS = 16
 
+LOGGER = logging.getLogger(__name__)
+
 
 @attrs.define(eq=False)
 class StoreClient(keyvalue.KeyValueClient, watching.ChangeSource):
@@ -83,11 +86,11 @@
             status, response_fields = await self._call("GET", "/kv-range", query=query)
             _check_status(status, 200, response_fields)
             first_revision = first_revision or _get_int(response_fields, "store_revision")
-            page = [_parse_item(fields) for fields in _get_objects(response_fields, "items")]
+            page = list(_parse_readable(response_fields, "items"))
             items += page
-            if not response_fields.get("has_more") or not page:
+            if not response_fields.get("has_more") or not response_fields["items"]:
                 break
-            if page[-1].key <= last_key:
+            if not page or page[-1].key <= last_key:
                 raise keyvalue.IndeterminateError("expected a page of keys after the last one")
             last_key = page[-1].key
         return keyvalue.RangeResult(first_revision, tuple(items))
@@ -98,7 +101,10 @@
         if status == 404:
             return None
         _check_status(status, 200, response_fields)
-        return _parse_item(response_fields)
+        try:
+            return _parse_item(response_fields)
+        except parsing.ParseError as error:
+            raise keyvalue.IndeterminateError(f"{key}: {error}") from error
 
     async def read_changes(self, after_revision: int, wait_s: float) -> mirror.Changes:
         """See :class:`watching.ChangeSource`."""
@@ -118,8 +124,7 @@
             raise keyvalue.CompactedError(prefix)
         _check_status(status, 200, response_fields)
         latest_by_key: dict[str, keyvalue.Item | mirror.Deletion] = {}
-        for fields in _get_objects(response_fields, "events"):
-            change = _parse_deletion(fields) if fields.get("tombstone") else _parse_item(fields)
+        for change in _parse_readable(response_fields, "events"):
             latest_by_key[change.key] = change
         newest_changes = latest_by_key.values()
         return mirror.Changes(
@@ -249,13 +254,24 @@
     return [fields for fields in objects if isinstance(fields, dict)]
 
 
-def _get_int(response_fields: dict, name: str, default: int | None = None) -> int:
+def _get_int(response_fields: dict, name: str) -> int:
     try:
-        return parsing.whole(response_fields.get(name, default))
+        return parsing.whole(response_fields.get(name))
     except parsing.ParseError as error:
         raise keyvalue.IndeterminateError(f"{name}: {error}") from error
 
 
+def _parse_readable(
+    response_fields: dict, name: str
+) -> collections.abc.Iterator[keyvalue.Item | mirror.Deletion]:
+    """Yield items and deletions; one that cannot be read must not hide the others."""
+    for fields in _get_objects(response_fields, name):
+        try:
+            yield _parse_deletion(fields) if fields.get("tombstone") else _parse_item(fields)
+        except parsing.ParseError as error:
+            LOGGER.warning("an item of the store cannot be read: %s", error)
+
+
 def _parse_item(fields: dict) -> keyvalue.Item:
     try:
         value = base64.b64decode(fields.get("value") or "")
@@ -263,24 +279,19 @@
         # Written by another client; readers of the key report an undecodable value themselves.
         value = b""
     return keyvalue.Item(
-        key=_get_key(fields),
+        key=parsing.text(fields.get("key")),
         value=value,
         # The store's "revision" is that of the last change, "create_rev" that of the creation.
-        create_revision=_get_int(fields, "create_rev", 0),
-        mod_revision=_get_int(fields, "revision", 0),
-        lease=_get_int(fields, "lease", 0),
+        create_revision=parsing.whole(fields.get("create_rev", 0)),
+        mod_revision=parsing.whole(fields.get("revision", 0)),
+        lease=parsing.whole(fields.get("lease", 0)),
     )
 
 
 def _parse_deletion(fields: dict) -> mirror.Deletion:
-    return mirror.Deletion(_get_key(fields), _get_int(fields, "revision", 0))
-
-
-def _get_key(fields: dict) -> str:
-    try:
-        return parsing.text(fields.get("key"))
-    except parsing.ParseError as error:
-        raise keyvalue.IndeterminateError(f"key: {error}") from error
+    return mirror.Deletion(
+        parsing.text(fields.get("key")), parsing.whole(fields.get("revision", 0))
+    )
 
 
 def _encode_condition(condition: keyvalue.Condition) -> dict:
