Move the decision about endless answers to the routing package

Cause: backends/arrivals.py imported routing.sse, so the packages backends, routing and observing depended on each other in a cycle.

Change: the module is in routing; its content is as before.

--- a/tests/test_bounded_answers.py
+++ b/tests/test_bounded_answers.py
@@ -12,8 +12,8 @@
 
 from tests import clocked
 from tests.platform import endless
-from toucanhold.backends import answer_memory, arrivals, bounded
-from toucanhold.routing import sse
+from toucanhold.backends import answer_memory, bounded
+from toucanhold.routing import arrivals, sse
 
 ORIGIN = httpcore.Origin(b"http", b"127.0.0.1", 80)
 URL = httpcore.URL(scheme=b"http", host=b"127.0.0.1", port=80, target=b"/")
--- a/toucanhold/gateway/attempt.py
+++ b/toucanhold/gateway/attempt.py
@@ -12,9 +12,8 @@
 
 from toucanhold import events, parsing
 from toucanhold.backends import answer_memory as memories
-from toucanhold.backends import arrivals
 from toucanhold.gateway import call_state, calls, health, silence
-from toucanhold.routing import sse
+from toucanhold.routing import arrivals, sse
 
 # Responses that are not streamed are buffered in memory; these services send no larger ones.
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
--- a/toucanhold/routing/attempts.py
+++ b/toucanhold/routing/attempts.py
@@ -11,8 +11,8 @@
 import trio
 
 from toucanhold import events
-from toucanhold.backends import answer_memory, arrivals, client, http
-from toucanhold.routing import admission, races, relay, requests, resuming, sse, watchdog
+from toucanhold.backends import answer_memory, client, http
+from toucanhold.routing import admission, arrivals, races, relay, requests, resuming, sse, watchdog
 
 if typing.TYPE_CHECKING:
     from toucanhold.routing import dispatch
