Close no kept connection under a request that has begun

What callers saw: a request sent on a kept connection in the moment in which a stopping entry closes idle connections was read whole and begun, and the connection closed without an answer. Cause: the task that closes an idle connection is not told of a request that arrives between its wake-up and the close; and bytes that were read before the close were still parsed after it. The same holds for the idle timeout at any time. Whether a backend server got such a request was not measured: the caller's disconnect cancels it some turns later.

Why it works: the connection keeps whether it is idle, set before anything else runs, and is left open if it is not; once a close has begun, nothing more is parsed. The limits are those of the event loop: a request in the socket's buffer that nobody has read is reset, as before, and was not begun.

--- a/toucanhold/serving.py
+++ b/toucanhold/serving.py
@@ -12,6 +12,7 @@
 import hypercorn.config
 import trio
 from hypercorn import app_wrappers
+from hypercorn import events as hypercorn_events
 from hypercorn.protocol import h11 as http1
 from hypercorn.trio import task_group, tcp_server, worker_context
 
@@ -115,6 +116,8 @@
 class _Connection(tcp_server.TCPServer):
     """One connection of a client, which speaks HTTP/1.1 only."""
 
+    _is_idle = True
+
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
         is_tls = isinstance(self.stream, trio.SSLStream)
@@ -145,10 +148,35 @@
         finally:
             await self._close()
 
+    async def protocol_send(self, event: hypercorn_events.Event) -> None:
+        """See :class:`tcp_server.TCPServer`."""
+        if isinstance(event, hypercorn_events.Updated):
+            self._is_idle = event.idle
+        await super().protocol_send(event)
+
+    async def _idle_timeout(self) -> None:
+        """See :class:`tcp_server.TCPServer`."""
+        with trio.move_on_after(self.config.keep_alive_timeout):
+            await self.context.terminated.wait()
+        # A request may have arrived since; the connection is closed after its answer.
+        if self._is_idle:
+            with trio.CancelScope(shield=True):
+                await self._initiate_server_close()
+
 
 class _Protocol(http1.H11Protocol):
     """HTTP/1.1 without upgrades to other protocols, which clients' headers could ask for."""
 
+    _is_closed = False
+
+    async def handle(self, event: hypercorn_events.Event) -> None:
+        """See :class:`http1.H11Protocol`."""
+        if isinstance(event, hypercorn_events.RawData) and self._is_closed:
+            # Nobody would get the answer to a request that is read from here on.
+            return
+        self._is_closed |= isinstance(event, hypercorn_events.Closed)
+        await super().handle(event)
+
     async def _check_protocol(self, event: h11.Request) -> None:
         """See :class:`http1.H11Protocol`."""
 
