Count an entry that stops among those that send requests

What callers saw: while the only entry, or the last of several, stops (toucanhold entry), each request gets status 500 with an unknown outcome. Cause: the entry lists itself no more once it is stopping, and the number of serving entries, by which limits are divided, is 0. LeasedSlots, which also divides by the entries, counted the own entry before; claims and their calls divide by the members of the roster, which has it always.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -80,6 +80,18 @@
                 self.assertEqual("no-capacity", answer)
             self.assertEqual({}, entry.router.admission._queues)
 
+    def test_an_entry_that_stops_last_serves_its_callers(self):
+        """Guards against callers who get a 500 once no entry is listed as serving."""
+        on_test_clock(self._serve_unlisted)
+
+    async def _serve_unlisted(self):
+        async with routers.running([warm_server()], entries=1) as site:
+            entry = site.entries["entry-0"]
+            await trio.sleep(2)
+            self.assertEqual("whole", await site.send_request(entry))
+            site.entries.clear()
+            self.assertEqual("whole", await site.send_request(entry))
+
     def test_small_workspace_is_served_while_a_large_one_floods(self):
         # 40 callers of one workspace and one of another share two slots. First come, first served
         # would give the small workspace a fortieth; its fair share is half of the slots.
--- a/toucanhold/routing/router.py
+++ b/toucanhold/routing/router.py
@@ -94,8 +94,13 @@
     in_flight = capacity.InFlightCounts()
     finder = _finder(dependencies)
     shared_limit = cold.SharedLimit(leased, dependencies.view)
+
+    def count_entries() -> int:
+        # An entry that is stopping is listed no more, and still sends requests.
+        return len({*dependencies.serving_entries(), dependencies.entry})
+
     capacity_policy = capacity.EstimatedCapacity(
-        in_flight, shared_limit, dependencies.view, lambda: len(dependencies.serving_entries())
+        in_flight, shared_limit, dependencies.view, count_entries
     )
     reserved = reservations.ReservationTable(dependencies.entry, dependencies.exchange)
     usable = isolation.IsolatingCapacity(capacity_policy, reserved)
@@ -142,7 +147,10 @@
         finder, policy, in_flight, capacity_policy, unshared_limit
     )
     dispatcher = dispatch.Dispatcher(
-        admission_policy, finder, dependencies.backends, watchdog.Watchdog(dependencies.view)
+        admission_policy,
+        finder,
+        dependencies.backends,
+        watchdog.Watchdog(dependencies.view),
     )
     return Router(
         leased,
