Measure every request against the end of a process that stops

What callers saw: requests that reached a stopping entry were passed on whatever their deadline, and cut by the kill at the end of the grace time, without an answer, orders among them; the entry never ended by itself, as it waited without a limit. Cause: the time that the process still has had no owner. The drain, the HTTP servers and the tunnels each had a rule of their own, the request path none; a body that arrives slowly, a queue or a retry let a request begin late in the grace. Class: work is begun without asking whether there is time to finish it.

Change: lifetime.py owns that time from the stop signal on. A request whose deadline lies beyond the end is refused before it is sent, also out of the queue; what is under way at the end is cancelled 0.4 s before the kill, so that its caller gets 504 or 503, as is true; requests that were refused, and answers that begin during a stop, close their connection; releases of leases no longer prolong the drain. toucanhold entry has the same owner and a setting for its time.

A clean-up of 0.1 s instead of 1 s only closes connections to the store.

--- a/tests/platform/stopped_entries.py
+++ b/tests/platform/stopped_entries.py
@@ -91,15 +91,32 @@
     return round(float(duration) / EVENT_INTERVAL_S)
 
 
+@attrs.define(eq=False)
+class DisturbedStore(standins.StoreApp):
+    """A store that may be slow or silent.
+
+    :ivar delay_s: time after which it answers; infinite for never
+    """
+
+    delay_s: float = 0.0
+
+    async def __call__(self, scope, receive, send):
+        if scope["type"] == "http":
+            await trio.sleep(self.delay_s)
+        await super().__call__(scope, receive, send)
+
+
 @attrs.define(eq=False)
 class Request:
     """A request of a caller, and what it got.
 
+    :ivar entry: name of the entry that got it
     :ivar read_s: time at which its last byte was sent; infinite before
     :ivar status: HTTP status; 0 without an answer
     :ivar is_whole: whether the answer is complete
     """
 
+    entry: str
     kind: str
     attempt: str
     timeout_s: float
@@ -124,7 +141,7 @@
     group: processes.ProcessGroup
     grace_s: float
     timeouts_s: dict
-    store: standins.StoreApp = attrs.field(factory=standins.StoreApp)
+    store: DisturbedStore = attrs.field(factory=DisturbedStore)
     servers: list = attrs.field(factory=list)
     runs: dict = attrs.field(factory=dict)
     requests: list = attrs.field(factory=list)
@@ -170,9 +187,14 @@
         fields = {"version": version, "routes": routes, "services": [{"name": "desk"}]}
         self.store.put("op/config", json.dumps(fields).encode())
 
-    async def start_entry(self, name):
+    def write_settings(self, name, grace_s):
+        """Write an entry's settings file and return its path."""
         path = self.folder / f"{name}.toml"
-        path.write_text(self._settings(name))
+        path.write_text(self._settings(name, grace_s))
+        return path
+
+    async def start_entry(self, name):
+        path = self.write_settings(name, self.grace_s)
         await self.group.start(
             name, ["toucanhold", "platform"], {settings.FILE_VARIABLE: str(path)}
         )
@@ -209,7 +231,8 @@
         :param body_s: time for which the body arrives
         """
         timeout_s = self.timeouts_s[kind]
-        request = Request(kind, f"{kind}-{next(self._numbers)}", timeout_s, trio.current_time())
+        attempt = f"{kind}-{next(self._numbers)}"
+        request = Request(name, kind, attempt, timeout_s, trio.current_time())
         self.requests.append(request)
         async with contextlib.AsyncExitStack() as stack:
             if pool is None:
@@ -242,16 +265,16 @@
                 pass
         request.is_whole = True
 
-    def violations(self, began_s):
-        """Return descriptions of requests without the answer that they must get.
+    def violations(self, name, began_s):
+        """Return descriptions of requests without the answer that they must get from an entry.
 
-        :param began_s: trio clock time of the SIGTERM
+        :param began_s: trio clock time of its SIGTERM
         """
         return [
             f"{problem}: {request.attempt}, sent {request.sent_s - began_s:.2f}, ended "
             f"{request.end_s - began_s:.2f}, status {request.status}, {request.error}"
             for request in self.requests
-            if (problem := self._problem(request, began_s))
+            if request.entry == name and (problem := self._problem(request, began_s))
         ]
 
     def _problem(self, request, began_s):
@@ -285,7 +308,7 @@
         await self.nursery.start(run)
         return address
 
-    def _settings(self, name):
+    def _settings(self, name, grace_s):
         host = self.address(name).rpartition(":")[0]
         listen = "\n".join(f'{each} = "{self.address(name, each)}"' for each in PORTS)
         return f"""
@@ -297,7 +320,7 @@
 [listen]
 {listen}
 [bounds]
-grace_s = {self.grace_s}
+grace_s = {grace_s}
 retry_slack = 132
 [platform]
 address = "{self.store_address}"
--- a/tests/platform/test_platform_calls.py
+++ b/tests/platform/test_platform_calls.py
@@ -39,7 +39,7 @@
                 scene = gateways.GatewayFixture({"b0": server})
                 observer = scene.server_client.observer
                 scene.gateway.server_client = servers.PlatformServerClient(observer)
-                app = front.FrontApp(scene.gateway, metrics.Metrics("e"), lambda: False)
+                app = front.FrontApp(scene.gateway, metrics.Metrics("e"))
                 async with scene.running(), standins.serve_app(app) as entry:
                     with trio.fail_after(20):
                         await function(self, scene, server_app, entry)
--- a/tests/platform/test_stopped_entries.py
+++ b/tests/platform/test_stopped_entries.py
@@ -1,5 +1,6 @@
 """Tests of planned stops of entries as processes, with requests that last as long as the stop."""
 
+import math
 import random
 import unittest
 
@@ -39,24 +40,43 @@
 
     def test_a_stop_cuts_no_request_that_was_passed_on(self):
         """Guards against requests that a stopping entry passes on and has no time to answer."""
-        trio.run(self._stop_one, "61.1", lambda site: None)
+        trio.run(self._stop_one)
 
-    async def _stop_one(self, subnet, disturb):
-        async with stopped_entries.running(subnet, ["e1"], GRACE_S, TIMEOUTS_S) as site:
+    async def _stop_one(self):
+        async with stopped_entries.running("61.1", ["e1"], GRACE_S, TIMEOUTS_S) as site:
+            await self._stop(site, "e1", BEFORE_STOP_S)
+
+    def test_stops_in_series_cut_nothing_beside_other_planned_work(self):
+        """Guards against a stop that a silent store, a reload or a configuration prolongs."""
+        trio.run(self._stop_in_series)
+
+    async def _stop_in_series(self):
+        names = ["e1", "e2", "e3"]
+        async with stopped_entries.running("61.2", names, GRACE_S, TIMEOUTS_S) as site:
             async with trio.open_nursery() as nursery:
-                scope = await nursery.start(send_until_cancelled, site, "e1")
-                await trio.sleep(BEFORE_STOP_S)
-                disturb(site)
-                began_s, ended_s = await site.stop("e1")
-                scope.cancel()
-            self._check(site, began_s, ended_s)
-
-    def _check(self, site, began_s, ended_s):
-        self.assertEqual([], site.violations(began_s))
-        self.assertEqual({"e1": 0}, site.exit_statuses)
-        self.assertLessEqual(ended_s - began_s, site.grace_s)
-        answered = [each for each in site.requests if each.status == 200 and each.is_whole]
-        self.assertGreater(len(answered), 30)
+                for number, name in enumerate(names):
+                    nursery.start_soon(self._stop, site, name, BEFORE_STOP_S + 1.5 * number)
+                await trio.sleep(BEFORE_STOP_S + 0.5)
+                site.put_configuration(version=2, timeout_factor=2.0)
+                site.store.delay_s = 0.4
+                # The first entry is stopping: its time stays what it was at its signal.
+                site.write_settings("e1", 10 * GRACE_S)
+                for name in names:
+                    site.group.reload(name)
+                await trio.sleep(1.0)
+                site.store.delay_s = math.inf
+
+    async def _stop(self, site, name, delay_s):
+        async with trio.open_nursery() as nursery:
+            scope = await nursery.start(send_until_cancelled, site, name)
+            await trio.sleep(delay_s)
+            began_s, ended_s = await site.stop(name)
+            scope.cancel()
+        self.assertEqual([], site.violations(name, began_s))
+        self.assertEqual(0, site.exit_statuses[name])
+        self.assertLessEqual(ended_s - began_s, GRACE_S)
+        own = [request for request in site.requests if request.entry == name]
+        self.assertGreater(sum(each.status == 200 and each.is_whole for each in own), 30)
 
 
 async def send_until_cancelled(site, name, *, task_status):
--- a/tests/platform/test_unframed_answers.py
+++ b/tests/platform/test_unframed_answers.py
@@ -49,7 +49,7 @@
         registered = attrs.evolve(gateways.new_servers(1)["b0"], address=address)
         scene = gateways.GatewayFixture({"b0": registered})
         scene.gateway.server_client = servers.PlatformServerClient(scene.server_client.observer)
-        app = front.FrontApp(scene.gateway, metrics.Metrics("e"), lambda: False)
+        app = front.FrontApp(scene.gateway, metrics.Metrics("e"))
         async with scene.running(), standins.serve_app(app) as entry:
             with trio.fail_after(20):
                 yield scene, entry
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -20,6 +20,11 @@
     },
 )
 LONG_STREAM_TOKENS = 300
+STOP_GRACE_S = 8.0
+REQUESTS_PER_S = 40
+BEFORE_STOP_S = 0.5
+# Timeout of a request in s, and the length of its answer, in turn.
+REQUESTS = ((3.0, 50), (30.0, 3000))
 
 
 class Caller:
@@ -134,5 +139,61 @@
         self.assertEqual(LONG_STREAM_TOKENS, response.body.count(b"\nid: ") + 1)
 
 
+class StopWithinGraceTest(unittest.TestCase):
+    def test_a_stop_cuts_no_request_that_was_passed_on(self):
+        """Guards against requests that a stopping entry passes on and has no time to answer."""
+        trio.run(self._stop_under_load)
+
+    async def _stop_under_load(self):
+        site = sites.new_site(sites.log_folder(), ("zone-a",), 2, PLAIN_SERVICE, 1, 1)
+        site.engine_options = ("--warm", "--load-s", "0.1", "--slots", "64")
+        site.service_options = ("--warm", "--slots", "64")
+        site.entry_variables = {"TOUCANHOLD_STOP_GRACE_S": str(STOP_GRACE_S)}
+        answers, statuses = [], []
+        async with sites.running(site):
+            document = sites.document_for(site, SERVICES)
+            body = {"document": document, "expected": 0}
+            await site.call_operators("entry-0", "PUT", "document", body)
+            await site.wait_status("entry-0", _is_all_serving)
+            async with trio.open_nursery() as nursery:
+                for _ in range(int(BEFORE_STOP_S * REQUESTS_PER_S)):
+                    nursery.start_soon(self._send, site, *REQUESTS[0], answers)
+                    await trio.sleep(1 / REQUESTS_PER_S)
+                nursery.start_soon(self._stop, site, statuses)
+                await trio.sleep(0.1)
+                for number in range(int(STOP_GRACE_S * REQUESTS_PER_S)):
+                    nursery.start_soon(self._send, site, *REQUESTS[number % 2], answers)
+                    await trio.sleep(1 / REQUESTS_PER_S)
+        self.assertEqual([0], statuses)
+        problems = [answer for answer in answers if answer not in ("whole", "did-not-run")]
+        self.assertEqual([], problems)
+        self.assertGreater(answers.count("whole"), 10)
+        self.assertGreater(answers.count("did-not-run"), 10)
+
+    async def _stop(self, site, statuses):
+        site.process_group.terminate("entry-0")
+        with trio.move_on_after(STOP_GRACE_S):
+            statuses.append(await site.process_group.wait("entry-0"))
+        if not statuses:
+            await site.process_group.kill("entry-0")
+
+    async def _send(self, site, timeout_s, max_tokens, answers):
+        body = {"model": MODEL_SERVICE, "stream": True, "max_tokens": max_tokens}
+        body |= {"messages": [{"role": "user", "content": "Explain at length."}]}
+        url = f"http://{site.entries[0].callers}/v1/chat/completions"
+        headers = {"toucanhold-timeout-s": str(timeout_s)}
+        try:
+            response = await sites.call("POST", url, body, headers)
+        except httpcore.ConnectError:
+            return
+        except (httpcore.NetworkError, httpcore.ProtocolError) as error:
+            answers.append(repr(error))
+            return
+        if response.status == 503:
+            answers.append(response.json()["outcome"])
+        else:
+            answers.append("whole" if b"data: [DONE]" in response.body else response.body[-300:])
+
+
 def _is_all_serving(status):
     return bool(status["services"]) and all(service["serving"] for service in status["services"])
--- a/toucanhold/callers/app.py
+++ b/toucanhold/callers/app.py
@@ -10,7 +10,7 @@
 import attrs
 import trio
 
-from toucanhold import asgi, events, metrics
+from toucanhold import asgi, events, lifetime, metrics
 from toucanhold.callers import bodies, directory, measuring, order_keys, problems, reading
 from toucanhold.configuration import holder, rules
 from toucanhold.membership import permit
@@ -25,6 +25,8 @@
 # smaller, so thousands of ordinary ones fit.
 MAX_FULL_SIZE_BODIES = 16
 BUSY_RETRY_AFTER_S = 1.0
+# Other entries can take the request now.
+STOPPING_RETRY_AFTER_S = 0.0
 
 LOGGER = logging.getLogger(__name__)
 
@@ -40,7 +42,7 @@
     :ivar max_in_flight: limit of requests in flight; beyond it, all but those for the built-in
         paths are refused
     :ivar body_memory: memory budget of all request bodies that are open
-    :ivar is_stopping: set once a planned stop has begun
+    :ivar lifetime: the time that this process has for answers
     :ivar in_flight: number of requests that are being read or answered, built-in paths included
     """
 
@@ -52,10 +54,10 @@
     metrics: metrics.Metrics
     limits: reading.RequestLimits
     max_in_flight: int
+    lifetime: lifetime.Lifetime = attrs.field(factory=lifetime.Lifetime)
     order_keys: order_keys.OrderKeyIssuer = attrs.field(init=False)
     body_memory: bodies.BodyMemoryBudget = attrs.field(init=False)
     reader: reading.RequestReader = attrs.field(init=False)
-    is_stopping: bool = attrs.field(default=False, init=False)
     in_flight: int = attrs.field(default=0, init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -76,9 +78,7 @@
             )
             self.in_flight += 1
             try:
-                response_send = (
-                    _with_connection_close(timed_send) if self.is_stopping else timed_send
-                )
+                response_send = self._closing_when_stopping(timed_send)
                 await self._serve(scope, receive, response_send)
             except Exception as error:
                 # Without this, the ASGI server would send a 500 without a problem body, which does
@@ -91,8 +91,17 @@
                 timed_send.finish()
 
     def begin_stop(self) -> None:
-        """Start a planned stop: close connections after their response and issue no order keys."""
-        self.is_stopping = self.order_keys.is_closed = True
+        """Start a planned stop: issue no order keys."""
+        self.order_keys.is_closed = True
+
+    def _closing_when_stopping(self, send: asgi.Send) -> asgi.Send:
+        # A persistent connection would keep its caller at an entry that is about to stop listening.
+        async def send_with_close(message: dict) -> None:
+            if message["type"] == "http.response.start" and self.lifetime.is_stopping:
+                message = message | {"headers": [*message["headers"], (b"connection", b"close")]}
+            await send(message)
+
+        return send_with_close
 
     async def _serve(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         request_id = uuid.uuid4().hex
@@ -105,7 +114,7 @@
                 detail = f"the limit of {self.max_in_flight} requests in flight is reached"
                 raise reading.new_refusal(requests.Problem.OVERLOADED, detail, BUSY_RETRY_AFTER_S)
             with self.body_memory.open_reservation() as reservation:
-                request = await self.reader.read(scope, receive, request_id, reservation)
+                request = await self._read(scope, receive, request_id, reservation)
                 await self._serve_while_connected(request, receive, send)
         except asgi.ClientDisconnectedError:
             return
@@ -116,6 +125,25 @@
                 send, error.problem.status, headers, problems.body(error, request_id)
             )
 
+    async def _read(
+        self,
+        scope: asgi.Scope,
+        receive: asgi.Receive,
+        request_id: str,
+        reservation: bodies.BodyReservation,
+    ) -> requests.CallerRequest:
+        """Return a request that can be answered before this process ends.
+
+        :raises requests.RequestError: see :meth:`reading.RequestReader.read`
+        """
+        request = None
+        with self.lifetime.bounded():
+            request = await self.reader.read(scope, receive, request_id, reservation)
+        if request is None or not self.lifetime.has_time_until(request.deadline_s):
+            detail = "this entry stops before the request's deadline; ask another entry"
+            raise reading.new_refusal(requests.Problem.NOT_READY, detail, STOPPING_RETRY_AFTER_S)
+        return request
+
     def _find_builtin_handler(self, scope: asgi.Scope) -> Handler | None:
         """Return the handler of a built-in path, or None for any other path.
 
@@ -222,16 +250,6 @@
     await asgi.respond(send, failure.problem.status, problems.headers(failure), body)
 
 
-def _with_connection_close(send: asgi.Send) -> asgi.Send:
-    # A persistent connection would keep its caller at an entry that is about to stop listening.
-    async def send_with_close(message: dict) -> None:
-        if message["type"] == "http.response.start":
-            message = message | {"headers": [*message["headers"], (b"connection", b"close")]}
-        await send(message)
-
-    return send_with_close
-
-
 async def _send_stream(
     request: requests.CallerRequest,
     answer: dispatch.Answer,
--- a/toucanhold/entry.py
+++ b/toucanhold/entry.py
@@ -15,6 +15,7 @@
     events,
     external,
     gauges,
+    lifetime,
     metrics,
     settings,
     supervision,
@@ -37,6 +38,10 @@
 PLANNER_LEASE_TTL_S = 4
 VM_LIST_POLL_INTERVAL_S = 1.0
 STORE_OUTCOMES_TIMEOUT_S = 30.0
+# Last part of the time of a planned stop, in which outcomes of orders are stored.
+STOP_RESERVE_S = 5.0
+CLEAN_UP_TIMEOUT_S = 1.0
+WRITE_TIMEOUT_S = 0.5
 # Callers count the lifetime of a directory answer from its arrival; this allows for its transfer.
 DIRECTORY_EXPIRY_MARGIN_S = 0.5
 
@@ -60,6 +65,7 @@
     def __attrs_post_init__(self) -> None:
         """Build the components, which are inactive until :meth:`start`."""
         entry_settings = self.settings
+        self.lifetime = lifetime.Lifetime(entry_settings.stop_grace_s, STOP_RESERVE_S)
         self.rng = entry_settings.new_rng()
         self.metrics = metrics.Metrics(entry_settings.entry)
         self.platform = rate_limit.RateLimitedClient(
@@ -113,28 +119,37 @@
 
     async def stop(self) -> None:
         """See :class:`application.Application`."""
-        events.log(LOGGER, events.Event.ENTRY_STOPPING, in_flight=self.callers.in_flight)
+        events.log(
+            LOGGER,
+            events.Event.ENTRY_STOPPING,
+            in_flight=self.callers.in_flight,
+            ends_in_s=round(self.lifetime.end_s - trio.current_time(), 3),
+        )
         self.roster.set_own_state(roster.EntryState.STOPPING)
         self.callers.begin_stop()
         self.revisions.broadcast_heartbeat()
-        async with trio.open_nursery() as nursery:
-            # Another entry can take over planning now, instead of after the last stream has ended.
-            nursery.start_soon(self.planner_lease.release)
-            nursery.start_soon(self.entry_lease.release)
-            # Callers keep sending requests here while they cache the directory's old answers.
-            nursery.start_soon(
-                trio.sleep, self.settings.directory_keep_s + DIRECTORY_EXPIRY_MARGIN_S
-            )
+        # Callers keep sending requests here while they cache the directory's old answers.
+        expired_s = trio.current_time() + self.settings.directory_keep_s + DIRECTORY_EXPIRY_MARGIN_S
+        with self.lifetime.bounded(expired_s):
+            async with trio.open_nursery() as nursery:
+                # Another entry can take over planning now, instead of after the last stream.
+                nursery.start_soon(self.planner_lease.release)
+                nursery.start_soon(self.entry_lease.release)
+                nursery.start_soon(trio.sleep_forever)
         self._stop_serving.set()
-        await self._all_servers_stopped.wait()
-        unstored = await self.orders.drain(STORE_OUTCOMES_TIMEOUT_S)
+        with trio.move_on_at(self.lifetime.end_s + WRITE_TIMEOUT_S):
+            await self._all_servers_stopped.wait()
+        last_s = self.lifetime.kill_s - CLEAN_UP_TIMEOUT_S
+        remaining_s = max(0.0, last_s - trio.current_time())
+        unstored = await self.orders.drain(min(STORE_OUTCOMES_TIMEOUT_S, remaining_s))
         if unstored:
             events.log(LOGGER, events.Event.OUTCOMES_LOST, count=unstored)
-        await self.router.release()
+        with trio.move_on_at(last_s):
+            await self.router.release()
 
     async def clean_up(self) -> None:
         """See :class:`application.Application`."""
-        with trio.CancelScope(shield=True, deadline=trio.current_time() + 1):
+        with trio.CancelScope(shield=True, deadline=trio.current_time() + CLEAN_UP_TIMEOUT_S):
             await self.adapters.close()
         events.log(LOGGER, events.Event.ENTRY_STOPPED, entry=self.settings.entry)
 
@@ -240,6 +255,7 @@
                 rng=self.rng,
                 max_in_flight=self.settings.max_requests_in_flight,
                 exchange=self.exchange,
+                lifetime=self.lifetime,
             )
         )
         self.orders = building.new_order_handler(
@@ -271,6 +287,7 @@
                 entry_settings.max_timeout_s,
             ),
             entry_settings.max_requests_in_flight,
+            self.lifetime,
         )
         self.status_composer = status.StatusComposer(
             self.roster,
--- a/toucanhold/gateway/call_attempts.py
+++ b/toucanhold/gateway/call_attempts.py
@@ -5,6 +5,7 @@
 import contextlib
 import functools
 import logging
+import math
 import typing
 
 import attrs
@@ -69,17 +70,22 @@
         :raises calls.ResponseLostError: if a response has started, but cannot be completed
         """
         while True:
-            self._refuse_if_blocked()
+            self._refuse_if_unwanted()
             try:
                 status = await self._run_attempt()
             except calls.ExchangeError as error:
                 await self._check_retry(error)
             else:
-                # Without a status, the request was blocked while it was queued.
+                # Without a status, the request became unwanted while it was queued.
                 if status is not None:
                     return status
 
-    def _refuse_if_blocked(self) -> None:
+    def _refuse_if_unwanted(self) -> None:
+        if self.state.ends_too_late:
+            # Other entries can take it now.
+            raise calls.CallError(
+                calls.RefusalReason.STOPPING, retry_after_s=0.0, decided_by=calls.Decider.STOP
+            )
         refusal_s = self.guard.refusal_s()
         if refusal_s:
             self._raise_failure(calls.RefusalReason.CRASHES_SERVERS, refusal_s)
@@ -87,12 +93,16 @@
     async def _run_attempt(self) -> int | None:
         """Send the call to a server once there is one, and to a backup while it is silent.
 
-        :return: HTTP status of the response; None if the request was blocked while it was queued
+        :return: HTTP status of the response; None if the request was blocked while it was queued,
+            or there is no time for it any more
         :raises calls.ExchangeError: the failure of the last attempt that was under way
         """
         with contextlib.ExitStack() as stack:
-            placement = stack.enter_context(await self._place())
-            if self.guard.is_blocked:
+            placement = await self._place()
+            if placement is None:
+                return None
+            stack.enter_context(placement)
+            if self.guard.is_blocked or self.state.ends_too_late:
                 return None
             self._renew_retry()
             race = call_state.AttemptRace()
@@ -109,9 +119,15 @@
             raise race.error
         return race.status
 
-    async def _place(self) -> admission.Placement:
+    async def _place(self) -> admission.Placement | None:
+        """Return a slot; None if a stop has begun and leaves no time for the call."""
+        state, placement = self.state, None
+        # A call that a server may have run is better sent again than lost.
+        deadline_s = -math.inf if state.may_have_run else state.deadline_s
         try:
-            return await self.gateway.admission.acquire(self._placement_request())
+            with state.lifetime.waiting(deadline_s):
+                placement = await self.gateway.admission.acquire(self._placement_request())
+            return placement
         except calls.CallError as error:
             if self.state.has_response_started:
                 raise calls.ResponseLostError(str(error), decided_by=error.decided_by) from error
--- a/toucanhold/gateway/call_state.py
+++ b/toucanhold/gateway/call_state.py
@@ -5,6 +5,7 @@
 import attrs
 import trio
 
+from toucanhold import lifetime
 from toucanhold.gateway import calls, outcomes, retry_budget
 from toucanhold.registry import servers
 from toucanhold.routes import table
@@ -54,6 +55,7 @@
     :ivar workspace: owner of the caller's key; None on public routes
     :ivar deadline_s: trio clock time at which the caller's or the route's timeout expires
     :ivar reply: receives the response
+    :ivar lifetime: the time that this process has for answers
     :ivar excluded: IDs of the servers that failed it
     :ivar last_server_id: server of the attempt that started or failed last
     :ivar was_trial: whether that attempt was a trial at a suspended server
@@ -78,6 +80,7 @@
     workspace: table.Workspace | None
     deadline_s: float
     reply: calls.Reply
+    lifetime: lifetime.Lifetime = attrs.field(factory=lifetime.Lifetime)
     excluded: set[str] = attrs.field(factory=set)
     last_server_id: str = ""
     was_trial: bool = False
@@ -128,8 +131,13 @@
 
     @property
     def remaining_s(self) -> float:
-        """Time left until the deadline."""
-        return self.deadline_s - trio.current_time()
+        """Time left until the deadline, or until the end of this process."""
+        return min(self.deadline_s, self.lifetime.end_s) - trio.current_time()
+
+    @property
+    def ends_too_late(self) -> bool:
+        """Whether it has not been sent to a server, and may outlast this process if it is."""
+        return not self.may_have_run and not self.lifetime.has_time_until(self.deadline_s)
 
     @property
     def attempts_left(self) -> int:
--- a/toucanhold/gateway/calls.py
+++ b/toucanhold/gateway/calls.py
@@ -26,6 +26,7 @@
     CRASHES_SERVERS = "such a request has crashed backend servers"
     RESPONSE_LOST = "the answer of a backend server was lost"
     BODY_TOO_LARGE = "the body is larger than allowed"
+    STOPPING = "this entry stops before the time for the request is over"
 
 
 class Urgency(enum.Enum):
@@ -47,6 +48,7 @@
     ENTRY = "this entry"
     TUNNEL = "another entry, through which the server was reached"
     DEADLINE = "deadline"
+    STOP = "planned stop of this entry"
 
 
 class CallError(Exception):
--- a/toucanhold/gateway/gateway.py
+++ b/toucanhold/gateway/gateway.py
@@ -5,8 +5,8 @@
 import random
 
 import attrs
-import trio
 
+from toucanhold import lifetime
 from toucanhold.backends import answer_memory
 from toucanhold.gateway import (
     admission,
@@ -40,6 +40,7 @@
     :ivar min_initial_fraction: least fraction of a route's timeout that callers start with
     :ivar first_event_times: decide how long requests may queue; fixed unless they observe attempts
     :ivar answer_memory: bounds what is held of unfinished answers
+    :ivar lifetime: the time that this process has for answers
     :ivar in_flight: number of calls without a final response
     """
 
@@ -57,6 +58,7 @@
         factory=first_event_times.FirstEventTimes
     )
     answer_memory: answer_memory.AnswerMemory = attrs.field(factory=answer_memory.AnswerMemory)
+    lifetime: lifetime.Lifetime = attrs.field(factory=lifetime.Lifetime)
     in_flight: int = attrs.field(default=0, init=False)
 
     async def serve(self, call: calls.Call, reply: calls.Reply) -> int:
@@ -109,10 +111,12 @@
             raise calls.CallError(calls.RefusalReason.NO_SERVER, retry_after_s=RETRY_AFTER_S)
         self.retry_budget.record_request(service.name)
         deadline_s = min(call.deadline_s, call.arrived_s + route.timeout_s)
-        state = call_state.CallState(call, route, service, workspace, deadline_s, reply)
+        state = call_state.CallState(
+            call, route, service, workspace, deadline_s, reply, self.lifetime
+        )
         state.min_initial_fraction = self.min_initial_fraction
         state.queue_fraction = self.first_event_times.queue_fraction(service, call.model, route)
-        with trio.move_on_at(deadline_s) as scope:
+        with self.lifetime.bounded(deadline_s) as scope:
             try:
                 return await self._run_attempts(state)
             except calls.CallError:
@@ -122,15 +126,15 @@
             await attempt.forward_answer(state, state.failure_answer)
             return state.failure_answer.status
         assert scope.cancelled_caught
+        is_stopped = scope.deadline < deadline_s
+        decided_by = calls.Decider.STOP if is_stopped else calls.Decider.DEADLINE
         if state.has_response_started:
-            raise calls.ResponseLostError(
-                "the time for the request is over", decided_by=calls.Decider.DEADLINE
-            )
+            raise calls.ResponseLostError("the time for the request is over", decided_by=decided_by)
         raise calls.CallError(
             calls.RefusalReason.DEADLINE_EXCEEDED,
             state.may_have_run,
-            retry_after_s=RETRY_AFTER_S,
-            decided_by=calls.Decider.DEADLINE,
+            retry_after_s=0.0 if is_stopped else RETRY_AFTER_S,
+            decided_by=decided_by,
         )
 
     async def _run_attempts(self, state: call_state.CallState) -> int:
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -11,7 +11,7 @@
 import attrs
 import trio
 
-from toucanhold import application, events, metrics, serving, supervision
+from toucanhold import application, events, lifetime, metrics, serving, supervision
 from toucanhold.coordination import lease, mirror, watching
 from toucanhold.gateway import (
     admission,
@@ -63,9 +63,10 @@
 # Callers cache an address for up to three times its TTL; the rest is a margin.
 CALLER_DRAIN_S = 3.2 * directory.ADDRESS_TTL_S
 IDLE_TIMEOUT_S = 75.0
-CLEAN_UP_TIMEOUT_S = 1.0
-# Part of the grace period of a planned stop that is kept for the clean-up.
-STOP_MARGIN_S = CLEAN_UP_TIMEOUT_S + 0.25
+CLEAN_UP_TIMEOUT_S = 0.1
+# Last part of the time of a planned stop, in which answers are written and the process exits.
+STOP_RESERVE_S = 0.4
+WRITE_TIMEOUT_S = 0.1
 
 LOGGER = logging.getLogger(__name__)
 
@@ -88,6 +89,7 @@
     def __attrs_post_init__(self) -> None:
         """Build the components; none of them runs before :meth:`start`."""
         entry_settings = self.settings
+        self.lifetime = lifetime.Lifetime(entry_settings.bounds.grace_s, STOP_RESERVE_S)
         self.rng = random.Random()
         self.metrics = metrics.Metrics(entry_settings.entry)
         self.store = store.StoreClient(entry_settings.store_address)
@@ -139,7 +141,7 @@
             self._reload_on_signal,
         ):
             nursery.start_soon(supervision.keep_running, run)
-        front_app = front.FrontApp(self.gateway, self.metrics, lambda: self.entry_list.is_stopping)
+        front_app = front.FrontApp(self.gateway, self.metrics)
         streams_server = serving.HypercornServer(IDLE_TIMEOUT_S)
         await self._serve(nursery, streams_server, front_app, entry_settings.callers_address)
         short_server = serving.ShortAnswerServer(IDLE_TIMEOUT_S)
@@ -159,17 +161,24 @@
 
     async def stop(self) -> None:
         """See :class:`application.Application`."""
-        stopping_s = trio.current_time()
-        events.log(LOGGER, events.Event.ENTRY_STOPPING, in_flight=self.gateway.in_flight)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.planner_lease.release)
-            nursery.start_soon(self.entry_list.deregister)
-            # Callers cache the directory's answers and keep connecting for that long.
-            nursery.start_soon(trio.sleep, CALLER_DRAIN_S)
+        events.log(
+            LOGGER,
+            events.Event.ENTRY_STOPPING,
+            in_flight=self.gateway.in_flight,
+            ends_in_s=round(self.lifetime.end_s - trio.current_time(), 3),
+        )
+        # Callers cache the directory's answers and keep connecting for that long.
+        drained_s = trio.current_time() + CALLER_DRAIN_S
+        with self.lifetime.bounded(drained_s):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.planner_lease.release)
+                nursery.start_soon(self.entry_list.deregister)
+                nursery.start_soon(trio.sleep_forever)
         self._stop_http_servers.set()
-        await self._all_http_servers_stopped.wait()
+        with trio.move_on_at(self.lifetime.end_s + WRITE_TIMEOUT_S):
+            await self._all_http_servers_stopped.wait()
         # Tunnels of entries that are gone end by themselves only later.
-        with trio.move_on_at(stopping_s + self.settings.bounds.grace_s - STOP_MARGIN_S):
+        with self.lifetime.bounded():
             await self.tunnel_server.wait_idle()
 
     async def clean_up(self) -> None:
@@ -180,7 +189,7 @@
 
     def is_ready(self) -> bool:
         """Return whether this entry accepts new callers: it has routes and is not stopping."""
-        return not self.entry_list.is_stopping and self.routes.table is not None
+        return not self.lifetime.is_stopping and self.routes.table is not None
 
     def _forget_servers(self) -> None:
         def is_known(incarnation: tuple[str, int]) -> bool:
@@ -318,6 +327,7 @@
             outcomes.ObserverGroup(self.policies.observers),
             self.policies.min_initial_fraction,
             self.policies.first_event_times,
+            lifetime=self.lifetime,
         )
 
     def _build_exchange(self) -> None:
@@ -373,6 +383,7 @@
         self.retry_budget.bound = _retry_bound(bounds)
         self.cold_budget.overage, self.cold_budget.slack = bounds.cold_overage, bounds.cold_slack
         self.planner.stall_s = bounds.stall_s
+        self.lifetime.grace_s = bounds.grace_s
 
     def _on_silent_server(self, server_id: str) -> None:
         self.exchange.report_silent(server_id)
--- a/toucanhold/platform/front.py
+++ b/toucanhold/platform/front.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import collections.abc
 import logging
 import re
 
 import attrs
 import trio
 
-from toucanhold import asgi, events, metrics, parsing, supervision
+from toucanhold import asgi, events, lifetime, metrics, parsing, supervision
 from toucanhold.gateway import calls, gateway
 from toucanhold.platform import headers
 
@@ -32,6 +31,7 @@
     calls.RefusalReason.CRASHES_SERVERS: 503,
     calls.RefusalReason.RESPONSE_LOST: 502,
     calls.RefusalReason.BODY_TOO_LARGE: 413,
+    calls.RefusalReason.STOPPING: 503,
 }
 
 
@@ -40,7 +40,7 @@
     """Sends the answer to one request to the caller.
 
     :ivar send_message: sends one ASGI message
-    :ivar is_closing: whether the connection is closed after the answer
+    :ivar lifetime: the connection is closed after an answer that begins while this process stops
     :ivar timer: records the request's duration and number of events
     :ivar status: HTTP status sent, 0 until then
     :ivar is_complete: whether the whole body was sent
@@ -49,7 +49,7 @@
     """
 
     send_message: asgi.Send
-    is_closing: bool
+    lifetime: lifetime.Lifetime
     timer: metrics.RequestTimer
     status: int = 0
     is_complete: bool = False
@@ -63,7 +63,7 @@
         all_headers = list(lines)
         if length_bytes is not None:
             all_headers.append((b"content-length", str(length_bytes).encode()))
-        if self.is_closing:
+        if self.lifetime.is_stopping:
             all_headers.append((b"connection", b"close"))
         with _shielded():
             await asgi.start(self.send_message, status, all_headers)
@@ -92,14 +92,10 @@
 
 @attrs.define(eq=False)
 class FrontApp:
-    """ASGI application that forwards callers' requests to the gateway.
-
-    :ivar is_stopping: returns whether this entry is stopping: answers then close their connection
-    """
+    """ASGI application that forwards callers' requests to the gateway."""
 
     gateway: gateway.Gateway
     metrics: metrics.Metrics
-    is_stopping: collections.abc.Callable[[], bool]
 
     async def __call__(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         """Serve one connection event of the ASGI server."""
@@ -110,16 +106,22 @@
 
     async def _serve(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         arrived_s = trio.current_time()
+        body = None
         try:
-            body = await asgi.read_body(receive, BODY_LIMIT_BYTES)
+            with self.gateway.lifetime.bounded():
+                body = await asgi.read_body(receive, BODY_LIMIT_BYTES)
         except asgi.ClientDisconnectedError:
             return
         except asgi.BodyTooLargeError:
             await asgi.respond(send, 413, [(b"connection", b"close")], b"")
             return
+        if body is None:
+            lines = [(b"connection", b"close"), (b"retry-after", b"0")]
+            await asgi.respond(send, 503, lines, b"")
+            return
         call = read_call(scope, body, arrived_s)
         timer = self.metrics.new_timer(call.method, "calls")
-        reply = HttpReply(send, self.is_stopping(), timer)
+        reply = HttpReply(send, self.gateway.lifetime, timer)
         outcome, decided_by = "left", "caller"
         async with trio.open_nursery() as nursery:
             # When the caller disconnects, the backend server's slot must be freed at once.
--- a/toucanhold/routing/dispatch.py
+++ b/toucanhold/routing/dispatch.py
@@ -9,7 +9,7 @@
 import attrs
 import trio
 
-from toucanhold import events
+from toucanhold import events, lifetime
 from toucanhold.backends import answer_memory, client
 from toucanhold.routing import (
     admission,
@@ -49,6 +49,7 @@
 
     :ivar retry_budget: limits the retries of all requests together
     :ivar answer_memory: bounds what is held of unfinished answers
+    :ivar lifetime: the time that this process has for answers
     """
 
     admission: admission.AdmissionPolicy
@@ -57,6 +58,7 @@
     watchdog: watchdog.Watchdog
     retry_budget: budget.RetryBudget = attrs.field(factory=budget.RetryBudget)
     answer_memory: answer_memory.AnswerMemory = attrs.field(factory=answer_memory.AnswerMemory)
+    lifetime: lifetime.Lifetime = attrs.field(factory=lifetime.Lifetime)
 
     @contextlib.asynccontextmanager
     async def serve(self, request: requests.CallerRequest) -> collections.abc.AsyncIterator[Answer]:
@@ -79,13 +81,15 @@
             raise failure
 
     async def _run(self, request: requests.CallerRequest, response_relay: relay.Relay) -> None:
-        """Serve until the answer is complete, has finally failed or the deadline has passed."""
+        """Serve until the answer is complete, has finally failed or its time is over."""
         error: requests.RequestError | None = None
         attempt = attempts.AttemptRunner(self, request, response_relay, resuming.StreamPosition())
-        with trio.move_on_at(request.deadline_s) as scope:
+        with self.lifetime.bounded(request.deadline_s) as scope:
             error = await self._run_attempts(attempt)
         if scope.cancelled_caught:
-            error = _deadline_error(request, attempt.sent_count > 0)
+            is_stopped = scope.deadline < request.deadline_s
+            detail = "this entry stops" if is_stopped else "the deadline has passed"
+            error = _deadline_error(request, attempt.sent_count > 0, detail)
         if error is not None and attempt.failure_answer is not None and not response_relay.status:
             attempt.failure_answer.forward(response_relay)
             error = None
@@ -155,11 +159,11 @@
 
 
 def _deadline_error(
-    request: requests.CallerRequest, may_have_been_sent: bool
+    request: requests.CallerRequest, may_have_been_sent: bool, detail: str
 ) -> requests.RequestError:
     # Once a byte was sent, this entry cannot know whether the backend server ran the request.
     outcome = requests.Outcome.UNKNOWN if may_have_been_sent else requests.Outcome.DID_NOT_RUN
     problem = requests.Problem.DEADLINE
     if may_have_been_sent and not request.may_repeat:
         problem = requests.Problem.OUTCOME_UNKNOWN
-    return requests.RequestError(problem, outcome, "the deadline has passed")
+    return requests.RequestError(problem, outcome, detail)
--- a/toucanhold/routing/router.py
+++ b/toucanhold/routing/router.py
@@ -8,7 +8,7 @@
 import attrs
 import trio
 
-from toucanhold import supervision
+from toucanhold import lifetime, supervision
 from toucanhold.backends import client
 from toucanhold.configuration import holder
 from toucanhold.coordination import keyvalue
@@ -42,6 +42,7 @@
     :ivar serving_entries: returns the names of all serving entries
     :ivar max_in_flight: largest number of requests that this entry has in flight
     :ivar may_start: returns whether this entry's configuration is recent enough for new work
+    :ivar lifetime: the time that this process has for answers
     """
 
     entry: str
@@ -56,6 +57,7 @@
     max_in_flight: int = 2000
     may_start: collections.abc.Callable[[], bool] = lambda: True
     exchange: exchange.Exchange = attrs.field(factory=exchange.Exchange)
+    lifetime: lifetime.Lifetime = attrs.field(factory=lifetime.Lifetime)
 
 
 @attrs.frozen
@@ -129,6 +131,7 @@
         finder,
         incidents.TrackingBackendClient(dependencies.backends, tracker),
         watchdog.Watchdog(dependencies.view),
+        lifetime=dependencies.lifetime,
     )
     return Router(
         leased, in_flight, finder, shared_limit, usable, policy, queue, dispatcher, tracker
@@ -151,6 +154,7 @@
         finder,
         dependencies.backends,
         watchdog.Watchdog(dependencies.view),
+        lifetime=dependencies.lifetime,
     )
     return Router(
         leased,
--- a/toucanhold/settings.py
+++ b/toucanhold/settings.py
@@ -147,6 +147,11 @@
         _number(0.1, 3600),
         5.0,
     )
+    stop_grace_s: float = _setting(
+        "time between the signal for a planned stop and the kill, seconds",
+        _number(1, 86400),
+        90.0,
+    )
     seed: int = _setting(
         "seed of the random number generator; 0 for a different one at each start",
         _integer(0, 2**63),
