Open no tunnel while an entry stops

What callers saw: a request that another entry sent through a tunnel of a stopping entry late in its grace time was cut when that process ended: 502 for an order, a stream resumed or broken off. Cause: new tunnels were accepted until the end, and an entry that relays does not know how long a request lasts. Now it opens none from the signal on; the entry that asks goes on to the next one at once. Evidence: the new test in tests/test_tunnels.py fails on the code before, where the tunnel opens. Why it works: entries that stop are no candidates for tunnels once others know; until then a refusal costs one exchange and says nothing of the server.

--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -147,6 +147,25 @@
 
         self._run(test)
 
+    def test_an_entry_that_stops_finishes_its_tunnels_and_opens_no_more(self):
+        """Guards against requests that are cut because an entry relays them late in its stop."""
+
+        async def test(scene):
+            open_connection = await scene.dialer.connect(scene.server, 1.0)
+            scene.tunnel_server.lifetime.grace_s = 5.0
+            scene.tunnel_server.lifetime.begin_stop()
+            with self.assertRaises(dialing.DialError) as raised:
+                await scene.dialer.connect(scene.server, 1.0)
+            self.assertFalse(raised.exception.is_gone)
+            await open_connection.stream.write(REQUEST)
+            answer = b""
+            while data := await open_connection.stream.read(1000):
+                answer += data
+            self.assertEqual(ANSWER, answer)
+            await open_connection.stream.aclose()
+
+        self._run(test)
+
     def test_busy_entries_are_waited_for(self):
         """Guards against requests that are refused because the entries that could help are busy."""
 
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -223,7 +223,7 @@
         relay_table = relays.RelayTable(self.entry_list, self.rng)
         self.dialer = dialing.RelayingDialer(direct, relay_table, peers)
         self.tunnel_server = tunnel_serving.TunnelServer(
-            self.settings.tunnel_address, peers, self.server_registry, direct
+            self.settings.tunnel_address, peers, self.server_registry, direct, self.lifetime
         )
 
     def _build_relay(self, peers: transport.PeerTransport) -> None:
--- a/toucanhold/tunnels/serving.py
+++ b/toucanhold/tunnels/serving.py
@@ -9,7 +9,7 @@
 import httpcore
 import trio
 
-from toucanhold import notifier
+from toucanhold import lifetime, notifier
 from toucanhold.peers import frames, transport
 from toucanhold.registry import registry, servers
 from toucanhold.tunnels import dialing, messages, streams
@@ -31,6 +31,8 @@
 
     :ivar address: ``IP:port`` to listen on
     :ivar dialer: connects to the servers, never through another entry
+    :ivar lifetime: no tunnel is opened while this process stops, as nobody knows how long the
+        request will last for which it is meant
     :ivar open_count: number of open tunnels
     """
 
@@ -38,6 +40,7 @@
     transport: transport.PeerTransport
     server_registry: registry.Registry
     dialer: dialing.DirectDialer
+    lifetime: lifetime.Lifetime = attrs.field(factory=lifetime.Lifetime)
     open_count: int = attrs.field(default=0, init=False)
     _closed: notifier.Notifier = attrs.field(factory=notifier.Notifier, init=False)
 
@@ -77,9 +80,11 @@
                 f"expected a timeout of 0 to {MAX_CONNECT_TIMEOUT_S} s, got {request.timeout_s}"
             )
         server = self.server_registry.find((request.server_id, request.born_ms))
-        if server is None:
-            answer = messages.Failed(f"no server {request.server_id} is registered here", False)
-            await frame_stream.send([messages.encode(answer)])
+        if server is None or self.lifetime.is_stopping:
+            reason = f"no server {request.server_id} is registered here"
+            if server is not None:
+                reason = "this entry is stopping"
+            await frame_stream.send([messages.encode(messages.Failed(reason, False))])
             return
         started_s = trio.current_time()
         try:
