--- a/tests/platform/soak/answers.py
+++ b/tests/platform/soak/answers.py
@@ -26,7 +26,8 @@
 class LongCaller:
     """Sends streams that last for seconds at random entries, and checks each event.
 
-    :ivar reserved_targets: names of targets that have a fault now; these entries get no streams
+    :ivar reserved_targets: names of targets that have a fault now; these entries get no streams,
+        unless the fault is a planned stop and the seed has late streams
     """
 
     site: sites.Site
@@ -40,15 +41,18 @@
         async with trio.open_nursery() as nursery:
             while trio.current_time() < end_s:
                 await trio.sleep(rng.expovariate(LONG_STREAMS_PER_S))
-                entries = [
-                    entry for entry in self.site.entries if entry not in self.reserved_targets
-                ]
+                entries = [entry for entry in self.site.entries if self._may_get_streams(entry)]
                 if not entries:
                     continue
                 number += 1
                 entry, model = rng.choice(entries), rng.choice(sites.MODELS).name
                 nursery.start_soon(self._send, entry, model, f"{ATTEMPT_PREFIX}{number}", number)
 
+    def _may_get_streams(self, entry):
+        if entry in self.site.stopping:
+            return sites.has_late_streams(self.site.seed)
+        return entry not in self.reserved_targets
+
     async def _send(self, entry, model, attempt, number):
         sent_s = trio.current_time()
         self.site.signal_record.entries[attempt] = entry, sent_s
--- a/tests/platform/soak/faults.py
+++ b/tests/platform/soak/faults.py
@@ -102,7 +102,9 @@
         disturbance = self.site.signal_record.begin_disturbance(entry, is_outage=False)
         began_s = trio.current_time()
         self.site.stops.append((entry, began_s))
+        self.site.stopping.add(entry)
         status = await self.site.group.stop(entry)
+        self.site.stopping.discard(entry)
         elapsed_s = trio.current_time() - began_s
         if status or elapsed_s > self.site.grace_s:
             self.site.stop_failures.append(f"{entry} ended with {status} after {elapsed_s:.1f} s")
--- a/tests/platform/soak/site.py
+++ b/tests/platform/soak/site.py
@@ -25,6 +25,7 @@
 # Several heads of each model, so that some go on while others pause.
 MODEL_SERVERS_WITH_PAUSES = 18
 FIRST_SEED_WITH_PAUSES = 2000
+FIRST_SEED_WITH_LATE_STREAMS = 4000
 GRACE_S = 8.0
 # Time for requests that arrive during a planned stop, and then for the route's timeout.
 LONG_GRACE_S = 12.0
@@ -51,6 +52,7 @@
     :ivar has_pauses: whether servers pause, see :mod:`pauses`
     :ivar retry_slack: retries that a service tolerates beyond the ratio
     :ivar stops: entries that were stopped, and when
+    :ivar stopping: entries that are being stopped
     :ivar stalls: start and end of times in which the process of the soak stood still
     :ivar stop_failures: descriptions of stops that were slow or failed
     """
@@ -66,6 +68,7 @@
     route_prefixes: list = attrs.field(factory=list)
     retry_slack: int = RETRY_SLACK
     stops: list = attrs.field(factory=list)
+    stopping: set = attrs.field(factory=set)
     stalls: list = attrs.field(factory=list)
     stop_failures: list = attrs.field(factory=list)
     store_proxies: dict = attrs.field(factory=dict)
@@ -81,7 +84,7 @@
         self.grace_s, slots = GRACE_S, 13
         if self.has_pauses:
             rng = random.Random(f"bounds {self.seed}")
-            self.grace_s = LONG_GRACE_S
+            self.grace_s = LONG_TIMEOUT_MS / 1000 if has_late_streams(self.seed) else LONG_GRACE_S
             self.retry_slack, slots = rng.choice((5, 20, RETRY_SLACK)), rng.choice((5, 8, 13))
         self.engine = replicas.new_engine(*MODELS, slots=slots)
         self.fleet = replicas.MemoryServers(
@@ -253,6 +256,11 @@
     return seed >= FIRST_SEED_WITH_PAUSES and seed % 4 != 0
 
 
+def has_late_streams(seed):
+    """Return whether long streams, as long as the grace time, are sent to entries that stop."""
+    return seed >= FIRST_SEED_WITH_LATE_STREAMS and has_pauses(seed)
+
+
 def _route(prefix, service, kind, **overrides):
     return {
         "name": prefix.strip("/"),
