--- a/toucanhold/entry.py
+++ b/toucanhold/entry.py
@@ -38,10 +38,11 @@
 PLANNER_LEASE_TTL_S = 4
 VM_LIST_POLL_INTERVAL_S = 1.0
 STORE_OUTCOMES_TIMEOUT_S = 30.0
-# Last part of the time of a planned stop, in which outcomes of orders are stored.
+# Last part of the time of a planned stop, in which the last answers are written and outcomes of
+# orders are stored.
 STOP_RESERVE_S = 5.0
+LAST_ANSWERS_TIMEOUT_S = 0.5
 CLEAN_UP_TIMEOUT_S = 1.0
-WRITE_TIMEOUT_S = 0.5
 # Callers count the lifetime of a directory answer from its arrival; this allows for its transfer.
 DIRECTORY_EXPIRY_MARGIN_S = 0.5
 
@@ -137,7 +138,7 @@
                 nursery.start_soon(self.entry_lease.release)
                 nursery.start_soon(trio.sleep_forever)
         self._stop_serving.set()
-        with trio.move_on_at(self.lifetime.end_s + WRITE_TIMEOUT_S):
+        with trio.move_on_at(self.lifetime.end_s + LAST_ANSWERS_TIMEOUT_S):
             await self._all_servers_stopped.wait()
         last_s = self.lifetime.kill_s - CLEAN_UP_TIMEOUT_S
         remaining_s = max(0.0, last_s - trio.current_time())
--- a/toucanhold/lifetime.py
+++ b/toucanhold/lifetime.py
@@ -1,4 +1,4 @@
-"""The time that a process still has, once a planned stop of it has begun."""
+"""Owns the time that a process still has once a planned stop has begun."""
 
 from __future__ import annotations
 
@@ -12,10 +12,10 @@
 
 @attrs.define(eq=False)
 class Lifetime:
-    """Until when a process can answer: without an end until a planned stop begins.
+    """Bounds the work of a process that is stopping, so that the kill at its end cuts nothing.
 
-    Whatever takes time measures it here. What cannot be finished before the end is not begun, and
-    what is under way at the end is cancelled, so that its caller gets an answer before the kill.
+    Work that may not be finished in time is not begun, and what is under way at the end is
+    cancelled, so that its caller gets an answer before the kill.
 
     :ivar grace_s: time between the stop signal and the kill; a change does not concern a stop that
         has begun
@@ -68,9 +68,9 @@
 
     @contextlib.contextmanager
     def waiting(self, deadline_s: float) -> collections.abc.Iterator[trio.CancelScope]:
-        """Cancel the context if a stop begins and there is no time for what it waits for.
+        """Cancel the context if a stop begins that leaves no time for what the context waits for.
 
-        :param deadline_s: trio clock time until which that may last
+        :param deadline_s: trio clock time until which the work may last that follows
         """
         with trio.CancelScope() as scope:
             self._waiting[scope] = deadline_s
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -64,9 +64,10 @@
 CALLER_DRAIN_S = 3.2 * directory.ADDRESS_TTL_S
 IDLE_TIMEOUT_S = 75.0
 CLEAN_UP_TIMEOUT_S = 0.1
-# Last part of the time of a planned stop, in which answers are written and the process exits.
+# Last part of the time of a planned stop, in which the last answers are written and the process
+# exits.
 STOP_RESERVE_S = 0.4
-WRITE_TIMEOUT_S = 0.1
+LAST_ANSWERS_TIMEOUT_S = 0.1
 
 LOGGER = logging.getLogger(__name__)
 
@@ -175,7 +176,7 @@
                 nursery.start_soon(self.entry_list.deregister)
                 nursery.start_soon(trio.sleep_forever)
         self._stop_http_servers.set()
-        with trio.move_on_at(self.lifetime.end_s + WRITE_TIMEOUT_S):
+        with trio.move_on_at(self.lifetime.end_s + LAST_ANSWERS_TIMEOUT_S):
             await self._all_http_servers_stopped.wait()
         # Tunnels of entries that are gone end by themselves only later.
         with self.lifetime.bounded():
