Bound the planner's calls to servers by its processor

What callers saw: on a site with a thousand model servers too little was served, since half of the servers belonged to no group.

Cause: at a cold start the planner sends an order and a probe to every server in the same moment. Each takes 1 to 2 ms of its processor, so most exceed their timeout of 0.4 s inside the planner while their servers have answered. It took these for dead, and ended their groups; second probes, relays and retries added to the work. The class: a timeout that measures the caller's own queue.

Change: at most 32 calls per core of the VM are in progress, at least 4; the others wait, and their timeouts begin afterwards.

The 85 tests of planner, orders, pauses and sequences pass. The calls of the older planner of the product's own interface are limited by its orders' schedule and were not changed.

--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -268,6 +268,7 @@
             self.settings.bounds.stall_s,
             self.backoff_table,
             self._model_load if self._is_on(policies.Policy.GROUP_DEMAND) else None,
+            self.settings.cores,
         )
 
     def _is_on(self, policy: policies.Policy) -> bool:
--- a/toucanhold/replicas/ordering.py
+++ b/toucanhold/replicas/ordering.py
@@ -34,6 +34,11 @@
 # Servers report their state as it was up to 0.2 s ago.
 MAX_REPORT_AGE_S = 0.25
 
+# Orders and probes in progress per core of this VM. With more than the processor keeps up with,
+# all would exceed their timeouts, and sound servers would be considered unreachable.
+CALLS_PER_CORE = 32
+MIN_CALLS = 4
+
 LOGGER = logging.getLogger(__name__)
 
 
@@ -58,9 +63,12 @@
 class OrderSender:
     """Sends orders to servers, one at a time per server, while this entry is the planner.
 
+    Orders and probes beyond :data:`CALLS_PER_CORE` wait, in order; their timeouts begin afterwards.
+
     :ivar fence: returns the planner's fencing number, or 0 if this entry may not send orders
     :ivar backoff_table: servers that asked for a backoff; each gets at most one order in it, which
         its group may need, and no probes
+    :ivar cores: processor cores of this VM, possibly a fraction
     :ivar reachability: the results of recent probes, by availability zone
     """
 
@@ -68,6 +76,7 @@
     server_registry: registry.Registry
     fence: collections.abc.Callable[[], int]
     backoff_table: backoffs.BackoffTable = attrs.field(factory=backoffs.BackoffTable)
+    cores: float = 1.0
     reachability: reachability.Reachability = attrs.field(
         factory=reachability.Reachability, init=False
     )
@@ -77,6 +86,11 @@
     _locks: dict[str, trio.Lock] = attrs.field(
         factory=lambda: collections.defaultdict(trio.Lock), init=False
     )
+    _calls: trio.CapacityLimiter = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Set the number of calls in progress for this VM."""
+        self._calls = trio.CapacityLimiter(max(MIN_CALLS, int(self.cores * CALLS_PER_CORE)))
 
     def is_unreachable(self, incarnation: tuple[str, int]) -> bool:
         """Return whether a server failed to answer in the last :data:`UNREACHABLE_PERIOD_S`."""
@@ -139,7 +153,8 @@
         if self.backoff_table.remaining_s(server):
             self._paused.pop(server.incarnation, None)
             return server
-        report, is_unanswered = await self._probe_twice(server)
+        async with self._calls:
+            report, is_unanswered = await self._probe_twice(server)
         if report is None and self.backoff_table.remaining_s(server):
             # It has answered, with the backoff.
             self._paused.pop(server.incarnation, None)
@@ -199,12 +214,13 @@
         return None, scope.cancelled_caught and bool(unanswered)
 
     async def _send_once(self, server: servers.Server, order: orders.Order) -> orders.OrderOutcome:
-        # The process may have been paused since the decision, and another planner elected.
-        fence = self.fence()
-        if not fence:
-            raise NotPlannerError(server.server_id)
-        count = self._order_counts[server.incarnation]
-        outcome = await self.engine_client.send(server, order, count, fence)
+        async with self._calls:
+            # The process may have been paused since the decision, and another planner elected.
+            fence = self.fence()
+            if not fence:
+                raise NotPlannerError(server.server_id)
+            count = self._order_counts[server.incarnation]
+            outcome = await self.engine_client.send(server, order, count, fence)
         is_already_done = isinstance(order, orders.Leave) and outcome is orders.OrderOutcome.HOLDS
         if outcome is orders.OrderOutcome.BEGUN or is_already_done:
             self._order_counts[server.incarnation] = count + 1
--- a/toucanhold/replicas/planner.py
+++ b/toucanhold/replicas/planner.py
@@ -49,6 +49,7 @@
     :ivar backoff_table: servers that asked for a backoff
     :ivar load: returns the slots in use and all slots by model of a service; None if groups do not
         follow the demand
+    :ivar cores: processor cores of this VM, possibly a fraction
     """
 
     kv_mirror: mirror.Mirror
@@ -64,6 +65,7 @@
     load: (
         collections.abc.Callable[[table.Service], tuple[dict[str, float], dict[str, float]]] | None
     ) = None
+    cores: float = 1.0
     order_sender: ordering.OrderSender = attrs.field(init=False)
     prober: probing.Prober = attrs.field(init=False)
     preloader: preloading.Preloader = attrs.field(init=False)
@@ -80,7 +82,7 @@
     def __attrs_post_init__(self) -> None:
         """Subscribe to registrations, group records and the planner key."""
         self.order_sender = ordering.OrderSender(
-            self.engine_client, self.server_registry, self._fence, self.backoff_table
+            self.engine_client, self.server_registry, self._fence, self.backoff_table, self.cores
         )
         self.prober = probing.Prober(
             self.group_table, self.server_registry, self.order_sender, self._changed.notify_all
