--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -232,6 +232,21 @@
         self.assertEqual(["c"], [deletion.key for deletion in changes.deleted])
         self.assertIsNone(self.kv_mirror.changes_since(3))
 
+    def test_followers_get_only_the_difference_after_a_full_read(self):
+        """Guards against snapshots to all entries each time that the store compacts its history."""
+        items = (keyvalue.Item("a", b"2", 1, 8), keyvalue.Item("d", b"1", 7, 7))
+        self.kv_mirror.replace(keyvalue.RangeResult(9, items))
+        self.kv_mirror.apply(mirror.Changes(9, 10, (keyvalue.Item("e", b"1", 10, 10),)))
+        changes = self.kv_mirror.changes_since(4)
+        self.assertEqual(["a", "d", "e"], [item.key for item in changes.items])
+        self.assertEqual(["b"], [deletion.key for deletion in changes.deleted])
+
+    def test_followers_within_the_gap_of_a_full_read_get_a_snapshot(self):
+        """Guards against keys that stay at a follower which saw them written in the gap."""
+        self.kv_mirror.replace(keyvalue.RangeResult(9, ()))
+        self.assertIsNone(self.kv_mirror.changes_since(6))
+        self.assertTrue(self.kv_mirror.changes_since(9).is_empty)
+
 
 class PlannerWatchTest(unittest.TestCase):
     """Availability zones that follow the planner, which alone watches the service."""
--- a/toucanhold/coordination/mirror.py
+++ b/toucanhold/coordination/mirror.py
@@ -52,6 +52,18 @@
         return not self.items and not self.deleted
 
 
+@attrs.frozen
+class _Batch:
+    """Changes that were applied at once.
+
+    :ivar is_difference: whether they were found by comparing two full reads, so that keys written
+        and deleted in between are missing
+    """
+
+    changes: Changes
+    is_difference: bool = False
+
+
 @attrs.frozen
 class SyncStatus:
     """How current a mirror is, and whether the service answers.
@@ -82,7 +94,7 @@
     revision: int = attrs.field(default=0, init=False)
     sync_status: SyncStatus = attrs.field(factory=SyncStatus, init=False)
     changed: notifier.Notifier = attrs.field(factory=notifier.Notifier, init=False)
-    _history: collections.deque[Changes] = attrs.field(
+    _history: collections.deque[_Batch] = attrs.field(
         factory=lambda: collections.deque(maxlen=HISTORY_BATCHES), init=False
     )
     _listeners: list[tuple[str, Listener]] = attrs.field(factory=list, init=False)
@@ -109,16 +121,19 @@
         """Return the changes after a revision, or None where the history does not reach back."""
         if revision >= self.revision:
             return Changes(revision, revision)
-        if not self._history or self._history[0].after > revision:
+        if not self._history or self._history[0].changes.after > revision:
             return None
         items: dict[str, keyvalue.Item] = {}
         deleted: dict[str, Deletion] = {}
         for batch in self._history:
-            for deletion in batch.deleted:
+            changes = batch.changes
+            if batch.is_difference and changes.after < revision < changes.revision:
+                return None
+            for deletion in changes.deleted:
                 if deletion.revision > revision:
                     deleted[deletion.key] = deletion
                     items.pop(deletion.key, None)
-            for item in batch.items:
+            for item in changes.items:
                 if item.mod_revision > revision:
                     items[item.key] = item
                     deleted.pop(item.key, None)
@@ -131,9 +146,19 @@
         new_items = {item.key: item for item in result.items}
         removed = self.items.keys() - new_items.keys()
         changed = {key for key, item in new_items.items() if self.items.get(key) != item}
+        if self.revision and self.revision < result.revision:
+            # A snapshot would cost each follower as much as its start, and there are many of them.
+            difference = Changes(
+                self.revision,
+                result.revision,
+                tuple(new_items[key] for key in sorted(changed)),
+                tuple(Deletion(key, result.revision) for key in sorted(removed)),
+            )
+            self._history.append(_Batch(difference, is_difference=True))
+        elif removed or changed:
+            self._history.clear()
         self.items = new_items
         self.revision = result.revision
-        self._history.clear()
         self._notify(removed | changed)
 
     def apply(self, changes: Changes) -> None:
@@ -143,7 +168,7 @@
         changed_keys = {deletion.key for deletion in changes.deleted if self._delete(deletion)}
         changed_keys |= {item.key for item in changes.items if self._put(item)}
         self.revision = changes.revision
-        self._history.append(changes)
+        self._history.append(_Batch(changes))
         self._notify(changed_keys)
 
     def update_sync_status(self, sync_status: SyncStatus, source: str, reason: str = "") -> None:
