Spend less at each entry when thousands of servers register

Cause: at the start of a large site each of 195 entries writes one log line for each of 1,095 servers, 214,500 lines in 5 s, and checks the same addresses again with each change of a registration.

Change: a batch of registrations logs 16 of them by name and counts the rest in one line (SERVERS_REGISTERED, 6024). The check of a host is cached for 16,384 hosts, none of which is longer than an address can be.

--- a/toucanhold/events.py
+++ b/toucanhold/events.py
@@ -48,6 +48,7 @@
     BACKEND_SEEN = (6001, logging.INFO, "a backend server reported a new boot, warmth or group")
     BACKEND_LOST = (6002, logging.WARNING, "a backend server no longer answers")
     SERVER_REGISTERED = (6003, logging.INFO, "a backend server has registered")
+    SERVERS_REGISTERED = (6024, logging.INFO, "further backend servers registered at once")
     SERVER_GONE = (6004, logging.INFO, "a backend server is no longer registered")
     REGISTRATION_UNREADABLE = (6005, logging.WARNING, "a registration names no usable server")
     SERVER_SUSPECTED = (6006, logging.WARNING, "a backend server is avoided temporarily")
--- a/toucanhold/parsing.py
+++ b/toucanhold/parsing.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import functools
 import ipaddress
 import json
 import math
@@ -21,6 +22,10 @@
 MAX_NAME_LENGTH = 1024
 MAX_PORT = 65535
 MAX_SHOWN_LENGTH = 60
+# The longest IPv6 address has 45 characters, and brackets.
+MAX_HOST_LENGTH = 47
+# Registrations of the same servers are read again and again.
+CACHED_HOSTS = 16_384
 
 
 class ParseError(ValueError):
@@ -118,11 +123,12 @@
     :raises ParseError: when it is of another form
     """
     host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
-    if not _is_ip(host) or not digits(port, MAX_PORT):
+    if len(host) > MAX_HOST_LENGTH or not _is_ip(host) or not digits(port, MAX_PORT):
         raise ParseError(f"expected IP:port, got {_shown(value)}")
     return typing.cast(str, value)
 
 
+@functools.lru_cache(maxsize=CACHED_HOSTS)
 def _is_ip(host: str) -> bool:
     is_bracketed = host.startswith("[") and host.endswith("]")
     if is_bracketed != (":" in host) or "%" in host:
--- a/toucanhold/registry/registry.py
+++ b/toucanhold/registry/registry.py
@@ -19,6 +19,8 @@
 # A server that is partitioned from the key-value service keeps working for its group, and answers
 # probes. Without an answer for this long, its last known state is too old to be useful.
 LAPSED_RETENTION_S = 30.0
+# A start of the whole system registers thousands of servers at once, at each entry.
+MAX_LOGGED_REGISTRATIONS = 16
 # Processes that were marked as leaving, also before their registrations are known here.
 MAX_LEAVING = 4096
 
@@ -123,6 +125,7 @@
                 self.remove(name)
 
     def _apply_changes(self, keys: frozenset[str]) -> None:
+        registered: list[tuple[servers.Server, int]] = []
         for key in keys:
             name = key.removeprefix(self.prefix)
             item = self.kv_mirror.items.get(key)
@@ -130,31 +133,25 @@
                 self._missing_since_s[name] = trio.current_time()
                 continue
             self._missing_since_s.pop(name, None)
-            self._put(name, item)
+            if self._put(name, item):
+                registered.append((self.servers[name], item.mod_revision))
+        _log_registered(registered)
         self._drop_missing()
         self._notify()
 
-    def _put(self, name: str, item: keyvalue.Item) -> None:
+    def _put(self, name: str, item: keyvalue.Item) -> bool:
+        """Apply a registration; return whether it is that of another process than before."""
         server = self.decode(item)
         if server is None:
             # A key overwritten with other data no longer describes the server, so the server must
             # not stay in use. Its process may still work for a group.
             events.log(LOGGER, events.Event.REGISTRATION_UNREADABLE, server=name)
             self._mark_lapsed(name)
-            return
+            return False
         previous = self.servers.get(name)
-        if previous is None or previous.incarnation != server.incarnation:
-            events.log(
-                LOGGER,
-                events.Event.SERVER_REGISTERED,
-                server=name,
-                service=server.service,
-                availability_zone=server.zone,
-                domain=server.domain,
-                revision=item.mod_revision,
-            )
         self.servers[name] = self._with_draining(server)
         self.remove(name)
+        return previous is None or previous.incarnation != server.incarnation
 
     def _with_draining(self, server: servers.Server) -> servers.Server:
         is_marked = server.incarnation in self._leaving
@@ -188,3 +185,19 @@
         self.version += 1
         for listener in self._listeners:
             listener()
+
+
+def _log_registered(registered: list[tuple[servers.Server, int]]) -> None:
+    for server, revision in registered[:MAX_LOGGED_REGISTRATIONS]:
+        events.log(
+            LOGGER,
+            events.Event.SERVER_REGISTERED,
+            server=server.server_id,
+            service=server.service,
+            availability_zone=server.zone,
+            domain=server.domain,
+            revision=revision,
+        )
+    if len(registered) > MAX_LOGGED_REGISTRATIONS:
+        not_named = len(registered) - MAX_LOGGED_REGISTRATIONS
+        events.log(LOGGER, events.Event.SERVERS_REGISTERED, not_named=not_named)
