Close connections whose clients have gone

Cause, two of one class (a task that waits for what can no longer come): the reading loop of a connection ends with its client's input, but the timer of the idle timeout (75 s) keeps the connection; and a request that was sent ahead of its turn waits for the answer before it, whose end is never told once the client has gone.

Change: the end of the input ends the timer, also one that an answer in progress would start again. A close wakes the reading loop, and nothing is parsed after it.

The tests of stops, hostile clients and callers pass (34 of the files concerned).

--- a/toucanhold/serving.py
+++ b/toucanhold/serving.py
@@ -117,6 +117,7 @@
     """One connection of a client, which speaks HTTP/1.1 only."""
 
     _is_idle = True
+    _has_input_ended = False
 
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -152,8 +153,17 @@
         """See :class:`tcp_server.TCPServer`."""
         if isinstance(event, hypercorn_events.Updated):
             self._is_idle = event.idle
+            if event.idle and self._has_input_ended:
+                # The timer would keep the connection for its whole time.
+                return
         await super().protocol_send(event)
 
+    async def _read_data(self) -> None:
+        """See :class:`tcp_server.TCPServer`."""
+        await super()._read_data()
+        self._has_input_ended = True
+        await self.idle_task.stop()
+
     async def _idle_timeout(self) -> None:
         """See :class:`tcp_server.TCPServer`."""
         with trio.move_on_after(self.config.keep_alive_timeout):
@@ -164,18 +174,39 @@
                 await self._initiate_server_close()
 
 
+class _Parser(h11.Connection):
+    """Parser of a client's requests.
+
+    :ivar is_closed: whether nobody would get an answer to what is parsed from now on
+    """
+
+    is_closed = False
+
+    def next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        """See :class:`h11.Connection`."""
+        return h11.NEED_DATA if self.is_closed else super().next_event()
+
+
 class _Protocol(http1.H11Protocol):
     """HTTP/1.1 without upgrades to other protocols, which clients' headers could ask for."""
 
-    _is_closed = False
+    async def initiate(self) -> None:
+        """See :class:`http1.H11Protocol`."""
+        self.connection = _Parser(
+            h11.SERVER, max_incomplete_event_size=self.config.h11_max_incomplete_size
+        )
 
     async def handle(self, event: hypercorn_events.Event) -> None:
         """See :class:`http1.H11Protocol`."""
-        if isinstance(event, hypercorn_events.RawData) and self._is_closed:
+        if isinstance(event, hypercorn_events.RawData) and self.connection.is_closed:
             # Nobody would get the answer to a request that is read from here on.
             return
-        self._is_closed |= isinstance(event, hypercorn_events.Closed)
+        is_close = isinstance(event, hypercorn_events.Closed)
+        self.connection.is_closed |= is_close
         await super().handle(event)
+        if is_close:
+            # A request that was sent ahead would wait for an answer that nobody can end.
+            await self.can_read.set()
 
     async def _check_protocol(self, event: h11.Request) -> None:
         """See :class:`http1.H11Protocol`."""
