Refuse a body as soon as it exceeds the configured limit

A body that stalled was waited for without end.

Cause: the limit was asked once the whole body was known. The class: a check after the resource is spent.

Change: an announced length over the limit is refused with 413 at once, on both request paths, a growing one as soon as it passes the limit in force; a body that has not arrived by the caller's deadline gets 408, which promises that it has not run.

--- a/toucanhold/asgi.py
+++ b/toucanhold/asgi.py
@@ -18,6 +18,12 @@
     """The client disconnected before it had sent the complete request."""
 
 
+def announced_bytes(scope: Scope) -> int:
+    """Return the size of the request's body by its header; 0 if there is none."""
+    # The HTTP server has checked that it is a number.
+    return int(header(scope, "content-length") or 0)
+
+
 async def read_body(
     receive: Receive,
     limit_bytes: int,
--- a/toucanhold/callers/reading.py
+++ b/toucanhold/callers/reading.py
@@ -78,16 +78,20 @@
         workspace, key = workspace_of(scope), _idempotency_key(scope)
         if scope["path"] in COMPLETION_PATHS:
             _check_json_type(scope)
-        body = await self._read_body(receive, reservation)
+        body = await self._read_body(scope, receive, reservation)
         build = self._model_request if scope["path"] in COMPLETION_PATHS else self._plain_request
         request = build(scope, body, request_id)
         return attrs.evolve(
             request, workspace=workspace, deadline_s=deadline_s, idempotency_key=key
         )
 
-    async def _read_body(self, receive: asgi.Receive, reservation: bodies.BodyReservation) -> bytes:
+    async def _read_body(
+        self, scope: asgi.Scope, receive: asgi.Receive, reservation: bodies.BodyReservation
+    ) -> bytes:
         limits = self.limits
         try:
+            if asgi.announced_bytes(scope) > limits.body_bytes:
+                raise asgi.BodyTooLargeError
             with trio.fail_after(limits.body_timeout_s):
                 return await asgi.read_body(receive, limits.body_bytes, reservation.grow)
         except asgi.BodyTooLargeError as error:
--- a/toucanhold/platform/front.py
+++ b/toucanhold/platform/front.py
@@ -17,6 +17,7 @@
 MAX_COUNT = 10**9 - 1
 MAX_PROMPT_PARTS = 64
 PART_ID_PATTERN = re.compile("[0-9a-f]{1,32}")
+# Until the first configuration is known.
 BODY_LIMIT_BYTES = 64 * 1024 * 1024
 
 LOGGER = logging.getLogger(__name__)
@@ -106,10 +107,8 @@
 
     async def _serve(self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send) -> None:
         arrived_s = trio.current_time()
-        body = None
         try:
-            with self.gateway.lifetime.bounded():
-                body = await asgi.read_body(receive, BODY_LIMIT_BYTES)
+            body = await self._read_body(scope, receive, arrived_s)
         except asgi.ClientDisconnectedError:
             return
         except asgi.BodyTooLargeError:
@@ -117,7 +116,8 @@
             return
         if body is None:
             lines = [(b"connection", b"close"), (b"retry-after", b"0")]
-            await asgi.respond(send, 503, lines, b"")
+            status = 503 if self.gateway.lifetime.is_stopping else 408
+            await asgi.respond(send, status, lines, b"")
             return
         call = read_call(scope, body, arrived_s)
         timer = self.metrics.new_timer(call.method, "calls")
@@ -147,6 +147,22 @@
             took_s=round(trio.current_time() - arrived_s, 3),
         )
 
+    async def _read_body(
+        self, scope: asgi.Scope, receive: asgi.Receive, arrived_s: float
+    ) -> bytes | None:
+        """Return the body, or None if it does not arrive in time."""
+        routes = self.gateway.routes.table
+        limit_bytes = routes.limits.body_bytes if routes is not None else BODY_LIMIT_BYTES
+        if asgi.announced_bytes(scope) > limit_bytes:
+            raise asgi.BodyTooLargeError
+        deadline_s = arrived_s + _parse_remaining_s(
+            headers.find(scope["headers"], headers.REMAINING_MS)
+        )
+        body = None
+        with self.gateway.lifetime.bounded(deadline_s):
+            body = await asgi.read_body(receive, limit_bytes)
+        return body
+
     async def _answer(self, call: calls.Call, reply: HttpReply) -> tuple[str, str | None]:
         """Answer a call; return how that ended, and who ended it if that was early."""
         try:
