Bound what clients' connections together hold, and the time that parsing takes

What clients could do: 60 bodies of 2 MiB that stop just short of their end took an entry from 40 to 174 MB (98 to 107 MB on the product's own interface), 1,500 half heads to 103 MB and 1,527 descriptors, 600 idle connections to 627 descriptors, also at the directory, the readiness check and the ports for other entries. 150 requests in chunks of one byte left 150 connections that were parsed to their end.

Cause: each limit concerns one request. Nothing added up what all connections hold, nor the parser's events, thousands in one read.

Streams to the ports for other entries must send something within 2 s, and 64 may wait.

--- a/toucanhold/events.py
+++ b/toucanhold/events.py
@@ -102,6 +102,7 @@
     REFUSED_REQUEST_RETURNED = (2018, logging.INFO, "requests refused before were placed first")
     QUEUE_TIME_LEARNED = (2019, logging.INFO, "the time that requests may queue has changed")
     WORKSPACE_HELD_BACK = (2020, logging.INFO, "requests of a workspace with less use went first")
+    CLIENT_EVICTED = (2028, logging.WARNING, "a client's connection is closed for want of room")
     REQUEST_BLOCKED = (2021, logging.INFO, "a request that crashes servers is refused")
     RETRY_SENT = (2022, logging.INFO, "a backend server got a request that another may have got")
     RETRY_NOT_SENT = (2023, logging.INFO, "a retry could not be sent and is still to be made")
--- a/toucanhold/external.py
+++ b/toucanhold/external.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from toucanhold import serving, settings
+from toucanhold import intake, serving, settings
 from toucanhold.backends import client, http
 from toucanhold.coordination import etcd, keyvalue, vms
 from toucanhold.peers import transport
@@ -33,6 +33,9 @@
 
 def from_settings(entry_settings: settings.EntrySettings) -> Adapters:
     """Return the production adapters."""
+    clients = intake.Intake(
+        entry_settings.request_memory_mb * 1024 * 1024, entry_settings.max_connections
+    )
     return Adapters(
         platform=etcd.EtcdClient(entry_settings.platform_url, entry_settings.entry),
         vm_list=(
@@ -43,6 +46,8 @@
         backends=http.HttpBackendClient(),
         peers=transport.TcpTransport(),
         server=serving.HypercornServer(
-            entry_settings.idle_timeout_s, (entry_settings.tls_certificate, entry_settings.tls_key)
+            entry_settings.idle_timeout_s,
+            (entry_settings.tls_certificate, entry_settings.tls_key),
+            serving.ClientLimits(clients),
         ),
     )
--- a/toucanhold/peers/transport.py
+++ b/toucanhold/peers/transport.py
@@ -2,11 +2,15 @@
 
 import abc
 import collections.abc
-import functools
+import math
 
 import trio
 
-from toucanhold import parsing, supervision
+from toucanhold import intake, parsing, supervision
+
+# Streams accepted whose peers have sent nothing yet. Entries send at once.
+MAX_SILENT_STREAMS = 64
+SILENCE_TIMEOUT_S = 2.0
 
 
 class TransportError(Exception):
@@ -64,6 +68,25 @@
             listeners = await trio.open_tcp_listeners(int(port), host=host.strip("[]"))
         except OSError as error:
             raise TransportError(f"cannot listen on {address}: {error}") from error
-        # An error in the work for one stream must not end those of the others.
-        contained = functools.partial(supervision.run, handler)
-        await trio.serve_listeners(contained, listeners, task_status=task_status)
+        silent = intake.Intake(math.inf, MAX_SILENT_STREAMS)
+
+        async def serve(stream: trio.SocketStream) -> None:
+            if await _wait_for_data(stream, silent):
+                # An error in the work for one stream must not end those of the others.
+                await supervision.run(handler, stream)
+            else:
+                await trio.aclose_forcefully(stream)
+
+        await trio.serve_listeners(serve, listeners, task_status=task_status)
+
+
+async def _wait_for_data(stream: trio.SocketStream, silent: intake.Intake) -> bool:
+    """Wait until the peer sends something; return False if it does not."""
+    with trio.move_on_after(SILENCE_TIMEOUT_S) as scope:
+        share = silent.open(scope.cancel)
+        try:
+            await trio.lowlevel.wait_readable(stream.socket)
+            return True
+        finally:
+            silent.close(share)
+    return False
--- a/toucanhold/platform/entry.py
+++ b/toucanhold/platform/entry.py
@@ -11,7 +11,7 @@
 import attrs
 import trio
 
-from toucanhold import application, events, lifetime, metrics, serving, supervision
+from toucanhold import application, events, intake, lifetime, metrics, serving, supervision
 from toucanhold.coordination import lease, mirror, watching
 from toucanhold.gateway import (
     admission,
@@ -93,6 +93,9 @@
         self.lifetime = lifetime.Lifetime(entry_settings.bounds.grace_s, STOP_RESERVE_S)
         self.rng = random.Random()
         self.metrics = metrics.Metrics(entry_settings.entry)
+        self.client_limits = serving.ClientLimits(
+            intake.Intake(entry_settings.request_memory_bytes, entry_settings.max_connections)
+        )
         self.store = store.StoreClient(entry_settings.store_address)
         self.kv_mirror = mirror.Mirror()
         self.server_registry = registry.Registry(
@@ -143,9 +146,9 @@
         ):
             nursery.start_soon(supervision.keep_running, run)
         front_app = front.FrontApp(self.gateway, self.metrics)
-        streams_server = serving.HypercornServer(IDLE_TIMEOUT_S)
+        streams_server = serving.HypercornServer(IDLE_TIMEOUT_S, limits=self.client_limits)
         await self._serve(nursery, streams_server, front_app, entry_settings.callers_address)
-        short_server = serving.ShortAnswerServer(IDLE_TIMEOUT_S)
+        short_server = serving.ShortAnswerServer(IDLE_TIMEOUT_S, self.client_limits)
         directory_app = directory.DirectoryApp(self.entry_list, self.rng)
         await self._serve(nursery, short_server, directory_app, entry_settings.directory_address)
         readiness_app = directory.ReadinessApp(self.is_ready, self.metrics)
--- a/toucanhold/platform/gauges.py
+++ b/toucanhold/platform/gauges.py
@@ -50,6 +50,7 @@
     entry.metrics.add_gauge(
         "toucanhold.servers.limited", "{server}", "Servers that name a limit", limited_servers
     )
+    _register_clients(entry)
     _register_retries(entry)
     _register_server_links(entry)
     _register_crashes(entry)
@@ -57,6 +58,31 @@
     policy_gauges.register(entry.metrics, entry.policies)
 
 
+def _register_clients(entry: entries.PlatformEntry) -> None:
+    clients = entry.client_limits.clients
+
+    def evicted() -> metrics.Observations:
+        for reason, count in entry.client_limits.evicted_counts().items():
+            yield count, {"toucanhold.reason": reason}
+
+    def held() -> metrics.Observations:
+        yield clients.held_bytes, {}
+
+    def open_connections() -> metrics.Observations:
+        yield clients.connection_count, {}
+
+    entry.metrics.add_counter(
+        "toucanhold.clients.evicted",
+        "{connection}",
+        "Connections of clients closed for want of room",
+        evicted,
+    )
+    entry.metrics.add_gauge("toucanhold.clients.held", "By", "Memory held for clients", held)
+    entry.metrics.add_gauge(
+        "toucanhold.clients.connections", "{connection}", "Connections of clients", open_connections
+    )
+
+
 def _register_retries(entry: entries.PlatformEntry) -> None:
     def retries_sent() -> metrics.Observations:
         for (service, cause), count in entry.retry_budget.sent_counts.items():
--- a/toucanhold/platform/settings.py
+++ b/toucanhold/platform/settings.py
@@ -16,6 +16,15 @@
 POLICIES_VARIABLE = "TOUCANHOLD_POLICIES"
 # Tunnels and loans use the two ports after the first internal one.
 MAX_PORT = parsing.MAX_PORT - 2
+# The rest of the memory is for what an entry knows, and for answers.
+REQUEST_MEMORY_PART = 0.15
+DEFAULT_MEMORY_BYTES = 320 * 1024 * 1024
+# Files, connections to the store and to other entries.
+RESERVED_DESCRIPTORS = 100
+# A caller's connection, and one to the backend server that answers.
+DESCRIPTORS_PER_CALLER = 2
+DEFAULT_DESCRIPTORS = 4096
+MIN_CONNECTIONS = 16
 
 
 class SettingsError(Exception):
@@ -62,6 +71,8 @@
     :ivar min_lease_s: shortest lease that the store grants
     :ivar cores: this process's share of the processor, in cores of standard speed
     :ivar policies: optional policies that are switched on
+    :ivar request_memory_bytes: memory that the connections of all callers may take
+    :ivar max_connections: number of connections that callers may have open
     """
 
     entry: str
@@ -78,6 +89,8 @@
     cores: float
     bounds: Bounds
     policies: frozenset[policies.Policy] = frozenset()
+    request_memory_bytes: int = 64 * 1024 * 1024
+    max_connections: int = 2000
 
 
 class _FieldReader:
@@ -176,12 +189,22 @@
         # relative to a standard core.
         cores=reader.number("limits.cpu_share", 1.0) * reader.number("limits.cores", 1.0),
         bounds=_bounds(reader),
+        request_memory_bytes=int(
+            REQUEST_MEMORY_PART
+            * reader.number("limits.memory_mb", DEFAULT_MEMORY_BYTES, 1024 * 1024)
+        ),
+        max_connections=_max_connections(reader),
     )
     if reader.errors:
         raise SettingsError("; ".join(reader.errors))
     return settings
 
 
+def _max_connections(reader: _FieldReader) -> int:
+    descriptors = reader.number("limits.max_fds", DEFAULT_DESCRIPTORS) - RESERVED_DESCRIPTORS
+    return max(MIN_CONNECTIONS, int(descriptors / DESCRIPTORS_PER_CALLER))
+
+
 def _bounds(reader: _FieldReader) -> Bounds:
     return Bounds(
         retry_ratio=reader.number("bounds.retry_ratio", 0.2),
--- a/toucanhold/serving.py
+++ b/toucanhold/serving.py
@@ -5,6 +5,7 @@
 import functools
 import logging
 import socket
+import struct
 import urllib.parse
 
 import attrs
@@ -16,7 +17,7 @@
 from hypercorn.protocol import h11 as http1
 from hypercorn.trio import task_group, tcp_server, worker_context
 
-from toucanhold import supervision
+from toucanhold import intake, parsing_turns, supervision
 
 MAX_HEADER_BYTES = 32 * 1024
 LISTEN_BACKLOG = 512
@@ -24,6 +25,19 @@
 # Time for answers in progress when a server stops.
 STOP_GRACE_S = 0.5
 READ_BYTES = 16 * 1024
+# What a client has sent stays in the kernel, within this size, until it is parsed.
+RECEIVE_BUFFER_BYTES = 128 * 1024
+# Part of a costly request that is parsed in one turn.
+TURN_BYTES = 512
+# Short answers are those to requests without a body.
+SHORT_READ_BYTES = 2 * 1024
+SHORT_BODY_BYTES = 4 * 1024
+REFUSAL = (
+    b"HTTP/1.1 503 Service Unavailable\r\n"
+    b"retry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+)
+REFUSAL_TIMEOUT_S = 0.1
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 LOGGER = logging.getLogger(__name__)
@@ -33,6 +47,22 @@
     """The server cannot listen on its address."""
 
 
+@attrs.define(eq=False)
+class ClientLimits:
+    """Limits that the clients of several servers share.
+
+    :ivar clients: bounds the memory and the number of connections
+    :ivar turns: bounds the processor time for costly requests
+    """
+
+    clients: intake.Intake = attrs.field(factory=intake.unlimited)
+    turns: parsing_turns.ParsingTurns = attrs.field(factory=parsing_turns.ParsingTurns)
+
+    def evicted_counts(self) -> dict[str, int]:
+        """Return the number of connections closed for want of room, by what was wanting."""
+        return {**self.clients.evicted_counts, "parser": self.turns.queue.evicted_count}
+
+
 class HttpServer(abc.ABC):
     """Serves ASGI applications."""
 
@@ -65,6 +95,7 @@
 
     idle_timeout_s: float
     tls_files: tuple[str, str] = ("", "")
+    limits: ClientLimits = attrs.field(factory=ClientLimits)
 
     async def serve(
         self,
@@ -85,7 +116,9 @@
 
         async def handle(stream: trio.abc.Stream) -> None:
             # Requests of other connections go on whatever bytes a client sends.
-            await supervision.run(_Connection(wrapped_app, config, context, {}, stream).run)
+            connection = _Connection(wrapped_app, config, context, {}, stream)
+            connection.limits = self.limits
+            await supervision.run(connection.run)
 
         async with trio.open_nursery() as connections:
             async with trio.open_nursery() as accepting:
@@ -116,51 +149,99 @@
 class _Connection(tcp_server.TCPServer):
     """One connection of a client, which speaks HTTP/1.1 only."""
 
+    limits: ClientLimits
+    _client = None
     _is_idle = True
     _has_input_ended = False
+    _is_refused = False
 
     async def run(self) -> None:
         """Serve requests until either side closes the connection."""
-        is_tls = isinstance(self.stream, trio.SSLStream)
+        self._scope = trio.CancelScope()
+        self._client = _Client(self.limits, self._evict)
         try:
-            if is_tls:
-                with trio.fail_after(self.config.ssl_handshake_timeout):
-                    await self.stream.do_handshake()
-            transport = self.stream.transport_stream if is_tls else self.stream
-            peer, own = transport.socket.getpeername(), transport.socket.getsockname()
-            async with task_group.TaskGroup() as tasks:
-                self._task_group = tasks
-                self.protocol = _Protocol(
-                    self.app,
-                    self.config,
-                    self.context,
-                    tasks,
-                    self.state,
-                    is_tls,
-                    peer[:2],
-                    own[:2],
-                    self.protocol_send,
-                )
-                await self.protocol.initiate()
-                await self.idle_task.restart(tasks, self._idle_timeout)
-                await self._read_data()
+            with self._scope:
+                await self._serve()
         except (OSError, trio.BrokenResourceError, trio.TooSlowError) as error:
             LOGGER.debug("a connection ended: %r", error)
         finally:
+            self.limits.clients.close(self._client.share)
+            if self._is_refused:
+                await self._send_refusal()
             await self._close()
 
+    async def _serve(self) -> None:
+        is_tls = isinstance(self.stream, trio.SSLStream)
+        if is_tls:
+            with trio.fail_after(self.config.ssl_handshake_timeout):
+                await self.stream.do_handshake()
+        transport = _transport(self.stream)
+        peer, own = transport.socket.getpeername(), transport.socket.getsockname()
+        async with task_group.TaskGroup() as tasks:
+            self._task_group = tasks
+            self.protocol = _Protocol(
+                self.app,
+                self.config,
+                self.context,
+                tasks,
+                self.state,
+                is_tls,
+                peer[:2],
+                own[:2],
+                self.protocol_send,
+            )
+            self.protocol.limit(self._client)
+            await self.protocol.initiate()
+            await self.idle_task.restart(tasks, self._idle_timeout)
+            await self._read_data()
+
+    def _evict(self) -> None:
+        """Close the connection for want of room."""
+        phase = self._client.share.phase if self._client is not None else intake.Phase.IDLE
+        if phase is intake.Phase.ANSWERING:
+            # Writes are shielded from cancellation. An answer without a length or chunks must not
+            # look complete.
+            transport_socket = _transport(self.stream).socket
+            transport_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            transport_socket.close()
+        # An early answer to an unfinished request may have been sent already.
+        self._is_refused = phase is intake.Phase.RECEIVING and self.protocol.has_sent_nothing
+        self._scope.cancel()
+
+    async def _send_refusal(self) -> None:
+        with trio.CancelScope(shield=True, deadline=trio.current_time() + REFUSAL_TIMEOUT_S):
+            try:
+                await self.stream.send_all(REFUSAL)
+            except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+                LOGGER.debug("a refusal was not sent: %r", error)
+
     async def protocol_send(self, event: hypercorn_events.Event) -> None:
         """See :class:`tcp_server.TCPServer`."""
+        if isinstance(event, hypercorn_events.RawData):
+            self.limits.clients.write(self._client.share, len(event.data))
+            try:
+                await super().protocol_send(event)
+            finally:
+                self.limits.clients.write(self._client.share, -len(event.data))
+            return
         if isinstance(event, hypercorn_events.Updated):
             self._is_idle = event.idle
-            if event.idle and self._has_input_ended:
-                # The timer would keep the connection for its whole time.
-                return
+            if event.idle:
+                self._client.expect_request()
+                if self._has_input_ended:
+                    # The timer would keep the connection for its whole time.
+                    return
         await super().protocol_send(event)
 
     async def _read_data(self) -> None:
         """See :class:`tcp_server.TCPServer`."""
-        await super()._read_data()
+        try:
+            while data := await self.stream.receive_some(READ_BYTES):
+                await self.protocol.handle(hypercorn_events.RawData(bytes(data)))
+            await self.protocol.handle(hypercorn_events.RawData(b""))
+        except (trio.ClosedResourceError, trio.BrokenResourceError) as error:
+            LOGGER.debug("a connection ended: %r", error)
+        await self.protocol.handle(hypercorn_events.Closed())
         self._has_input_ended = True
         await self.idle_task.stop()
 
@@ -174,32 +255,81 @@
                 await self._initiate_server_close()
 
 
+@attrs.define(eq=False)
+class _Client:
+    """What one connection takes of the limits that all clients share."""
+
+    limits: ClientLimits
+    evict: collections.abc.Callable[[], None]
+    share: intake.Share = attrs.field(init=False)
+    effort: parsing_turns.Effort = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.effort = parsing_turns.Effort(self.evict)
+        self.share = self.limits.clients.open(self.evict)
+
+    def record_read(self, size_bytes: int) -> None:
+        """Record data that has arrived."""
+        self.effort.event_count += parsing_turns.READ_EVENTS
+        # Data that arrives during an answer belongs to a later request and stays in its buffer.
+        if size_bytes and self.share.phase is not intake.Phase.ANSWERING:
+            self.limits.clients.receive(self.share, size_bytes)
+
+    def record_event(self, event: h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]) -> None:
+        """Record an event of the parser."""
+        self.effort.event_count += 1
+        if isinstance(event, h11.Data):
+            self.effort.body_bytes += len(event.data)
+        elif isinstance(event, h11.Request):
+            self.limits.clients.receive(self.share, 0)
+        elif isinstance(event, h11.EndOfMessage):
+            self.limits.turns.end(self.effort)
+            self.limits.clients.complete(self.share)
+
+    def expect_request(self) -> None:
+        """Record that the last request was answered."""
+        self.limits.clients.finish(self.share)
+        self.effort.restart()
+
+
 class _Parser(h11.Connection):
-    """Parser of a client's requests.
+    """Parser of a client's requests, which records its events.
 
     :ivar is_closed: whether nobody would get an answer to what is parsed from now on
     """
 
     is_closed = False
 
+    def __init__(self, max_head_bytes: int, client: _Client) -> None:
+        super().__init__(h11.SERVER, max_incomplete_event_size=max_head_bytes)
+        self._client = client
+
     def next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         """See :class:`h11.Connection`."""
-        return h11.NEED_DATA if self.is_closed else super().next_event()
+        if self.is_closed:
+            return h11.NEED_DATA
+        event = super().next_event()
+        self._client.record_event(event)
+        return event
 
 
 class _Protocol(http1.H11Protocol):
     """HTTP/1.1 without upgrades to other protocols, which clients' headers could ask for."""
 
-    async def initiate(self) -> None:
-        """See :class:`http1.H11Protocol`."""
-        self.connection = _Parser(
-            h11.SERVER, max_incomplete_event_size=self.config.h11_max_incomplete_size
-        )
+    def limit(self, client: _Client) -> None:
+        """Set the client whose requests are parsed; called once, before anything else."""
+        self._client = client
+        self.connection = _Parser(self.config.h11_max_incomplete_size, client)
+
+    @property
+    def has_sent_nothing(self) -> bool:
+        """Whether no answer to the present request has begun."""
+        return self.connection.our_state in (h11.IDLE, h11.SEND_RESPONSE)
 
     async def handle(self, event: hypercorn_events.Event) -> None:
         """See :class:`http1.H11Protocol`."""
-        if isinstance(event, hypercorn_events.RawData) and self.connection.is_closed:
-            # Nobody would get the answer to a request that is read from here on.
+        if isinstance(event, hypercorn_events.RawData):
+            await self._handle_data(event.data)
             return
         is_close = isinstance(event, hypercorn_events.Closed)
         self.connection.is_closed |= is_close
@@ -208,6 +338,25 @@
             # A request that was sent ahead would wait for an answer that nobody can end.
             await self.can_read.set()
 
+    async def _handle_data(self, data: bytes) -> None:
+        self._client.record_read(len(data))
+        effort, turns = self._client.effort, self._client.limits.turns
+        position = 0
+        # Nobody would get the answer to a request that is read after the close.
+        while not self.connection.is_closed:
+            if effort.is_turn_needed:
+                async with turns.turn(effort):
+                    await self._parse(data[position : position + TURN_BYTES])
+                position += TURN_BYTES
+            else:
+                await self._parse(data[position:])
+                return
+            if position >= len(data):
+                return
+
+    async def _parse(self, data: bytes) -> None:
+        await super().handle(hypercorn_events.RawData(data))
+
     async def _check_protocol(self, event: h11.Request) -> None:
         """See :class:`http1.H11Protocol`."""
 
@@ -236,6 +385,7 @@
     """
 
     idle_timeout_s: float
+    limits: ClientLimits = attrs.field(factory=ClientLimits)
 
     async def serve(
         self,
@@ -247,10 +397,20 @@
     ) -> None:
         """See :class:`HttpServer`."""
         listener = trio.SocketListener(trio.socket.from_stdlib_socket(_listen(address)))
+        clients = self.limits.clients
 
         async def handle(stream: trio.SocketStream) -> None:
-            async with stream:
-                await _ShortAnswerConnection(app, stream, self.idle_timeout_s).run()
+            scope = trio.CancelScope()
+            share = clients.open(scope.cancel)
+            try:
+                async with stream:
+                    with scope:
+                        connection = _ShortAnswerConnection(
+                            app, stream, self.idle_timeout_s, clients, share
+                        )
+                        await connection.run()
+            finally:
+                clients.close(share)
 
         async with trio.open_nursery() as connections:
             async with trio.open_nursery() as accepting:
@@ -275,6 +435,8 @@
     app: collections.abc.Callable
     stream: trio.SocketStream
     idle_timeout_s: float
+    clients: intake.Intake
+    share: intake.Share
     _parser: h11.Connection = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -285,7 +447,12 @@
         """Answer requests until either side closes the connection."""
         try:
             while (request := await self._read_request()) is not None:
-                await self.stream.send_all(await self._answer(*request))
+                self.clients.complete(self.share)
+                answer = await self._answer(*request)
+                self.clients.write(self.share, len(answer))
+                await self.stream.send_all(answer)
+                self.clients.write(self.share, -len(answer))
+                self.clients.finish(self.share)
                 if self._parser.our_state is not h11.DONE:
                     return
                 self._parser.start_next_cycle()
@@ -303,14 +470,16 @@
             match self._parser.next_event():
                 case h11.NEED_DATA:
                     with trio.move_on_after(self.idle_timeout_s) as scope:
-                        self._parser.receive_data(await self.stream.receive_some(READ_BYTES))
+                        data = await self.stream.receive_some(SHORT_READ_BYTES)
                     if scope.cancelled_caught:
                         return None
+                    self.clients.receive(self.share, len(data))
+                    self._parser.receive_data(data)
                 case h11.Request() as request:
                     pass
                 case h11.Data() as data:
                     body += data.data
-                    if len(body) > MAX_HEADER_BYTES:
+                    if len(body) > SHORT_BODY_BYTES:
                         return None
                 case h11.EndOfMessage() if request is not None:
                     return request, bytes(body)
@@ -348,6 +517,10 @@
     }
 
 
+def _transport(stream: trio.abc.Stream) -> trio.SocketStream:
+    return stream.transport_stream if isinstance(stream, trio.SSLStream) else stream
+
+
 def _listen(address: str) -> socket.socket:
     host, _, port = address.rpartition(":")
     host = host.strip("[]")
@@ -359,6 +532,7 @@
         # its task, and thereby a planned stop, for ever. The kernel closes such connections.
         timeout_ms = STALLED_CLIENT_TIMEOUT_S * 1000
         listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         listener.bind((host, int(port)))
         listener.listen(LISTEN_BACKLOG)
     except OSError as error:
--- a/toucanhold/settings.py
+++ b/toucanhold/settings.py
@@ -139,6 +139,12 @@
     max_requests_in_flight: int = _setting(
         "maximum number of callers' requests in flight", _integer(1, 100_000), 2000
     )
+    request_memory_mb: int = _setting(
+        "memory that the connections of all callers may take, MiB", _integer(1, 1_000_000), 64
+    )
+    max_connections: int = _setting(
+        "maximum number of connections of callers and operators", _integer(1, 1_000_000), 4000
+    )
     idle_timeout_s: float = _setting(
         "time after which an idle connection is closed, seconds", _number(1, 3600), 15.0
     )
