Ask fewer servers for room, and read counts of other entries faster

Cause: on the large site each request asks all of 74 heads whether they have room, with every policy, before it compares them; and each count of a notice between entries, some 150 of them several times a second, runs through two checks written in Python.

Change: heads with all slots in use are left out, the others are ranked first and asked in this order; the choice is the same, the best one that has room. Counts by name are checked in one pass, and anything unusual goes the way it went before.

Measured without the bench: a choice among 74 servers takes 0.29 instead of 0.44 ms, a notice with 147 counts is decoded in 0.12 instead of 0.19 ms. The 184 tests of selection, policies, exchange and hostile input pass.

--- a/toucanhold/codec.py
+++ b/toucanhold/codec.py
@@ -44,12 +44,35 @@
     return value
 
 
+def _counts_hook(
+    structure: typing.Callable[[object, type], dict[str, int]],
+) -> typing.Callable[[object, type], dict[str, int]]:
+    """Return a hook for counts by name, which are most of what entries send each other."""
+
+    def structure_counts(value: object, kind: type) -> dict[str, int]:
+        if type(value) is dict and all(
+            type(name) is str
+            and name.isascii()
+            and type(count) is int
+            and abs(count) <= parsing.MAX_WHOLE
+            for name, count in value.items()
+        ):
+            return value
+        return structure(value, kind)
+
+    return structure_counts
+
+
 for _converter in (CONVERTER, TOLERANT_CONVERTER):
     _converter.register_structure_hook(bytes, _structure_bytes)
     _converter.register_structure_hook(int, _structure_int)
     _converter.register_structure_hook(float, _structure_float)
     _converter.register_structure_hook(str, _structure_str)
     _converter.register_structure_hook(bool, _structure_bool)
+    _converter.register_structure_hook_func(
+        lambda kind: kind == dict[str, int],
+        _counts_hook(_converter.get_structure_hook(dict[str, int])),
+    )
 
 
 class CodecError(Exception):
--- a/toucanhold/gateway/targets.py
+++ b/toucanhold/gateway/targets.py
@@ -190,12 +190,14 @@
         ]
         if service.engine is None:
             fallback = fallback or allowed
-        available = [
-            server for server in healthy or fallback if self._has_capacity(service, server)
+        unfilled = [
+            server
+            for server in healthy or fallback
+            if self.load_tracker.estimate(server.server_id) < selection.slot_count(service, server)
         ]
-        return min(
-            available, key=lambda server: self._placement_cost(service, server), default=None
-        )
+        ranked = sorted(unfilled, key=lambda server: self._placement_cost(service, server))
+        # Of many servers, the best usually has room; to ask each of them takes most of the time.
+        return next((server for server in ranked if self._has_capacity(service, server)), None)
 
     def has_free_slot(self, service: table.Service, server: servers.Server) -> bool:
         """Return whether the requests in flight at a server, with those of this entry, fit it."""
