Name only four of many servers or entries that come at once in the log

Cause: registrations come in batches of 30 to 40 while a site starts, and 16 names a batch left most of the lines: 210,700 of 214,500 at 195 entries. Entries that discover each other wrote 43,000 more.

Change: four of a batch are named, the others counted; the same for entries (ENTRIES_JOINED, 7012).

Evidence: the test of 50 servers gets 5 lines.

--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -44,6 +44,20 @@
 
 
 class RegistryTest(unittest.TestCase):
+    @clocked.on_test_clock
+    async def test_servers_that_register_at_once_are_logged_by_number(self):
+        """Guards against a log line for each server at each entry when a whole site starts."""
+        async with trio.open_nursery() as nursery:
+            fixture = RegistryFixture()
+            await fixture.register(nursery, *(f"s{number}" for number in range(50)))
+            with self.assertLogs("toucanhold.registry.registry", "INFO") as logged:
+                nursery.start_soon(fixture.run)
+                await trio.sleep(0.2)
+            self.assertEqual(50, len(fixture.server_registry.servers))
+            self.assertEqual(registry.MAX_LOGGED_REGISTRATIONS + 1, len(logged.records))
+            self.assertEqual(46, logged.records[-1].fields["not_named"])
+            nursery.cancel_scope.cancel()
+
     @clocked.on_test_clock
     async def test_servers_appear_when_registered_and_disappear_when_deleted(self):
         async with trio.open_nursery() as nursery:
--- a/toucanhold/events.py
+++ b/toucanhold/events.py
@@ -88,6 +88,7 @@
     TASK_FAILED = (1007, logging.ERROR, "a task met an unexpected error; all others go on")
     LINES_DROPPED = (1005, logging.WARNING, "log lines were dropped to stay within the limits")
     ENTRY_JOINED = (7009, logging.INFO, "another entry was discovered")
+    ENTRIES_JOINED = (7012, logging.INFO, "further entries were discovered at once")
     ENTRY_LEFT = (7010, logging.INFO, "another entry has left or is stopping")
     SOURCE_FOLLOWED = (5004, logging.INFO, "this entry gets changes from another entry")
     SOURCE_LOST = (5005, logging.WARNING, "this entry gets no more changes from another entry")
--- a/toucanhold/gateway/entries.py
+++ b/toucanhold/gateway/entries.py
@@ -28,6 +28,9 @@
 # Longer than an entry goes on serving after it has deregistered.
 DEPARTED_VALIDITY_S = 60.0
 
+# A start of the whole system makes all entries discover all others at once.
+MAX_LOGGED_ENTRIES = 4
+
 LOGGER = logging.getLogger(__name__)
 
 
@@ -200,8 +203,12 @@
         """Replace the other entries; shortly after an outage, only add and update them."""
         if self.kv_mirror.since_failure_s < LAPSE_GRACE_S:
             others = self._others | others
-        for name in others.keys() - self._others.keys():
+        joined = sorted(others.keys() - self._others.keys())
+        for name in joined[:MAX_LOGGED_ENTRIES]:
             events.log(LOGGER, events.Event.ENTRY_JOINED, entry=name, zone=others[name].zone)
+        if len(joined) > MAX_LOGGED_ENTRIES:
+            not_named = len(joined) - MAX_LOGGED_ENTRIES
+            events.log(LOGGER, events.Event.ENTRIES_JOINED, not_named=not_named)
         until_s = trio.current_time() + DEPARTED_VALIDITY_S
         for name in self._others.keys() - others.keys():
             self._departed[name] = self._others[name], until_s
--- a/toucanhold/registry/registry.py
+++ b/toucanhold/registry/registry.py
@@ -20,7 +20,7 @@
 # probes. Without an answer for this long, its last known state is too old to be useful.
 LAPSED_RETENTION_S = 30.0
 # A start of the whole system registers thousands of servers at once, at each entry.
-MAX_LOGGED_REGISTRATIONS = 16
+MAX_LOGGED_REGISTRATIONS = 4
 # Processes that were marked as leaving, also before their registrations are known here.
 MAX_LEAVING = 4096
 
