--- a/toucanhold/serving.py
+++ b/toucanhold/serving.py
@@ -2,6 +2,7 @@
 
 import abc
 import collections.abc
+import contextlib
 import functools
 import logging
 import socket
@@ -168,7 +169,8 @@
             self.limits.clients.close(self._client.share)
             if self._is_refused:
                 await self._send_refusal()
-            await self._close()
+            with contextlib.suppress(trio.ClosedResourceError):
+                await self._close()
 
     async def _serve(self) -> None:
         is_tls = isinstance(self.stream, trio.SSLStream)
