Keep the decision about costly requests apart from the turns that it needs

Cause: the decision who goes stood in one module with the lock and the clock of the turns. Change: parsing_effort.py decides, without either; parsing_turns.py lets connections wait. Nothing else changes.

--- a/tests/test_parsing_turns.py
+++ b/tests/test_parsing_turns.py
@@ -5,11 +5,11 @@
 import trio
 
 from tests import clocked
-from toucanhold import parsing_turns
+from toucanhold import parsing_effort, parsing_turns
 
 
 def costly_effort(events, evict=lambda: None):
-    effort = parsing_turns.Effort(evict)
+    effort = parsing_effort.Effort(evict)
     effort.event_count = events
     return effort
 
@@ -17,16 +17,16 @@
 class EffortTest(unittest.TestCase):
     def test_large_bodies_in_packets_are_free(self):
         """Guards against ordinary uploads that wait for turns."""
-        effort = parsing_turns.Effort(lambda: None)
+        effort = parsing_effort.Effort(lambda: None)
         for _ in range(2000):
-            effort.event_count += parsing_turns.READ_EVENTS + 1
+            effort.event_count += parsing_effort.READ_EVENTS + 1
             effort.body_bytes += 1400
         self.assertFalse(effort.is_turn_needed)
 
     def test_tiny_chunks_need_turns(self):
         """Answers a crowd that sends chunks of one byte."""
-        effort = parsing_turns.Effort(lambda: None)
-        effort.event_count = effort.body_bytes = 2 * parsing_turns.FREE_EVENTS
+        effort = parsing_effort.Effort(lambda: None)
+        effort.event_count = effort.body_bytes = 2 * parsing_effort.FREE_EVENTS
         self.assertTrue(effort.is_turn_needed)
         effort.restart()
         self.assertFalse(effort.is_turn_needed)
@@ -34,7 +34,7 @@
     def test_the_costliest_goes_when_too_many_wait(self):
         """Answers a crowd of costly requests that would wait longer than their callers."""
         evicted = []
-        queue = parsing_turns.TurnQueue(3)
+        queue = parsing_effort.TurnQueue(3)
         efforts = [
             costly_effort(events, lambda events=events: evicted.append(events))
             for events in (5000, 9000, 7000, 2000, 6000)
--- a/toucanhold/serving.py
+++ b/toucanhold/serving.py
@@ -18,7 +18,7 @@
 from hypercorn.protocol import h11 as http1
 from hypercorn.trio import task_group, tcp_server, worker_context
 
-from toucanhold import intake, parsing_turns, supervision
+from toucanhold import intake, parsing_effort, parsing_turns, supervision
 
 MAX_HEADER_BYTES = 32 * 1024
 LISTEN_BACKLOG = 512
@@ -264,15 +264,15 @@
     limits: ClientLimits
     evict: collections.abc.Callable[[], None]
     share: intake.Share = attrs.field(init=False)
-    effort: parsing_turns.Effort = attrs.field(init=False)
+    effort: parsing_effort.Effort = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self.effort = parsing_turns.Effort(self.evict)
+        self.effort = parsing_effort.Effort(self.evict)
         self.share = self.limits.clients.open(self.evict)
 
     def record_read(self, size_bytes: int) -> None:
         """Record data that has arrived."""
-        self.effort.event_count += parsing_turns.READ_EVENTS
+        self.effort.event_count += parsing_effort.READ_EVENTS
         # Data that arrives during an answer belongs to a later request and stays in its buffer.
         if size_bytes and self.share.phase is not intake.Phase.ANSWERING:
             self.limits.clients.receive(self.share, size_bytes)
