Let the crowds' check read descriptors that are closed meanwhile

Cause, by reading: the check lists a process's descriptors and then asks for each what it is; one that was closed in between raises FileNotFoundError. Change: such a descriptor is skipped.

--- a/tests/platform/crowds.py
+++ b/tests/platform/crowds.py
@@ -428,7 +428,11 @@
 
 def kept_connection_count(pid, server_ports):
     """Return the number of connections to backend servers that a process keeps open."""
-    links = [os.readlink(path) for path in pathlib.Path(f"/proc/{pid}/fd").iterdir()]
+    links = []
+    for path in pathlib.Path(f"/proc/{pid}/fd").iterdir():
+        # The process may have closed it since it was listed.
+        with contextlib.suppress(FileNotFoundError):
+            links.append(os.readlink(path))
     inodes = {link[len("socket:[") : -1] for link in links if link.startswith("socket:[")}
     rows = [
         line.split() for line in pathlib.Path(f"/proc/{pid}/net/tcp").read_text().splitlines()[1:]
