Ask all servers for room again before one is chosen

What callers would see: with the ranking of servers before they are asked for room, sixty entries together sent a server up to 6 requests more than the limit that it had named.

Cause, suspected and not traced: to ask a server for room also renews the credit that an entry has under the server's limit; servers that were not asked kept an older one.

--- a/toucanhold/gateway/targets.py
+++ b/toucanhold/gateway/targets.py
@@ -190,14 +190,12 @@
         ]
         if service.engine is None:
             fallback = fallback or allowed
-        unfilled = [
-            server
-            for server in healthy or fallback
-            if self.load_tracker.estimate(server.server_id) < selection.slot_count(service, server)
+        available = [
+            server for server in healthy or fallback if self._has_capacity(service, server)
         ]
-        ranked = sorted(unfilled, key=lambda server: self._placement_cost(service, server))
-        # Of many servers, the best usually has room; to ask each of them takes most of the time.
-        return next((server for server in ranked if self._has_capacity(service, server)), None)
+        return min(
+            available, key=lambda server: self._placement_cost(service, server), default=None
+        )
 
     def has_free_slot(self, service: table.Service, server: servers.Server) -> bool:
         """Return whether the requests in flight at a server, with those of this entry, fit it."""
