Take the end of a connection to a server for lost once a write has failed

What callers saw: a server answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written. The caller got that part as a whole answer, with a length. Streams cut between two events looked whole, and an order to an engine looked accepted.

Cause: the kernel reports the error of a connection once. The HTTP client rightly goes on to read an answer after a write has failed, as a server may answer early; but the write had taken the error, so the read that followed found an end like that of an orderly close, which completes an answer without a length. On the side of a tunnel that connects to the server, the task that writes took the error of the task that reads.

With plain sockets the write failed (ECONNRESET or EPIPE) and the read that followed was empty.

Change: ConnectionStream remembers a write that failed; an empty read after it is an error. Both request paths, control calls and tunnels read servers through it. This works because an answer with a length or chunks never needs the empty read, and a server that ends one without them in order has read the request, or at least not rejected it, so no write has failed. Before the failed write the read reports the error itself. An error of the connection is told as such, so the server is suspected of a crash as after any reset, and not of sending bytes that are no answer.

The product's own path held before: it refuses answers without a length.

--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -14,14 +14,18 @@
 
 from standins import gateways
 from tests import clocked
-from tests.platform import standins
+from tests.platform import early_answers, standins
 from toucanhold.backends import pacing
-from toucanhold.gateway import entries
+from toucanhold.gateway import calls, entries
 from toucanhold.peers import frames, transport
+from toucanhold.platform import servers
 from toucanhold.tunnels import dialing, messages, relays, serving, streams
 
 TIMEOUT_S = 10.0
 BUSY_S = 0.5
+# Either side of a tunnel may be the first to learn of a reset.
+EARLY_EXCHANGES = 20
+EARLY_CANCEL_S = 0.3
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 REQUEST = b"x" * (3 * streams.CHUNK_BYTES)
 ANSWER = b"y" * (2 * streams.CHUNK_BYTES + 1)
@@ -103,13 +107,17 @@
 
 
 @contextlib.asynccontextmanager
-async def running(ending="close", is_registered=True, relay_dialer=dialing.DirectDialer):
+async def running(
+    ending="close", is_registered=True, relay_dialer=dialing.DirectDialer, address=None
+):
+    """Run a scene; a server that listens already is named by its ``address``."""
     backend = Server(ending)
     async with trio.open_nursery() as nursery:
-        address = standins.free_address()
         peers = transport.TcpTransport()
+        if address is None:
+            address = standins.free_address()
+            await nursery.start(peers.listen, address, backend.serve)
         server = attrs.evolve(gateways.new_servers(1)["b0"], address=address)
-        await nursery.start(peers.listen, address, backend.serve)
         known = {server.incarnation: server} if is_registered else {}
         server_registry = types.SimpleNamespace(find=known.get)
         tunnel_address = standins.free_address()
@@ -129,6 +137,21 @@
         nursery.cancel_scope.cancel()
 
 
+async def upload(scene):
+    """Send a long request through the tunnel; return the body of the answer."""
+    client = servers.PlatformServerClient(gateways.GatewayFixture().rate_limiter, scene.dialer)
+    call = gateways.new_call("/", call_id="a-1", method="POST", body=early_answers.BODY)
+    forwarded = calls.ForwardedCall(call, "", TIMEOUT_S, None, False)
+    async with client.exchange(scene.server, forwarded) as response:
+        return b"".join([chunk async for chunk in response.chunks])
+
+
+async def cancel_later(scope):
+    """Cancel a scope once the first bytes of a request have passed."""
+    await trio.sleep(EARLY_CANCEL_S)
+    scope.cancel()
+
+
 class TunnelTest(unittest.TestCase):
     def _run(self, test, **fields):
         async def main():
@@ -218,6 +241,46 @@
 
         self._run(test, ending="reset")
 
+    def test_a_reset_during_the_request_is_no_end_of_an_answer(self):
+        """Guards against a tunnel that ends an answer in order, as a failed write hid the reset."""
+        for ending in early_answers.BROKEN_ENDINGS:
+            with self.subTest(ending=ending):
+                server = early_answers.EarlyServer(early_answers.UNFRAMED, ending)
+                trio.run(self._check_resets, server)
+
+    async def _check_resets(self, server):
+        async with early_answers.serving(server) as address, running(address=address) as scene:
+            for count in range(1, EARLY_EXCHANGES + 1):
+                with trio.fail_after(TIMEOUT_S), self.assertRaises(calls.ResponseLostError) as lost:
+                    await upload(scene)
+                self.assertIs(calls.Decider.SERVER, lost.exception.decided_by)
+                self.assertTrue(lost.exception.is_connection_lost)
+                self.assertEqual(count, server.request_count)
+
+    def test_whole_early_answers_are_served(self):
+        """Guards against sound answers that are lost because the request was not read first."""
+        trio.run(self._check_whole_early_answer)
+
+    async def _check_whole_early_answer(self):
+        server = early_answers.EarlyServer(early_answers.UNFRAMED, early_answers.IN_ORDER)
+        async with early_answers.serving(server) as address, running(address=address) as scene:
+            with trio.fail_after(TIMEOUT_S):
+                self.assertEqual(b"part", await upload(scene))
+
+    def test_a_tunnel_lost_during_the_request_is_not_blamed_on_the_server(self):
+        """Guards against a lost tunnel that looks like the end of an answer, or like a crash."""
+        server = early_answers.EarlyServer(early_answers.UNFRAMED, early_answers.NONE)
+        trio.run(self._check_lost_tunnel, server)
+
+    async def _check_lost_tunnel(self, server):
+        async with early_answers.serving(server) as address, running(address=address) as scene:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(cancel_later, scene.relay_scope)
+                with trio.fail_after(TIMEOUT_S), self.assertRaises(calls.ResponseLostError) as lost:
+                    await upload(scene)
+            self.assertIs(calls.Decider.TUNNEL, lost.exception.decided_by)
+            self.assertFalse(lost.exception.is_connection_lost)
+
     def test_answers_of_lost_tunnels_are_not_complete(self):
         """Guards against a stopped entry that ends or blames on the server what it passed on."""
 
--- a/toucanhold/backends/pacing.py
+++ b/toucanhold/backends/pacing.py
@@ -7,6 +7,8 @@
 import httpcore
 import trio
 
+from toucanhold import network
+
 # Up to this number of open responses, each token is forwarded as soon as it arrives.
 UNPACED_RESPONSES = 16
 INTERVAL_PER_RESPONSE_S = 0.0005
@@ -28,7 +30,7 @@
 
 
 @attrs.define(eq=False)
-class PacedStream(httpcore.AsyncNetworkStream):
+class PacedStream(network.ConnectionStream):
     """A TCP stream for httpcore.
 
     The ``timeout`` parameters are ignored: each request runs in a cancel scope with a deadline, and
@@ -41,11 +43,8 @@
     read_interval: IntervalFunction
     _last_read_s: float = float("-inf")
 
-    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        """Return the bytes that have arrived; empty at the end of the stream.
-
-        :raises httpcore.ReadError: when the connection failed
-        """
+    async def _receive(self, max_bytes: int, timeout: float | None) -> bytes:
+        """See :class:`network.ConnectionStream`."""
         wait_s = self.read_interval()
         if wait_s:
             wait_s += self._last_read_s - trio.current_time()
@@ -59,11 +58,8 @@
             self._last_read_s = trio.current_time()
         return bytes(data)
 
-    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        """Send all bytes.
-
-        :raises httpcore.WriteError: when the connection failed
-        """
+    async def _send(self, buffer: bytes, timeout: float | None) -> None:
+        """See :class:`network.ConnectionStream`."""
         if not buffer:
             return
         try:
