Leave the outcome of a call open that was reset while it was being written

What callers saw: the client of the store took a 412 or a 200 to a long commit for its outcome though the connection was reset during the upload, and so did the client of etcd. The command line reported a change as unreachable, which says that the entry has not made it.

Change: the pools open their connections through PoolBackend, whose streams remember a write that failed, as those to servers do. A call that ends so is indeterminate, as after any lost connection, and is resolved by a read. A whole early answer that ends in order counts as before.

Not changed: the command that asks for addresses. It sends no body, and accepts nothing but a whole JSON object.

--- a/tests/platform/early_answers.py
+++ b/tests/platform/early_answers.py
@@ -1,7 +1,6 @@
 """Backend servers that answer while the body of the request is still being sent to them."""
 
 import contextlib
-import functools
 import socket
 import struct
 
@@ -53,16 +52,22 @@
             await trio.sleep(END_DELAY_S)
         if self.ending == "reset":
             stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        await stream.aclose()
+        await trio.aclose_forcefully(stream)
 
 
 @contextlib.asynccontextmanager
-async def serving(server):
+async def serving(server, tls_context=None):
     """Serve on loopback with a small receive buffer; yield the address."""
+
+    async def serve(stream):
+        if tls_context is not None:
+            stream = trio.SSLStream(stream, tls_context, server_side=True)
+        await server.serve(stream)
+
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
     sock = listeners[0].socket
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(functools.partial(trio.serve_listeners, server.serve, listeners))
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
         yield f"127.0.0.1:{sock.getsockname()[1]}"
         nursery.cancel_scope.cancel()
--- a/tests/platform/test_early_answers.py
+++ b/tests/platform/test_early_answers.py
@@ -1,18 +1,23 @@
 """Tests of answers to requests that are still being sent."""
 
 import contextlib
+import ssl
 import unittest
 
 import attrs
 import httpcore
 import trio
+import trustme
 
 from standins import gateways
 from tests.platform import early_answers, standins
-from toucanhold import metrics
+from toucanhold import codec, metrics
 from toucanhold.backends import client as backend_client
 from toucanhold.backends import http
-from toucanhold.platform import front, servers
+from toucanhold.coordination import etcd, keyvalue
+from toucanhold.operators import client as operators_client
+from toucanhold.operators import messages
+from toucanhold.platform import front, servers, store
 from toucanhold.replicas import orders
 
 EVENTS = b"id: 1\ndata: one\n\nid: 2\ndata: two\n\n"
@@ -119,6 +124,82 @@
             return await client.send(registered, order, 0, 1)
 
 
+class CommitTest(unittest.TestCase):
+    def test_the_outcome_of_a_commit_is_unknown_after_a_reset(self):
+        """Guards against commits whose outcome is taken from half an answer."""
+        for ending in early_answers.BROKEN_ENDINGS:
+            for new_client, answer in (
+                (store.StoreClient, b"HTTP/1.1 412 Precondition Failed\r\n\r\n"),
+                (store.StoreClient, b'HTTP/1.1 200 OK\r\n\r\n{"revision": 7}'),
+                (_etcd_client, b'HTTP/1.1 200 OK\r\n\r\n{"succeeded": true}'),
+            ):
+                with self.subTest(ending=ending, answer=answer):
+                    server = early_answers.EarlyServer(answer, ending)
+                    trio.run(self._check_commit, server, new_client)
+
+    async def _check_commit(self, server, new_client):
+        async with early_answers.serving(server) as address:
+            client = new_client(address)
+            with self.assertRaises(keyvalue.IndeterminateError):
+                await client.commit([], [keyvalue.Write("key", early_answers.BODY)])
+            self.assertEqual(1, server.request_count)
+            await client.close()
+
+    def test_whole_early_answers_to_a_commit_count(self):
+        """Guards against commits that are taken for lost as the request was not read first."""
+        trio.run(self._check_whole_commit)
+
+    async def _check_whole_commit(self):
+        answer = b'HTTP/1.1 200 OK\r\n\r\n{"revision": 7}'
+        server = early_answers.EarlyServer(answer, early_answers.IN_ORDER)
+        async with early_answers.serving(server) as address:
+            client = store.StoreClient(address)
+            result = await client.commit([], [keyvalue.Write("key", early_answers.BODY)])
+            self.assertEqual(keyvalue.CommitResult(True, 7), result)
+            await client.close()
+
+
+def _etcd_client(address):
+    return etcd.EtcdClient(f"http://{address}", "e1")
+
+
+class OperatorsTest(unittest.TestCase):
+    def test_the_outcome_of_a_change_is_unknown_after_a_reset(self):
+        """Guards against a change reported as not made, though the entry may have made it."""
+        for ending in early_answers.BROKEN_ENDINGS:
+            with self.subTest(ending=ending):
+                server = early_answers.EarlyServer(early_answers.UNFRAMED, ending)
+                trio.run(self._check_change, server)
+
+    async def _check_change(self, server):
+        async with early_answers.serving(server) as address:
+            client = operators_client.OperatorsClient(f"http://{address}", "token")
+            request = messages.ZoneRequest(True, author="x" * len(early_answers.BODY))
+            with self.assertRaises(operators_client.OperatorsClientError) as raised:
+                await client.set_zone("zone-a", request)
+            self.assertEqual("unknown-outcome", raised.exception.kind)
+
+    def test_answers_over_tls_are_read(self):
+        """Guards against a connection that remembers failed writes, but skips its encryption."""
+        trio.run(self._check_tls)
+
+    async def _check_tls(self):
+        authority = trustme.CA()
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        authority.issue_cert("127.0.0.1").configure_cert(context)
+        change = messages.ChangeAnswer(7)
+        body = codec.to_json(change)
+        answer = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s" % (len(body), body)
+        server = early_answers.EarlyServer(answer, "close")
+        with authority.cert_pem.tempfile() as authority_file:
+            async with early_answers.serving(server, context) as address:
+                client = operators_client.OperatorsClient(
+                    f"https://{address}", "token", authority_file
+                )
+                request = messages.ZoneRequest(True)
+                self.assertEqual(change, await client.set_zone("zone-a", request))
+
+
 class ProductTest(unittest.TestCase):
     def test_broken_answers_to_unfinished_requests_are_lost(self):
         """Guards against parts of answers on the product's own interface."""
--- a/toucanhold/coordination/etcd.py
+++ b/toucanhold/coordination/etcd.py
@@ -9,7 +9,7 @@
 import httpcore
 import trio
 
-from toucanhold import parsing
+from toucanhold import network, parsing
 from toucanhold.coordination import http_errors, keyvalue
 
 CALL_TIMEOUT_S = 2.0
@@ -30,7 +30,10 @@
     client_name: str
     call_timeout_s: float = CALL_TIMEOUT_S
     _pool: httpcore.AsyncConnectionPool = attrs.field(
-        factory=lambda: httpcore.AsyncConnectionPool(max_connections=16, retries=0), init=False
+        factory=lambda: httpcore.AsyncConnectionPool(
+            max_connections=16, retries=0, network_backend=network.PoolBackend()
+        ),
+        init=False,
     )
 
     async def close(self) -> None:
--- a/toucanhold/coordination/vms.py
+++ b/toucanhold/coordination/vms.py
@@ -5,7 +5,7 @@
 import attrs
 import httpcore
 
-from toucanhold import parsing
+from toucanhold import network, parsing
 
 CALL_TIMEOUT_S = 2.0
 LEAVING_STATE = "leaving"
@@ -47,7 +47,8 @@
         """See :class:`VmList`."""
         timeouts = dict.fromkeys(("connect", "write", "read", "pool"), CALL_TIMEOUT_S)
         try:
-            async with httpcore.AsyncConnectionPool(retries=0) as pool:
+            backend = network.PoolBackend()
+            async with httpcore.AsyncConnectionPool(retries=0, network_backend=backend) as pool:
                 response = await pool.request("GET", self.url, extensions={"timeout": timeouts})
             vms = parsing.load_json(response.content)["vms"]
             return frozenset(vm["vm"] for vm in vms if vm["state"] == LEAVING_STATE)
--- a/toucanhold/network.py
+++ b/toucanhold/network.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import abc
+import collections.abc
+import ssl
+import typing
 
 import attrs
 import httpcore
@@ -53,3 +56,55 @@
 
         :raises httpcore.WriteError: when the connection was lost
         """
+
+
+@attrs.define(eq=False)
+class PooledStream(ConnectionStream):
+    """The stream of a connection in a pool of httpcore.
+
+    :ivar stream: the stream that httpcore has opened
+    """
+
+    stream: httpcore.AsyncNetworkStream
+
+    async def _receive(self, max_bytes: int, timeout: float | None) -> bytes:
+        """See :class:`ConnectionStream`."""
+        return await self.stream.read(max_bytes, timeout)
+
+    async def _send(self, buffer: bytes, timeout: float | None) -> None:
+        """See :class:`ConnectionStream`."""
+        await self.stream.write(buffer, timeout)
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self.stream.aclose()
+
+    async def start_tls(
+        self,
+        ssl_context: ssl.SSLContext,
+        server_hostname: str | None = None,
+        timeout: float | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        """See :class:`httpcore.AsyncNetworkStream`."""
+        return PooledStream(await self.stream.start_tls(ssl_context, server_hostname, timeout))
+
+    def get_extra_info(self, info: str) -> typing.Any:
+        """See :class:`httpcore.AsyncNetworkStream`."""
+        return self.stream.get_extra_info(info)
+
+
+class PoolBackend(httpcore.TrioBackend):
+    """Opens the connections of a pool of httpcore."""
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,
+        local_address: str | None = None,
+        socket_options: collections.abc.Iterable[httpcore.SOCKET_OPTION] | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        """See :class:`httpcore.AsyncNetworkBackend`."""
+        return PooledStream(
+            await super().connect_tcp(host, port, timeout, local_address, socket_options)
+        )
--- a/toucanhold/operators/client.py
+++ b/toucanhold/operators/client.py
@@ -10,7 +10,7 @@
 import attrs
 import httpcore
 
-from toucanhold import codec
+from toucanhold import codec, network
 from toucanhold.configuration import document
 from toucanhold.operators import app, messages
 from toucanhold.planning import preview
@@ -78,8 +78,11 @@
         headers = {"authorization": f"Bearer {self.token}", "content-type": "application/json"}
         timeouts = dict.fromkeys(("connect", "write", "read", "pool"), CALL_TIMEOUT_S)
         context = ssl.create_default_context(cafile=self.authority_file or None)
+        backend = network.PoolBackend()
         try:
-            async with httpcore.AsyncConnectionPool(context, retries=0) as pool:
+            async with httpcore.AsyncConnectionPool(
+                context, retries=0, network_backend=backend
+            ) as pool:
                 response = await pool.request(
                     method,
                     self.base_url + path,
--- a/toucanhold/platform/store.py
+++ b/toucanhold/platform/store.py
@@ -16,7 +16,7 @@
 import httpcore
 import trio
 
-from toucanhold import parsing
+from toucanhold import network, parsing
 from toucanhold.coordination import http_errors, keyvalue, mirror, watching
 
 # The store answers in 4 ms, in 240 ms when it is slow, and otherwise not at all; waiting longer
@@ -51,6 +51,7 @@
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=MAX_CONNECTIONS,
             retries=0,
+            network_backend=network.PoolBackend(),
             socket_options=[
                 (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
                 (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS),
