--- a/tests/platform/test_early_answers.py
+++ b/tests/platform/test_early_answers.py
@@ -1,6 +1,5 @@
 """Tests of answers to requests that are still being sent."""
 
-import contextlib
 import ssl
 import unittest
 
@@ -10,14 +9,14 @@
 import trustme
 
 from standins import gateways
-from tests.platform import early_answers, standins
-from toucanhold import codec, metrics
+from tests.platform import early_answers, single_server, standins
+from toucanhold import codec
 from toucanhold.backends import client as backend_client
 from toucanhold.backends import http
 from toucanhold.coordination import etcd, keyvalue
 from toucanhold.operators import client as operators_client
 from toucanhold.operators import messages
-from toucanhold.platform import front, servers, store
+from toucanhold.platform import servers, store
 from toucanhold.replicas import orders
 
 EVENTS = b"id: 1\ndata: one\n\nid: 2\ndata: two\n\n"
@@ -26,22 +25,6 @@
 SUSPECTED, SOUND = [1, 1], [0, 0]
 
 
-@contextlib.asynccontextmanager
-async def running(server):
-    """Run a server and an entry before it; yield the gateway fixture and the entry's address."""
-    async with early_answers.serving(server) as address:
-        registered = attrs.evolve(gateways.new_servers(1)["b0"], address=address)
-        scene = gateways.GatewayFixture({"b0": registered})
-        scene.gateway.server_client = servers.PlatformServerClient(scene.server_client.observer)
-        routes = scene.new_table(2, gateways.LOOKUPS, gateways.ORDERS, gateways.STREAMS)
-        limits = attrs.evolve(routes.limits, body_bytes=len(early_answers.BODY))
-        scene.routes.put(attrs.evolve(routes, limits=limits))
-        app = front.FrontApp(scene.gateway, metrics.Metrics("e"))
-        async with scene.running(), standins.serve_app(app) as entry:
-            with trio.fail_after(20):
-                yield scene, entry
-
-
 async def upload(server, route):
     """Send a long request; return status and body, 0 and nothing if broken off, and crashes."""
     headers = [
@@ -50,14 +33,16 @@
         ("x-deadline-remaining-ms", "3000"),
         ("x-prompt-prefix", PROMPT),
     ]
-    async with running(server) as (scene, entry):
-        try:
-            status, _, body = await standins.send_request(
-                entry, "POST", f"/{route}/1", headers, early_answers.BODY
-            )
-        except httpcore.RemoteProtocolError:
-            status, body = 0, b""
-        return status, body, [scene.crashes.count(key) for key in PART_KEYS]
+    limit_bytes = len(early_answers.BODY)
+    async with early_answers.serving(server) as address:
+        async with single_server.running(address, limit_bytes) as (scene, entry):
+            try:
+                status, _, body = await standins.send_request(
+                    entry, "POST", f"/{route}/1", headers, early_answers.BODY
+                )
+            except httpcore.RemoteProtocolError:
+                status, body = 0, b""
+            return status, body, [scene.crashes.count(key) for key in PART_KEYS]
 
 
 class PlatformTest(unittest.TestCase):
--- a/tests/platform/test_unframed_answers.py
+++ b/tests/platform/test_unframed_answers.py
@@ -11,9 +11,7 @@
 import trio
 
 from standins import gateways
-from tests.platform import standins
-from toucanhold import metrics
-from toucanhold.platform import front, servers
+from tests.platform import single_server, standins
 
 HEAD = b"HTTP/1.1 200 OK\r\nx-attempt-id: a-1\r\nx-server-seal: seal-1\r\n\r\n"
 EVENTS = b"id: 1\ndata: one\n\nid: 2\ndata: two\n\n"
@@ -46,13 +44,8 @@
     async with trio.open_nursery() as nursery:
         listeners = await nursery.start(serve)
         address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
-        registered = attrs.evolve(gateways.new_servers(1)["b0"], address=address)
-        scene = gateways.GatewayFixture({"b0": registered})
-        scene.gateway.server_client = servers.PlatformServerClient(scene.server_client.observer)
-        app = front.FrontApp(scene.gateway, metrics.Metrics("e"))
-        async with scene.running(), standins.serve_app(app) as entry:
-            with trio.fail_after(20):
-                yield scene, entry
+        async with single_server.running(address) as running_entry:
+            yield running_entry
         nursery.cancel_scope.cancel()
 
 
