Refuse heads of answers whose lines are not those of HTTP

What callers saw: a server in trouble sent an answer in whose head a name followed a blank or a tab, and callers got it with that line inside the value before it (a signature of "seal-1 x-more: 5"). With a line feed before the name, the rest of the head became the body, as part of a 200.

Cause: the parser is more lenient than callers may rely on. It joins a line that begins with a blank to the value before it (folding, which HTTP/1.1 forbids), and takes a line feed alone for a line end even where all others have a carriage return, so "CR LF LF" ends a head.

Change: the head is checked when it is whole, before the parser gets its last part. A gateway may refuse folded lines (RFC 9112, 5.2). Heads whose lines all end with a line feed alone are read as before.

--- a/tests/test_bounded_answers.py
+++ b/tests/test_bounded_answers.py
@@ -57,6 +57,16 @@
         return None
 
 
+@attrs.define(eq=False)
+class PartedStream(EndlessStream):
+    """Yields the bytes in parts of a size."""
+
+    part_bytes: int = 1
+
+    async def read(self, max_bytes, timeout=None):
+        return await super().read(min(max_bytes, self.part_bytes), timeout)
+
+
 def stream_of(place):
     before, repeated = endless.PLACES[place]
     return EndlessStream(before.replace(b"%s", b"a-1"), repeated)
@@ -105,6 +115,28 @@
         interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nlink: x\r\n\r\n"
         self.assertEqual(b"ok", trio.run(read_answer, EndlessStream(interim + GOOD, b"")))
 
+    def test_heads_that_arrive_in_parts_are_checked_alike(self):
+        """Guards against a line that is invalid only together with the end of the part before."""
+        interim = b"HTTP/1.1 100 Continue\r\n\r\n"
+        for part_bytes in range(1, 10):
+            for before in (b"", interim):
+                with self.subTest(part_bytes=part_bytes, before=before):
+                    for line in (b" x-more: 5", b"\tx-more: 5", b"\nx-more: 5"):
+                        bad = GOOD.replace(b"value\r\n", b"value\r\n%s\r\n" % line)
+                        with self.assertRaises(bounded.InvalidAnswerError):
+                            trio.run(read_answer, PartedStream(before + bad, b"", 0, part_bytes))
+                    good = PartedStream(before + GOOD, b"", 0, part_bytes)
+                    self.assertEqual(b"ok", trio.run(read_answer, good))
+
+    def test_bodies_may_hold_what_heads_may_not(self):
+        """Guards against a check of lines that goes on after the head."""
+        body = b"\n \n\r\n\tHTTP/1.1 100\n"
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body)
+        for answer in (head + body, head.replace(b"\r\n", b"\n") + body):
+            for part_bytes in (1, 1000):
+                stream = PartedStream(answer, b"", 0, part_bytes)
+                self.assertEqual(body, trio.run(read_answer, stream))
+
     def test_other_tasks_run_between_chunks(self):
         """Guards against chunks in one read that keep the event loop."""
         trio.run(self._count_chunks_between_passes)
--- a/toucanhold/backends/bounded.py
+++ b/toucanhold/backends/bounded.py
@@ -8,6 +8,7 @@
 
 import collections.abc
 import contextlib
+import re
 import typing
 
 import attrs
@@ -25,6 +26,9 @@
 STATUS_LINE_START = b"HTTP/1."
 INTERIM_START = (b"HTTP/1.1 1", b"HTTP/1.0 1")
 SWITCHING_PROTOCOLS = 101
+HEAD_END = re.compile(rb"\n\r?\n")
+HEAD_END_BYTES = 3
+FOLDED_LINE = re.compile(rb"\n[ \t]")
 
 ReadCallback = collections.abc.Callable[[], None]
 
@@ -53,6 +57,7 @@
     _is_in_head: bool = attrs.field(default=False, init=False)
     _head_start: bytes = attrs.field(default=b"", init=False)
     _head_lines: int = attrs.field(default=0, init=False)
+    _unchecked_head: bytearray = attrs.field(factory=bytearray, init=False)
 
     def begin_answer(self, on_read: ReadCallback) -> None:
         """Expect an answer from its beginning.
@@ -61,6 +66,7 @@
         """
         self._on_read, self._is_in_head = on_read, True
         self._head_start, self._head_lines, self.received_bytes = b"", 0, 0
+        self._unchecked_head.clear()
 
     def end_head(self) -> None:
         """Expect the body of the answer."""
@@ -102,6 +108,20 @@
         self._head_lines += data.count(b"\n", 0, end if end >= 0 else len(data))
         if self._head_lines > HEAD_LIMIT_LINES:
             raise InvalidAnswerError(f"the head exceeds {HEAD_LIMIT_LINES} lines")
+        self._check_whole_heads(data)
+
+    def _check_whole_heads(self, data: bytes) -> None:
+        start = max(0, len(self._unchecked_head) - HEAD_END_BYTES + 1)
+        self._unchecked_head += data
+        while (end := HEAD_END.search(self._unchecked_head, start)) is not None:
+            head = bytes(self._unchecked_head[: end.end()])
+            _check_lines(head)
+            if not head.startswith(INTERIM_START):
+                # The rest belongs to the body.
+                self._unchecked_head.clear()
+                return
+            del self._unchecked_head[: end.end()]
+            start = 0
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Send all bytes."""
@@ -167,6 +187,16 @@
                 yield chunk
 
 
+def _check_lines(head: bytes) -> None:
+    # The parser reads more than HTTP allows: it appends a line that begins with a blank to the
+    # value before it, and takes a line feed alone for a blank line, which makes the rest the body.
+    if FOLDED_LINE.search(head):
+        raise InvalidAnswerError("a line of the head begins with a blank")
+    status_line = head.partition(b"\n")[0]
+    if status_line.endswith(b"\r") and head.count(b"\n") != head.count(b"\r\n"):
+        raise InvalidAnswerError("only some lines of the head end with a carriage return")
+
+
 @contextlib.contextmanager
 def _translated_parser_errors() -> collections.abc.Iterator[None]:
     # The parser converts a content-length of any number of digits.
