Restore the time bounds of the tests of unframed answers

Cause: when two modules of tests came to share one entry, its limit went from 20 to 60 s and its routes from 1.2 and 5 s to 20 s, also for the tests that were there before.

--- a/tests/platform/test_early_answers.py
+++ b/tests/platform/test_early_answers.py
@@ -23,6 +23,16 @@
 PROMPT = "a1:5,b2:5,c3:5"
 PART_KEYS = ("part-a1", "part-b2")
 SUSPECTED, SOUND = [1, 1], [0, 0]
+ROUTES = (gateways.LOOKUPS, gateways.ORDERS, gateways.STREAMS)
+# Uploads take long on a busy machine.
+ROUTE_TIMEOUT_S = 20.0
+
+
+def accept_uploads(scene):
+    """Let an entry take long requests, and give them time."""
+    table = scene.new_table(2, *(attrs.evolve(each, timeout_s=ROUTE_TIMEOUT_S) for each in ROUTES))
+    limits = attrs.evolve(table.limits, body_bytes=len(early_answers.BODY))
+    scene.routes.put(attrs.evolve(table, limits=limits))
 
 
 async def upload(server, route):
@@ -33,9 +43,9 @@
         ("x-deadline-remaining-ms", "20000"),
         ("x-prompt-prefix", PROMPT),
     ]
-    limit_bytes = len(early_answers.BODY)
     async with early_answers.serving(server) as address:
-        async with single_server.running(address, limit_bytes) as (scene, entry):
+        async with single_server.running(address) as (scene, entry):
+            accept_uploads(scene)
             try:
                 status, _, body = await standins.send_request(
                     entry, "POST", f"/{route}/1", headers, early_answers.BODY
