--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -816,13 +816,17 @@
     record.write(f"TROUBLE={int(has_trouble)}")
 
     async def limited():
+        # A stop ends the processes that the case started, too.
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         async with asyncio.timeout(115):
             return await play(record, temporary, has_trouble)
 
     with tempfile.TemporaryDirectory() as temporary:
         try:
             breaches = asyncio.run(limited())
-        except (CannotRunError, TimeoutError, OSError) as error:
+        except (CannotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
             record.write(f"cannot run: {error!r}")
             print(f"cannot run: {error!r}")
             sys.exit(2)
